Add the design page, the modules and the interfaces between them

The repository was empty. The design page fixes requirements, modules, state owners and failure behaviour; the interfaces let the parts be written side by side.

--- /dev/null
+++ b/basilport-clients/src/main/java/org/basilport/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Interface to model engines. */
+package org.basilport.engine;
--- /dev/null
+++ b/basilport-clients/src/main/java/org/basilport/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Interfaces to the platform: object API, instance list and weight store. */
+package org.basilport.platform;
--- /dev/null
+++ b/basilport-clients/src/main/java/org/basilport/service/package-info.java
@@ -0,0 +1,2 @@
+/** Interface to plain (non-model) services. */
+package org.basilport.service;
--- /dev/null
+++ b/basilport-common/src/main/java/org/basilport/error/ConflictException.java
@@ -0,0 +1,10 @@
+package org.basilport.error;
+
+/** A conditional update found another version, or a request competes with another one. */
+public class ConflictException extends BasilportException {
+
+  /** Creates a conflict at a step with a peer; the request had no effect. */
+  public ConflictException(Step step, String peer, String message) {
+    super(FailureCode.CONFLICT, Outcome.NOT_RUN, step, peer, null, message, null);
+  }
+}
--- /dev/null
+++ b/basilport-common/src/main/java/org/basilport/error/RejectedException.java
@@ -0,0 +1,17 @@
+package org.basilport.error;
+
+import java.time.Duration;
+
+/** A request that was refused before anything was sent to a backend server. */
+public class RejectedException extends BasilportException {
+
+  /** Creates a refusal after which a retry would not help. */
+  public RejectedException(FailureCode code, Step step, String message) {
+    this(code, step, null, message);
+  }
+
+  /** Creates a refusal after which the caller may try again. */
+  public RejectedException(FailureCode code, Step step, Duration retryAfter, String message) {
+    super(code, Outcome.NOT_RUN, step, "", retryAfter, message, null);
+  }
+}
--- /dev/null
+++ b/basilport-common/src/main/java/org/basilport/event/EventType.java
@@ -0,0 +1,85 @@
+package org.basilport.event;
+
+import org.apache.logging.log4j.Level;
+
+/**
+ * Every message that the system logs, with its number, level and template.
+ *
+ * <p>Numbers are never reused: 1xxx process, 2xxx configuration, 3xxx membership and location, 4xxx
+ * generations, 5xxx plain calls and claims, 6xxx backend servers and orders, 7xxx platform, 8xxx
+ * deferred generations, 9xxx invariants.
+ */
+public enum EventType {
+  INSTANCE_STARTED(1001, Level.INFO, "instance {} started, incarnation {}"),
+  INSTANCE_READY(1002, Level.INFO, "instance {} is ready, configuration {}"),
+  INSTANCE_DRAINING(1003, Level.INFO, "instance {} is draining: {}"),
+  INSTANCE_STOPPED(1004, Level.INFO, "instance {} stopped"),
+  INSTANCE_PAUSED(1005, Level.WARN, "control thread of {} was late by {} ms"),
+  CONFIGURATION_ACCEPTED(2001, Level.INFO, "configuration {} accepted from {}, apply id {}"),
+  CONFIGURATION_IN_FORCE(2002, Level.INFO, "configuration {} in force, learned from {}"),
+  CONFIGURATION_REFUSED(2003, Level.WARN, "configuration from {} refused: {}"),
+  CONFIGURATION_CONFLICT(2004, Level.WARN, "configuration from {} conflicts with number {} of {}"),
+  CONFIGURATION_STALE(2005, Level.WARN, "configuration {} may be out of date: {}"),
+  MEMBER_JOINED(3001, Level.INFO, "member {} joined, incarnation {}"),
+  MEMBER_SUSPECTED(3002, Level.WARN, "member {} is suspected, no heartbeat for {} ms"),
+  MEMBER_DEAD(3003, Level.WARN, "member {} is considered dead"),
+  MEMBER_LEAVING(3004, Level.INFO, "member {} is leaving"),
+  GENERATION_ADMITTED(4001, Level.DEBUG, "generation {} admitted to {}"),
+  GENERATION_FIRST_TOKEN(4002, Level.DEBUG, "generation {} delivered its first token"),
+  GENERATION_FINISHED(4003, Level.DEBUG, "generation {} finished with {} tokens"),
+  GENERATION_RETRIED(4004, Level.INFO, "generation {} is retried as attempt {}: {}"),
+  GENERATION_LOST(4005, Level.WARN, "generation {} was lost after {} tokens: {}"),
+  GENERATION_RESUMED(4006, Level.INFO, "generation {} resumed at offset {}"),
+  GENERATION_HANDED_OVER(4007, Level.INFO, "generation {} handed over at offset {}"),
+  GENERATION_ORPHANED(4008, Level.INFO, "generation {} on {} had no reader and was cancelled"),
+  GENERATION_REFUSED(4009, Level.INFO, "generation {} refused: {}"),
+  GENERATION_CANCELLED(4010, Level.DEBUG, "generation {} cancelled by its caller"),
+  FRAME_DROPPED(4011, Level.DEBUG, "frame of {} at offset {} dropped, expected {}"),
+  CALL_FINISHED(5001, Level.DEBUG, "call {} finished at {} with status {}"),
+  CALL_FAILED(5002, Level.INFO, "call {} failed: {}"),
+  CLAIM_RECORDED(5003, Level.DEBUG, "claim of key {} recorded for attempt {}"),
+  CLAIM_REFUSED(5004, Level.INFO, "claim of key {} refused: {}"),
+  CLAIM_RELEASED(5005, Level.DEBUG, "claim of key {} released by attempt {}"),
+  BACKEND_ADDED(6001, Level.INFO, "backend server {} added, incarnation {}"),
+  BACKEND_LEAVING(6002, Level.INFO, "backend server {} is leaving, told by {}"),
+  BACKEND_DEAD(6003, Level.WARN, "backend server {} died with {} requests in flight"),
+  BACKEND_EJECTED(6004, Level.WARN, "backend server {} ejected for slow decoding: {} ms"),
+  REQUEST_SUSPECTED(6005, Level.WARN, "request fingerprint {} suspected after {} deaths"),
+  REQUEST_QUARANTINED(6006, Level.ERROR, "request fingerprint {} quarantined after {} deaths"),
+  REQUEST_CLEARED(6007, Level.INFO, "request fingerprint {} cleared"),
+  ORDER_SENT(6008, Level.INFO, "order {} sent to {} with fencing token {}"),
+  ORDER_REFUSED(6009, Level.WARN, "order {} refused by {}: {}"),
+  PLATFORM_UNAVAILABLE(7001, Level.WARN, "platform call {} failed: {}"),
+  PLATFORM_AVAILABLE(7002, Level.INFO, "platform answers again after {} ms"),
+  PLATFORM_BUDGET_SPENT(7003, Level.WARN, "platform call {} delayed, budget is spent"),
+  JOB_ACCEPTED(8001, Level.DEBUG, "job {} accepted"),
+  JOB_FINISHED(8002, Level.DEBUG, "job {} finished with {} tokens"),
+  JOB_RETRIED(8003, Level.INFO, "job {} is run again: {}"),
+  JOB_SHARD_ACQUIRED(8004, Level.INFO, "job shard {} acquired from {}"),
+  INVARIANT_VIOLATED(9001, Level.ERROR, "invariant {} violated: {}");
+
+  private final int number;
+  private final Level level;
+  private final String template;
+
+  EventType(int number, Level level, String template) {
+    this.number = number;
+    this.level = level;
+    this.template = template;
+  }
+
+  /** The number by which operators look up the event in the catalogue. */
+  public int number() {
+    return number;
+  }
+
+  /** The level at which the event is logged. */
+  public Level level() {
+    return level;
+  }
+
+  /** The message, with a pair of braces for each argument. */
+  public String template() {
+    return template;
+  }
+}
--- /dev/null
+++ b/basilport-common/src/main/java/org/basilport/event/Timeline.java
@@ -0,0 +1,55 @@
+package org.basilport.event;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.ParameterizedMessage;
+
+/** Logs events and keeps the latest ones in a ring buffer of fixed size. */
+public final class Timeline implements EventSink {
+  private static final Logger LOG = LogManager.getLogger(Timeline.class);
+
+  private final String instanceId;
+  private final HybridClock clock;
+  private final Event[] ring;
+  private long recorded;
+
+  /** Creates a timeline that keeps the latest {@code capacity} events. */
+  public Timeline(String instanceId, HybridClock clock, int capacity) {
+    this.instanceId = instanceId;
+    this.clock = clock;
+    this.ring = new Event[capacity];
+  }
+
+  @Override
+  public void record(EventType type, EventSubject subject, Object... arguments) {
+    String text = ParameterizedMessage.format(type.template(), arguments);
+    Event event = new Event(clock.tick(), instanceId, type, subject, text);
+    synchronized (this) {
+      ring[(int) (recorded % ring.length)] = event;
+      recorded++;
+    }
+    LOG.log(type.level(), "[{}] {} {}", type.number(), instanceId, text);
+  }
+
+  /** Returns the kept events that match, oldest first, at most {@code limit} of the newest. */
+  public synchronized List<Event> events(Predicate<Event> filter, int limit) {
+    List<Event> matching = new ArrayList<>();
+    long oldest = Math.max(0, recorded - ring.length);
+    for (long i = oldest; i < recorded; i++) {
+      Event event = ring[(int) (i % ring.length)];
+      if (filter.test(event)) {
+        matching.add(event);
+      }
+    }
+    int from = Math.max(0, matching.size() - limit);
+    return List.copyOf(matching.subList(from, matching.size()));
+  }
+
+  /** The clock that stamps the events. */
+  public HybridClock clock() {
+    return clock;
+  }
+}
--- /dev/null
+++ b/basilport-common/src/main/java/org/basilport/misc/package-info.java
@@ -0,0 +1,2 @@
+/** Small utilities that every module uses. */
+package org.basilport.misc;
--- /dev/null
+++ b/basilport-common/src/test/java/org/basilport/misc/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the utilities. */
+package org.basilport.misc;
--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/ReplicaState.java
@@ -0,0 +1,23 @@
+package org.basilport.policy;
+
+/**
+ * A replica in a lagging report.
+ *
+ * @param serverId id of the backend server
+ * @param near whether the replica is in this instance's data centre
+ * @param capacityTokens size of the key-value memory, in tokens
+ * @param usedTokens key-value memory in use, in tokens
+ * @param waiting generations that wait at the engine
+ * @param running generations that run at the engine
+ * @param medianTokenMillis recent median time between tokens, in milliseconds
+ * @param reportedAtNanos monotonic time at which the report arrived, in nanoseconds
+ */
+public record ReplicaState(
+    String serverId,
+    boolean near,
+    long capacityTokens,
+    long usedTokens,
+    int waiting,
+    int running,
+    double medianTokenMillis,
+    long reportedAtNanos) {}
--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Admission by key-value memory, with bounded queues. */
+package org.basilport.policy.admission;
--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/fairness/package-info.java
@@ -0,0 +1,2 @@
+/** Weighted fairness between workspaces. */
+package org.basilport.policy.fairness;
--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/length/package-info.java
@@ -0,0 +1,2 @@
+/** Estimates of output lengths. */
+package org.basilport.policy.length;
--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Rate limits, retry budgets and backoff. */
+package org.basilport.policy.limit;
--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions without I/O; the clock and the random source are passed in. */
+package org.basilport.policy;
--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of a replica. */
+package org.basilport.policy.routing;
--- /dev/null
+++ b/basilport-router/src/main/java/org/basilport/config/Deployment.java
@@ -0,0 +1,41 @@
+package org.basilport.config;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The whole configuration of a site: base file and overlay, merged and checked.
+ *
+ * @param site name of the site
+ * @param modelServices services of model engines
+ * @param applicationServices plain services
+ * @param workspaces customers
+ * @param routes names under which callers reach services
+ */
+public record Deployment(
+    String site,
+    List<ModelService> modelServices,
+    List<ApplicationService> applicationServices,
+    List<Workspace> workspaces,
+    List<Route> routes) {
+
+  /** Finds a workspace by name. */
+  public Optional<Workspace> workspace(String name) {
+    return workspaces.stream().filter(w -> w.name().equals(name)).findFirst();
+  }
+
+  /** Finds a route by name. */
+  public Optional<Route> route(String name) {
+    return routes.stream().filter(r -> r.name().equals(name)).findFirst();
+  }
+
+  /** Finds a model service by name. */
+  public Optional<ModelService> modelService(String name) {
+    return modelServices.stream().filter(s -> s.name().equals(name)).findFirst();
+  }
+
+  /** Finds an application service by name. */
+  public Optional<ApplicationService> applicationService(String name) {
+    return applicationServices.stream().filter(s -> s.name().equals(name)).findFirst();
+  }
+}
--- /dev/null
+++ b/basilport-router/src/main/java/org/basilport/config/package-info.java
@@ -0,0 +1,2 @@
+/** Typed configuration, its validation, acceptance and propagation. */
+package org.basilport.config;
--- /dev/null
+++ b/basilport-router/src/main/java/org/basilport/deferred/package-info.java
@@ -0,0 +1,2 @@
+/** Generations whose result is collected later. */
+package org.basilport.deferred;
--- /dev/null
+++ b/basilport-router/src/main/java/org/basilport/peer/GossipParticipant.java
@@ -0,0 +1,13 @@
+package org.basilport.peer;
+
+import org.basilport.protocol.GossipMessage;
+
+/** A component whose state travels with gossip; called on the control thread only. */
+public interface GossipParticipant {
+
+  /** Adds what this component wants to tell to an outgoing message. */
+  void contribute(GossipMessage.Builder message);
+
+  /** Takes over what another instance told. */
+  void receive(GossipMessage message);
+}
--- /dev/null
+++ b/basilport-router/src/main/java/org/basilport/peer/PeerConnector.java
@@ -0,0 +1,9 @@
+package org.basilport.peer;
+
+/** Gives access to other instances. */
+@FunctionalInterface
+public interface PeerConnector {
+
+  /** Returns a client of the instance at an IP address and port; connections are shared. */
+  PeerClient connect(String peerAddress);
+}
--- /dev/null
+++ b/basilport-router/src/main/java/org/basilport/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Calls between entry instances. */
+package org.basilport.peer;
--- /dev/null
+++ b/basilport-router/src/main/java/org/basilport/quarantine/package-info.java
@@ -0,0 +1,2 @@
+/** Suspicion and quarantine of requests that crash backend servers. */
+package org.basilport.quarantine;
--- /dev/null
+++ b/basilport-router/src/main/java/org/basilport/router/CallRequest.java
@@ -0,0 +1,13 @@
+package org.basilport.router;
+
+/**
+ * A caller's call of a plain service.
+ *
+ * @param route route of the call
+ * @param path path below the service
+ * @param requestKey key of a request that may not be repeated, else empty
+ * @param repeatable whether the call may run more than once
+ * @param body body of the call
+ */
+public record CallRequest(
+    String route, String path, String requestKey, boolean repeatable, String body) {}
--- /dev/null
+++ b/basilport-router/src/main/java/org/basilport/router/Credentials.java
@@ -0,0 +1,15 @@
+package org.basilport.router;
+
+/**
+ * A caller's workspace and key.
+ *
+ * @param workspace name of the workspace
+ * @param key secret key of the workspace
+ */
+public record Credentials(String workspace, String key) {
+
+  @Override
+  public String toString() {
+    return "Credentials[workspace=" + workspace + "]";
+  }
+}
--- /dev/null
+++ b/basilport-router/src/main/java/org/basilport/router/package-info.java
@@ -0,0 +1,2 @@
+/** The router that a daemon serves. */
+package org.basilport.router;
--- /dev/null
+++ b/tools/generate-protocol.sh
@@ -0,0 +1,47 @@
+#!/usr/bin/env bash
+# Generates the gRPC code of basilport-protocol from peer.proto.
+# With --check it compares instead: exit code 1 when the committed code differs. Where the generators
+# cannot be had from the Maven repository, --check says so and exits with 0, since the build needs no generator.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+readonly PROTOC_VERSION=3.25.9
+readonly GRPC_VERSION=1.83.0
+readonly TARGET=basilport-protocol/src/generated/java
+repository=${MAVEN_REPOSITORY:-$HOME/.m2/repository}
+
+fetch() { # artifact path in the repository, Maven coordinates
+  if [ ! -f "$repository/$1" ]; then
+    mvn -B -q dependency:get -Dtransitive=false -Dartifact="$2" >/dev/null 2>&1 || return 1
+  fi
+  [ -f "$repository/$1" ]
+}
+
+protoc_path=com/google/protobuf/protoc/$PROTOC_VERSION/protoc-$PROTOC_VERSION-linux-x86_64.exe
+plugin_path=io/grpc/protoc-gen-grpc-java/$GRPC_VERSION/protoc-gen-grpc-java-$GRPC_VERSION-linux-x86_64.exe
+if ! fetch "$protoc_path" "com.google.protobuf:protoc:$PROTOC_VERSION:exe:linux-x86_64" ||
+    ! fetch "$plugin_path" "io.grpc:protoc-gen-grpc-java:$GRPC_VERSION:exe:linux-x86_64"; then
+  echo "generate-protocol: generators not available, nothing checked"
+  [ "${1:-}" = "--check" ] && exit 0
+  exit 1
+fi
+
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+cp "$repository/$protoc_path" "$scratch/protoc"
+cp "$repository/$plugin_path" "$scratch/protoc-gen-grpc-java"
+chmod +x "$scratch/protoc" "$scratch/protoc-gen-grpc-java"
+mkdir "$scratch/out"
+"$scratch/protoc" --plugin="protoc-gen-grpc-java=$scratch/protoc-gen-grpc-java" \
+  --java_out="$scratch/out" --grpc-java_out="@generated=omit:$scratch/out" \
+  -I basilport-protocol/src/main/proto basilport-protocol/src/main/proto/peer.proto
+
+if [ "${1:-}" = "--check" ]; then
+  if ! diff -r --exclude=package-info.java "$scratch/out" "$TARGET" >/dev/null; then
+    echo "generate-protocol: committed code differs from peer.proto; run tools/generate-protocol.sh"
+    exit 1
+  fi
+  echo "generate-protocol: committed code is current"
+else
+  mkdir -p "$TARGET"
+  cp -r "$scratch/out/." "$TARGET/"
+fi
