--- /dev/null
+++ b/basilport-daemon/src/main/java/org/basilport/daemon/EnvironmentDefaults.java
@@ -0,0 +1,38 @@
+package org.basilport.daemon;
+
+import java.util.Locale;
+import java.util.Map;
+import picocli.CommandLine.IDefaultValueProvider;
+import picocli.CommandLine.Model.ArgSpec;
+import picocli.CommandLine.Model.OptionSpec;
+
+/** Takes the value of a flag that was not given from the environment variable of the same name. */
+public final class EnvironmentDefaults implements IDefaultValueProvider {
+  private static final String PREFIX = "BASILPORT_";
+
+  private final Map<String, String> environment;
+
+  /** Creates a provider over the environment of the process. */
+  public EnvironmentDefaults() {
+    this(System.getenv());
+  }
+
+  /** Creates a provider over the given variables. */
+  public EnvironmentDefaults(Map<String, String> environment) {
+    this.environment = environment;
+  }
+
+  /** Name of the variable of a flag: {@code --peer-address} is {@code BASILPORT_PEER_ADDRESS}. */
+  public static String variable(String flag) {
+    return PREFIX + flag.substring(2).replace('-', '_').toUpperCase(Locale.ROOT);
+  }
+
+  @Override
+  public String defaultValue(ArgSpec argument) {
+    if (!argument.isOption()) {
+      return null;
+    }
+    String flag = ((OptionSpec) argument).longestName();
+    return flag.startsWith("--") ? environment.get(variable(flag)) : null;
+  }
+}
--- /dev/null
+++ b/basilport-daemon/src/main/java/org/basilport/daemon/TimelineCollector.java
@@ -0,0 +1,86 @@
+package org.basilport.daemon;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.basilport.event.HybridClock;
+import org.basilport.membership.Member;
+import org.basilport.membership.MemberHealth;
+import org.basilport.membership.MembershipView;
+import org.basilport.peer.PeerClient;
+import org.basilport.peer.PeerConnector;
+import org.basilport.protocol.TimelineEntry;
+import org.basilport.protocol.TimelineMessage;
+import org.basilport.protocol.TimelineQuery;
+
+/** Merges the timelines of all instances in the order of the hybrid logical clock. */
+public final class TimelineCollector {
+  private static final long PEER_TIMEOUT_MILLIS = 2_000;
+
+  private final MembershipView membership;
+  private final PeerClient self;
+  private final PeerConnector peers;
+
+  /**
+   * Creates a collector.
+   *
+   * @param self this instance's own endpoint
+   */
+  public TimelineCollector(MembershipView membership, PeerClient self, PeerConnector peers) {
+    this.membership = membership;
+    this.self = self;
+    this.peers = peers;
+  }
+
+  /** Collects matching entries; instances that do not answer are named instead of waited for. */
+  public CompletableFuture<MergedTimeline> collect(TimelineQuery query) {
+    String ownId = membership.self().id();
+    List<CompletableFuture<Part>> parts = new ArrayList<>();
+    for (Member member : membership.members()) {
+      if (member.health() != MemberHealth.DEAD || member.id().equals(ownId)) {
+        PeerClient client = member.id().equals(ownId) ? self : peers.connect(member.peerAddress());
+        parts.add(fetch(member.id(), client, query));
+      }
+    }
+    return CompletableFuture.allOf(parts.toArray(CompletableFuture[]::new))
+        .thenApply(done -> merge(parts.stream().map(CompletableFuture::join).toList(), query));
+  }
+
+  private static CompletableFuture<Part> fetch(
+      String instanceId, PeerClient client, TimelineQuery query) {
+    return client
+        .fetchTimeline(query)
+        .orTimeout(PEER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        .handle((message, failure) -> new Part(instanceId, message));
+  }
+
+  private static MergedTimeline merge(List<Part> parts, TimelineQuery query) {
+    List<String> missing =
+        parts.stream().filter(part -> part.message == null).map(Part::instanceId).toList();
+    List<MergedTimeline.Entry> entries =
+        parts.stream()
+            .filter(part -> part.message != null)
+            .flatMap(part -> part.message.getEntriesList().stream())
+            .sorted(Comparator.comparingLong(TimelineEntry::getHybridTime))
+            .map(TimelineCollector::entry)
+            .toList();
+    int from = Math.max(0, entries.size() - query.getLimit());
+    return new MergedTimeline(List.copyOf(entries.subList(from, entries.size())), missing);
+  }
+
+  private static MergedTimeline.Entry entry(TimelineEntry entry) {
+    return new MergedTimeline.Entry(
+        entry.getHybridTime(),
+        HybridClock.millis(entry.getHybridTime()),
+        entry.getInstanceId(),
+        entry.getEventNumber(),
+        entry.getRequestId(),
+        entry.getWorkspace(),
+        entry.getServerId(),
+        entry.getText());
+  }
+
+  private record Part(String instanceId, TimelineMessage message) {}
+}
--- /dev/null
+++ b/basilport-daemon/src/main/java/org/basilport/daemon/http/GenerationStream.java
@@ -0,0 +1,173 @@
+package org.basilport.daemon.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Queue;
+import java.util.function.Function;
+import org.basilport.delivery.GenerationHandle;
+import org.basilport.delivery.GenerationListener;
+import org.basilport.error.BasilportException;
+import org.reactivestreams.Publisher;
+import org.reactivestreams.Subscriber;
+import org.reactivestreams.Subscription;
+import ratpack.exec.Downstream;
+
+/**
+ * Passes a generation on as server-sent events, no faster than the socket takes them.
+ *
+ * <p>All state is confined to the event loop of the connection; the router's callbacks are handed
+ * over to it. A failure before the first event becomes the HTTP status, so the first event is
+ * awaited before the response starts.
+ */
+final class GenerationStream implements GenerationListener, Publisher<ByteBuf>, Subscription {
+  private final EventLoop loop;
+  private final Function<BasilportException, FailureBody> describe;
+  private final Queue<ServerSentEvent> waiting = new ArrayDeque<>();
+  private GenerationHandle handle;
+  private Downstream<? super Boolean> firstEvent;
+  private Subscriber<? super ByteBuf> subscriber;
+  private long demand = 1;
+  private long requested;
+  private boolean complete;
+  private boolean closed;
+
+  GenerationStream(EventLoop loop, Function<BasilportException, FailureBody> describe) {
+    this.loop = loop;
+    this.describe = describe;
+  }
+
+  /**
+   * Takes the handle and asks for the first batch. Call on the event loop, in the task that started
+   * the generation: the router's callbacks are queued behind it.
+   */
+  void open(GenerationHandle generation, Downstream<? super Boolean> onFirstEvent) {
+    handle = generation;
+    firstEvent = onFirstEvent;
+    requestBatches();
+  }
+
+  /** The caller has gone; the generation goes on until the resume window ends. */
+  void disconnect() {
+    loop.execute(this::cancelOnLoop);
+  }
+
+  @Override
+  public void onTokens(long offset, List<String> tokens, String resumeToken) {
+    String data = Json.write(new StreamBodies.Tokens(offset, tokens));
+    offer(new ServerSentEvent(resumeToken, "token", data), false);
+  }
+
+  @Override
+  public void onEnd(long totalTokens, String reason) {
+    offer(
+        new ServerSentEvent("", "end", Json.write(new StreamBodies.End(totalTokens, reason))),
+        true);
+  }
+
+  @Override
+  public void onHandover(String resumeToken, List<String> addresses) {
+    String data = Json.write(new StreamBodies.Resume(resumeToken, addresses));
+    offer(new ServerSentEvent(resumeToken, "resume", data), true);
+  }
+
+  @Override
+  public void onFailure(BasilportException failure) {
+    loop.execute(() -> fail(failure));
+  }
+
+  @Override
+  public void subscribe(Subscriber<? super ByteBuf> target) {
+    subscriber = target;
+    demand = 0;
+    target.onSubscribe(this);
+  }
+
+  @Override
+  public void request(long events) {
+    loop.execute(() -> addDemand(events));
+  }
+
+  @Override
+  public void cancel() {
+    disconnect();
+  }
+
+  private void fail(BasilportException failure) {
+    if (subscriber == null && waiting.isEmpty() && firstEvent != null) {
+      complete = true;
+      Downstream<? super Boolean> downstream = firstEvent;
+      firstEvent = null;
+      downstream.error(failure);
+      return;
+    }
+    add(new ServerSentEvent("", "error", Json.write(describe.apply(failure))), true);
+  }
+
+  private void offer(ServerSentEvent event, boolean last) {
+    loop.execute(() -> add(event, last));
+  }
+
+  private void add(ServerSentEvent event, boolean last) {
+    if (closed || complete) {
+      return;
+    }
+    waiting.add(event);
+    if (last) {
+      complete = true;
+    } else {
+      requested--;
+    }
+    announceFirstEvent();
+    emit();
+  }
+
+  private void announceFirstEvent() {
+    if (firstEvent != null && !waiting.isEmpty()) {
+      Downstream<? super Boolean> downstream = firstEvent;
+      firstEvent = null;
+      downstream.success(true);
+    }
+  }
+
+  private void addDemand(long events) {
+    demand = Math.min(Integer.MAX_VALUE, demand + Math.min(events, Integer.MAX_VALUE));
+    emit();
+  }
+
+  private void emit() {
+    if (subscriber == null || closed) {
+      return;
+    }
+    while (demand > 0 && !waiting.isEmpty()) {
+      demand--;
+      subscriber.onNext(waiting.remove().encode());
+    }
+    if (complete && waiting.isEmpty()) {
+      closed = true;
+      subscriber.onComplete();
+    } else {
+      requestBatches();
+    }
+  }
+
+  private void requestBatches() {
+    long missing = demand - requested - waiting.size();
+    if (missing > 0 && !complete) {
+      requested += missing;
+      handle.request((int) missing);
+    }
+  }
+
+  private void cancelOnLoop() {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    waiting.clear();
+    if (!complete) {
+      handle.detach();
+    }
+  }
+}
--- /dev/null
+++ b/basilport-daemon/src/main/java/org/basilport/daemon/http/HttpInterface.java
@@ -0,0 +1,104 @@
+package org.basilport.daemon.http;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.net.HostAndPort;
+import java.net.InetAddress;
+import java.util.concurrent.CompletableFuture;
+import org.basilport.daemon.DaemonSettings;
+import org.basilport.daemon.TimelineCollector;
+import org.basilport.error.FailureCode;
+import org.basilport.error.Outcome;
+import org.basilport.error.Step;
+import org.basilport.error.UnavailableException;
+import org.basilport.misc.Service;
+import org.basilport.router.Router;
+import ratpack.error.ClientErrorHandler;
+import ratpack.error.ServerErrorHandler;
+import ratpack.handling.Chain;
+import ratpack.server.RatpackServer;
+import ratpack.server.ServerConfigBuilder;
+
+/** The HTTP server of an instance. */
+public final class HttpInterface implements Service {
+  private final DaemonSettings settings;
+  private final Responder responder;
+  private final CallerHandlers callers;
+  private final OperatorHandlers operators;
+  private final HealthHandlers health;
+  private RatpackServer server;
+
+  /** Creates a server over a router; it listens after its start. */
+  public HttpInterface(
+      DaemonSettings settings,
+      Router router,
+      TimelineCollector timeline,
+      OperatorActions actions,
+      MetricRegistry metrics) {
+    this.settings = settings;
+    this.responder = new Responder(router.membership(), settings.maxBodyBytes());
+    RequestReader reader = new RequestReader(settings.maxBodyBytes());
+    this.callers = new CallerHandlers(router, reader, responder);
+    this.operators =
+        new OperatorHandlers(router, timeline, actions, reader, responder, settings.operatorKey());
+    this.health = new HealthHandlers(router, metrics, reader, responder);
+  }
+
+  @Override
+  public CompletableFuture<Void> start() {
+    try {
+      server =
+          RatpackServer.start(
+              definition ->
+                  definition
+                      .serverConfig(this::configure)
+                      .registryOf(
+                          registry ->
+                              registry
+                                  .add(ServerErrorHandler.class, responder)
+                                  .add(ClientErrorHandler.class, responder))
+                      .handlers(this::addCalls));
+      return CompletableFuture.completedFuture(null);
+    } catch (Exception e) {
+      return CompletableFuture.failedFuture(failure("cannot listen", e));
+    }
+  }
+
+  @Override
+  public CompletableFuture<Void> stop() {
+    if (server != null) {
+      try {
+        server.stop();
+      } catch (Exception e) {
+        return CompletableFuture.failedFuture(failure("cannot stop", e));
+      }
+    }
+    return CompletableFuture.completedFuture(null);
+  }
+
+  private void configure(ServerConfigBuilder config) throws Exception {
+    HostAndPort address = HostAndPort.fromString(settings.instance().address());
+    config
+        .address(InetAddress.getByName(address.getHost()))
+        .port(address.getPort())
+        .maxContentLength(settings.maxBodyBytes())
+        .development(false)
+        .registerShutdownHook(false);
+  }
+
+  private void addCalls(Chain chain) throws Exception {
+    callers.addTo(chain);
+    operators.addTo(chain);
+    health.addTo(chain);
+  }
+
+  private UnavailableException failure(String problem, Exception cause) {
+    return new UnavailableException(
+        FailureCode.INTERNAL,
+        Outcome.NOT_RUN,
+        Step.CONNECT,
+        settings.instance().address(),
+        null,
+        "HTTP server at " + settings.instance().address() + " " + problem + ": " + cause,
+        cause);
+  }
+}
--- /dev/null
+++ b/basilport-daemon/src/main/java/org/basilport/daemon/http/OperatorHandlers.java
@@ -0,0 +1,202 @@
+package org.basilport.daemon.http;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.List;
+import java.util.Optional;
+import org.basilport.backend.BackendServer;
+import org.basilport.config.AcceptedConfiguration;
+import org.basilport.config.ConfigurationChange;
+import org.basilport.config.Deployment;
+import org.basilport.config.HistoryEntry;
+import org.basilport.daemon.TimelineCollector;
+import org.basilport.engine.EngineReport;
+import org.basilport.error.FailureCode;
+import org.basilport.error.RejectedException;
+import org.basilport.error.Step;
+import org.basilport.membership.Member;
+import org.basilport.protocol.TimelineQuery;
+import org.basilport.router.Router;
+import ratpack.handling.Chain;
+import ratpack.handling.Context;
+
+/** What operators use; every call needs the operator key. */
+final class OperatorHandlers {
+  private static final int ACCEPTED = 202;
+  private static final long DEFAULT_LIMIT = 1_000;
+  private static final long LARGEST_LIMIT = 10_000;
+
+  private final Router router;
+  private final TimelineCollector timeline;
+  private final OperatorActions actions;
+  private final RequestReader reader;
+  private final Responder responder;
+  private final byte[] operatorKey;
+
+  OperatorHandlers(
+      Router router,
+      TimelineCollector timeline,
+      OperatorActions actions,
+      RequestReader reader,
+      Responder responder,
+      String operatorKey) {
+    this.router = router;
+    this.timeline = timeline;
+    this.actions = actions;
+    this.reader = reader;
+    this.responder = responder;
+    this.operatorKey = operatorKey.getBytes(StandardCharsets.UTF_8);
+  }
+
+  void addTo(Chain chain) throws Exception {
+    chain.prefix("v1/operator", this::addOperatorCalls);
+  }
+
+  private void addOperatorCalls(Chain chain) {
+    chain
+        .all(this::requireKey)
+        .get("config", this::configuration)
+        .post("config", this::apply)
+        .post("config/validate", this::validate)
+        .get("config/status", this::status)
+        .get("config/history", this::history)
+        .get("instances", context -> responder.send(context, router.membership().members()))
+        .get("engines", this::engines)
+        .get("requests", context -> responder.send(context, router.activeRequests()))
+        .get("timeline", this::timeline)
+        .post("drain", this::drain);
+  }
+
+  /** Compares in constant time, so that the answer's delay says nothing about the key. */
+  private void requireKey(Context context) {
+    String given =
+        reader
+            .header(context, RequestReader.OPERATOR_KEY)
+            .orElseThrow(
+                () ->
+                    new RejectedException(
+                        FailureCode.UNAUTHENTICATED,
+                        Step.AUTHENTICATE,
+                        "missing header " + RequestReader.OPERATOR_KEY));
+    if (!MessageDigest.isEqual(given.getBytes(StandardCharsets.UTF_8), operatorKey)) {
+      throw new RejectedException(FailureCode.FORBIDDEN, Step.AUTHENTICATE, "wrong operator key");
+    }
+    context.next();
+  }
+
+  private void configuration(Context context) {
+    AcceptedConfiguration inForce =
+        router
+            .configuration()
+            .inForce()
+            .orElseThrow(
+                () ->
+                    new RejectedException(
+                        FailureCode.NOT_FOUND, Step.CONFIGURE, "no configuration is in force"));
+    responder.send(context, ConfigurationBody.of(inForce));
+  }
+
+  private void apply(Context context) {
+    reader
+        .json(context, ConfigurationChange.class)
+        .flatMap(change -> responder.await(() -> router.applyConfiguration(change)))
+        .then(accepted -> responder.send(context, ConfigurationBody.of(accepted)));
+  }
+
+  private void validate(Context context) {
+    reader
+        .json(context, Deployment.class)
+        .then(deployment -> responder.send(context, problems(deployment)));
+  }
+
+  private ProblemsBody problems(Deployment deployment) {
+    List<String> problems = actions.problems(deployment);
+    return new ProblemsBody(problems.isEmpty(), problems);
+  }
+
+  private void status(Context context) {
+    Optional<AcceptedConfiguration> inForce = router.configuration().inForce();
+    List<InstanceStatus> instances =
+        router.membership().members().stream().map(InstanceStatus::of).toList();
+    responder.send(
+        context, new StatusBody(inForce.map(AcceptedConfiguration::number).orElse(0L), instances));
+  }
+
+  private void history(Context context) {
+    responder
+        .await(() -> router.configurations().history())
+        .then((List<HistoryEntry> entries) -> responder.send(context, entries));
+  }
+
+  private void engines(Context context) {
+    responder.send(
+        context,
+        router.backends().servers().stream()
+            .map(server -> new EngineBody(server, report(server)))
+            .toList());
+  }
+
+  private EngineReport report(BackendServer server) {
+    return router.backends().latestReport(server.id()).orElse(null);
+  }
+
+  private void timeline(Context context) {
+    long limit = reader.numberParameter(context, "limit", DEFAULT_LIMIT);
+    TimelineQuery query =
+        TimelineQuery.newBuilder()
+            .setRequestId(reader.parameter(context, "request"))
+            .setWorkspace(reader.parameter(context, "workspace"))
+            .setServerId(reader.parameter(context, "server"))
+            .setFromMillis(reader.numberParameter(context, "from", 0))
+            .setToMillis(reader.numberParameter(context, "to", Long.MAX_VALUE))
+            .setLimit((int) Math.max(1, Math.min(limit, LARGEST_LIMIT)))
+            .build();
+    responder.await(() -> timeline.collect(query)).then(merged -> responder.send(context, merged));
+  }
+
+  private void drain(Context context) {
+    reader
+        .json(context, DrainBody.class)
+        .then(
+            body -> {
+              actions.drain(body.reason());
+              responder.send(context, ACCEPTED, body);
+            });
+  }
+
+  /** An accepted configuration. */
+  record ConfigurationBody(
+      long number, String applyId, String author, String acceptedAt, Deployment deployment) {
+    static ConfigurationBody of(AcceptedConfiguration accepted) {
+      return new ConfigurationBody(
+          accepted.number(),
+          accepted.applyId(),
+          accepted.author(),
+          accepted.acceptedAt().toString(),
+          accepted.deployment());
+    }
+  }
+
+  /** What is wrong with a configuration. */
+  record ProblemsBody(boolean valid, List<String> problems) {}
+
+  /** The configuration in force here and on each instance. */
+  record StatusBody(long number, List<InstanceStatus> instances) {}
+
+  /** The configuration in force on an instance. */
+  record InstanceStatus(String id, String status, String health, long configurationNumber) {
+    static InstanceStatus of(Member member) {
+      return new InstanceStatus(
+          member.id(),
+          member.status().name(),
+          member.health().name(),
+          member.configurationNumber());
+    }
+  }
+
+  /** A backend server with its latest report, null when there is none. */
+  record EngineBody(BackendServer server, EngineReport report) {}
+
+  /** Why an instance is drained. */
+  record DrainBody(String reason) {}
+}
--- /dev/null
+++ b/basilport-daemon/src/main/java/org/basilport/daemon/http/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP interface for callers and operators. */
+package org.basilport.daemon.http;
--- /dev/null
+++ b/basilport-daemon/src/main/java/org/basilport/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon: settings, logs, and the wiring of the router library to its servers. */
+package org.basilport.daemon;
--- /dev/null
+++ b/basilport-daemon/src/test/java/org/basilport/daemon/http/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the HTTP interface. */
+package org.basilport.daemon.http;
--- /dev/null
+++ b/basilport-daemon/src/test/java/org/basilport/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the daemon. */
+package org.basilport.daemon;
