--- /dev/null
+++ b/basilport-bench/src/main/java/org/basilport/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Measurement tools. */
+package org.basilport.bench;
--- /dev/null
+++ b/basilport-bench/src/main/java/org/basilport/bench/soak/package-info.java
@@ -0,0 +1,2 @@
+/** Long randomised runs of real routers over in-process stand-ins with a virtual clock. */
+package org.basilport.bench.soak;
