--- /dev/null
+++ b/basilport-standin/src/main/java/org/basilport/standin/platform/CallCounts.java
@@ -0,0 +1,28 @@
+package org.basilport.standin.platform;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Counts calls per client and kind; a waiting watch is one call. */
+public final class CallCounts {
+  private final Map<Key, Long> counts = new ConcurrentHashMap<>();
+
+  /** Number of calls of a kind by all clients. */
+  public long total(CallKind kind) {
+    return counts.entrySet().stream()
+        .filter(entry -> entry.getKey().kind == kind)
+        .mapToLong(Map.Entry::getValue)
+        .sum();
+  }
+
+  /** Number of calls of a kind by one client. */
+  public long of(String clientId, CallKind kind) {
+    return counts.getOrDefault(new Key(clientId, kind), 0L);
+  }
+
+  void add(String clientId, CallKind kind) {
+    counts.merge(new Key(clientId, kind), 1L, Long::sum);
+  }
+
+  private record Key(String clientId, CallKind kind) {}
+}
--- /dev/null
+++ b/basilport-standin/src/main/java/org/basilport/standin/platform/MemoryPlatform.java
@@ -0,0 +1,311 @@
+package org.basilport.standin.platform;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.basilport.error.BasilportException;
+import org.basilport.error.ConflictException;
+import org.basilport.error.FailureCode;
+import org.basilport.error.Outcome;
+import org.basilport.error.RejectedException;
+import org.basilport.error.Step;
+import org.basilport.error.UnavailableException;
+import org.basilport.misc.Cancellable;
+import org.basilport.misc.Scheduler;
+import org.basilport.platform.InstanceDirectory;
+import org.basilport.platform.InstanceState;
+import org.basilport.platform.ListedInstance;
+import org.basilport.platform.ObjectStore;
+import org.basilport.platform.StoredObject;
+import org.basilport.platform.WeightStore;
+
+/**
+ * The platform in memory. Versions come from one counter for all objects, so an object that is
+ * deleted and created again gets a larger version.
+ *
+ * <p>A call takes effect after half of its latency and is answered after the other half. Results
+ * complete on the scheduler.
+ */
+public final class MemoryPlatform implements ObjectStore, InstanceDirectory, WeightStore {
+  private static final String PEER = "platform";
+
+  private final Scheduler scheduler;
+  private final SplittableRandom random;
+  private final CallCounts counts = new CallCounts();
+  private final PlatformFaults faults = new PlatformFaults(this::cutWatches);
+  private final PlatformClient direct = client("direct");
+  private final TreeMap<String, StoredObject> objects = new TreeMap<>();
+  private final List<Watch> watches = new ArrayList<>();
+  private final Map<String, ListedInstance> instances = new TreeMap<>();
+  private final Map<String, ListedInstance> visibleInstances = new TreeMap<>();
+  private final Deque<Runnable> hiddenChanges = new ArrayDeque<>();
+  private WeightLimit weightLimit;
+  private long lastVersion;
+
+  /** Creates an empty platform; the random source decides which answers are lost. */
+  public MemoryPlatform(Scheduler scheduler, SplittableRandom random) {
+    this.scheduler = scheduler;
+    this.random = random;
+    this.weightLimit = new WeightLimit(4, Duration.ofSeconds(10), scheduler.nanoTime());
+  }
+
+  /** Switches for faults. */
+  public PlatformFaults faults() {
+    return faults;
+  }
+
+  /** Counters of calls. */
+  public CallCounts counts() {
+    return counts;
+  }
+
+  /** Returns the view of one client. */
+  public PlatformClient client(String clientId) {
+    return new PlatformClient(this, clientId);
+  }
+
+  /** Allows a burst of weight fetches, and one more each time the refill interval has passed. */
+  public synchronized void limitWeightFetches(int burst, Duration refill) {
+    weightLimit = new WeightLimit(burst, refill, scheduler.nanoTime());
+  }
+
+  /** Puts an entry into the instance list; it becomes visible after the lag. */
+  public synchronized void putInstance(ListedInstance instance) {
+    instances.put(instance.id(), instance);
+    publish(() -> visibleInstances.put(instance.id(), instance));
+  }
+
+  /** Removes an entry from the instance list. */
+  public synchronized void removeInstance(String id) {
+    instances.remove(id);
+    publish(() -> visibleInstances.remove(id));
+  }
+
+  /** Marks an entry as leaving; does nothing when there is no such entry. */
+  public synchronized void markLeaving(String id) {
+    ListedInstance instance = instances.get(id);
+    if (instance != null) {
+      putInstance(instance.withState(InstanceState.LEAVING));
+    }
+  }
+
+  private void publish(Runnable change) {
+    Duration lag = faults.instanceLag();
+    if (lag.isZero() && hiddenChanges.isEmpty()) {
+      change.run();
+      return;
+    }
+    hiddenChanges.add(change);
+    scheduler.schedule(lag, this::publishNext);
+  }
+
+  private synchronized void publishNext() {
+    // Changes become visible in their order, also when the lag was shortened in between.
+    hiddenChanges.remove().run();
+  }
+
+  <T> CompletableFuture<T> call(String clientId, CallKind kind, Supplier<T> operation) {
+    CompletableFuture<T> result = new CompletableFuture<>();
+    counts.add(clientId, kind);
+    scheduler.schedule(faults.oneWay(), () -> apply(clientId, kind, operation, result));
+    return result;
+  }
+
+  private <T> void apply(
+      String clientId, CallKind kind, Supplier<T> operation, CompletableFuture<T> result) {
+    if (faults.cutOff(clientId)) {
+      result.completeExceptionally(unavailable(kind, "the platform does not answer"));
+      return;
+    }
+    T value;
+    try {
+      value = operation.get();
+    } catch (BasilportException e) {
+      scheduler.schedule(faults.oneWay(), () -> result.completeExceptionally(e));
+      return;
+    }
+    if (kind == CallKind.WRITE && losesAnswer()) {
+      UnavailableException lost = unavailable(kind, "the answer of the platform was lost");
+      scheduler.schedule(faults.lostAnswerTimeout(), () -> result.completeExceptionally(lost));
+      return;
+    }
+    scheduler.schedule(faults.oneWay(), () -> answer(clientId, kind, value, result));
+  }
+
+  private synchronized boolean losesAnswer() {
+    return faults.takeLostAnswer(random.nextDouble());
+  }
+
+  /** Completes a call unless the platform has become unreachable for the client. */
+  private <T> void answer(String clientId, CallKind kind, T value, CompletableFuture<T> result) {
+    if (faults.cutOff(clientId)) {
+      result.completeExceptionally(unavailable(kind, "the answer of the platform was lost"));
+    } else {
+      result.complete(value);
+    }
+  }
+
+  private static UnavailableException unavailable(CallKind kind, String message) {
+    Outcome outcome = kind == CallKind.WRITE ? Outcome.MAY_HAVE_RUN : Outcome.NOT_RUN;
+    return new UnavailableException(
+        FailureCode.PLATFORM_UNAVAILABLE, outcome, Step.STORE, PEER, null, message, null);
+  }
+
+  synchronized Optional<StoredObject> readNow(String name) {
+    return Optional.ofNullable(objects.get(name));
+  }
+
+  synchronized Long writeNow(String name, byte[] value, long expectedVersion) {
+    if (value.length > MAX_VALUE_BYTES) {
+      String message = name + " has " + value.length + " bytes, more than " + MAX_VALUE_BYTES;
+      throw new RejectedException(FailureCode.TOO_LARGE, Step.STORE, message);
+    }
+    requireVersion(name, expectedVersion);
+    StoredObject stored = new StoredObject(name, ++lastVersion, value);
+    objects.put(name, stored);
+    for (Watch watch : List.copyOf(watches)) {
+      if (watch.name.equals(name) && watch.afterVersion < stored.version()) {
+        endWatch(watch, Optional.of(stored));
+      }
+    }
+    return stored.version();
+  }
+
+  synchronized Void deleteNow(String name, long expectedVersion) {
+    requireVersion(name, expectedVersion);
+    objects.remove(name);
+    return null;
+  }
+
+  private void requireVersion(String name, long expectedVersion) {
+    StoredObject present = objects.get(name);
+    long version = present == null ? ABSENT : present.version();
+    if (version != expectedVersion) {
+      String message = name + " has version " + version + ", expected " + expectedVersion;
+      throw new ConflictException(Step.STORE, PEER, message);
+    }
+  }
+
+  synchronized List<String> listNow(String prefix) {
+    return objects.tailMap(prefix, true).keySet().stream()
+        .takeWhile(name -> name.startsWith(prefix))
+        .toList();
+  }
+
+  synchronized List<ListedInstance> instancesNow() {
+    return List.copyOf(visibleInstances.values());
+  }
+
+  synchronized Void reserveNow(String model, String version) {
+    Duration wait = weightLimit.take(scheduler.nanoTime());
+    if (!wait.isZero()) {
+      String message = "the weight store allows no fetch of " + model + " " + version + " now";
+      throw new RejectedException(FailureCode.OVER_LIMIT, Step.STORE, wait, message);
+    }
+    return null;
+  }
+
+  CompletableFuture<Optional<StoredObject>> watch(
+      String clientId, String name, long afterVersion, Duration wait) {
+    CompletableFuture<Optional<StoredObject>> result = new CompletableFuture<>();
+    Watch watch = new Watch(clientId, name, afterVersion, result);
+    counts.add(clientId, CallKind.WATCH);
+    scheduler.schedule(faults.oneWay(), () -> startWatch(watch, wait));
+    return result;
+  }
+
+  private synchronized void startWatch(Watch watch, Duration wait) {
+    StoredObject present = objects.get(watch.name);
+    if (faults.cutOff(watch.clientId)) {
+      // The callbacks of the result must not run while the lock is held.
+      scheduler.execute(
+          () -> answer(watch.clientId, CallKind.WATCH, Optional.empty(), watch.result));
+      return;
+    }
+    watches.add(watch);
+    if (present != null && present.version() > watch.afterVersion) {
+      endWatch(watch, Optional.of(present));
+    } else {
+      watch.timer = scheduler.schedule(wait, () -> endWatch(watch, Optional.empty()));
+    }
+  }
+
+  private synchronized void endWatch(Watch watch, Optional<StoredObject> value) {
+    if (watches.remove(watch)) {
+      watch.timer.cancel();
+      scheduler.schedule(
+          faults.oneWay(), () -> answer(watch.clientId, CallKind.WATCH, value, watch.result));
+    }
+  }
+
+  private synchronized void cutWatches() {
+    for (Watch watch : List.copyOf(watches)) {
+      if (faults.cutOff(watch.clientId)) {
+        endWatch(watch, Optional.empty());
+      }
+    }
+  }
+
+  @Override
+  public CompletableFuture<Optional<StoredObject>> read(String name) {
+    return direct.read(name);
+  }
+
+  @Override
+  public CompletableFuture<Long> write(String name, byte[] value, long expectedVersion) {
+    return direct.write(name, value, expectedVersion);
+  }
+
+  @Override
+  public CompletableFuture<Void> delete(String name, long expectedVersion) {
+    return direct.delete(name, expectedVersion);
+  }
+
+  @Override
+  public CompletableFuture<List<String>> list(String prefix) {
+    return direct.list(prefix);
+  }
+
+  @Override
+  public CompletableFuture<Optional<StoredObject>> watch(
+      String name, long afterVersion, Duration wait) {
+    return direct.watch(name, afterVersion, wait);
+  }
+
+  @Override
+  public CompletableFuture<List<ListedInstance>> list() {
+    return direct.list();
+  }
+
+  @Override
+  public CompletableFuture<Void> reserveFetch(String model, String version) {
+    return direct.reserveFetch(model, version);
+  }
+
+  private static final class Watch {
+    private final String clientId;
+    private final String name;
+    private final long afterVersion;
+    private final CompletableFuture<Optional<StoredObject>> result;
+    private Cancellable timer = () -> {};
+
+    Watch(
+        String clientId,
+        String name,
+        long afterVersion,
+        CompletableFuture<Optional<StoredObject>> result) {
+      this.clientId = clientId;
+      this.name = name;
+      this.afterVersion = afterVersion;
+      this.result = result;
+    }
+  }
+}
--- /dev/null
+++ b/basilport-standin/src/main/java/org/basilport/standin/platform/PlatformClient.java
@@ -0,0 +1,65 @@
+package org.basilport.standin.platform;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.basilport.platform.InstanceDirectory;
+import org.basilport.platform.ListedInstance;
+import org.basilport.platform.ObjectStore;
+import org.basilport.platform.StoredObject;
+import org.basilport.platform.WeightStore;
+
+/** The view that one client has of a {@link MemoryPlatform}; it can be partitioned on its own. */
+public final class PlatformClient implements ObjectStore, InstanceDirectory, WeightStore {
+  private final MemoryPlatform platform;
+  private final String clientId;
+
+  PlatformClient(MemoryPlatform platform, String clientId) {
+    this.platform = platform;
+    this.clientId = clientId;
+  }
+
+  /** Name under which calls are counted and partitioned. */
+  public String clientId() {
+    return clientId;
+  }
+
+  @Override
+  public CompletableFuture<Optional<StoredObject>> read(String name) {
+    return platform.call(clientId, CallKind.READ, () -> platform.readNow(name));
+  }
+
+  @Override
+  public CompletableFuture<Long> write(String name, byte[] value, long expectedVersion) {
+    byte[] copy = value.clone();
+    return platform.call(
+        clientId, CallKind.WRITE, () -> platform.writeNow(name, copy, expectedVersion));
+  }
+
+  @Override
+  public CompletableFuture<Void> delete(String name, long expectedVersion) {
+    return platform.call(clientId, CallKind.WRITE, () -> platform.deleteNow(name, expectedVersion));
+  }
+
+  @Override
+  public CompletableFuture<List<String>> list(String prefix) {
+    return platform.call(clientId, CallKind.LIST, () -> platform.listNow(prefix));
+  }
+
+  @Override
+  public CompletableFuture<Optional<StoredObject>> watch(
+      String name, long afterVersion, Duration wait) {
+    return platform.watch(clientId, name, afterVersion, wait);
+  }
+
+  @Override
+  public CompletableFuture<List<ListedInstance>> list() {
+    return platform.call(clientId, CallKind.INSTANCES, platform::instancesNow);
+  }
+
+  @Override
+  public CompletableFuture<Void> reserveFetch(String model, String version) {
+    return platform.call(clientId, CallKind.WEIGHTS, () -> platform.reserveNow(model, version));
+  }
+}
