--- a/basilport-router/src/main/java/org/basilport/config/DeploymentValidator.java
+++ b/basilport-router/src/main/java/org/basilport/config/DeploymentValidator.java
@@ -105,6 +105,7 @@
   }
 
   private <T> List<T> items(String list, List<T> items) {
+    required(list, items);
     List<T> present = list(items);
     for (T item : present) {
       String name = item instanceof Route ? ((Route) item).name() : serviceName(item);
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/config/CommonConfigurationStoreTest.java
@@ -0,0 +1,114 @@
+package org.basilport.config;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.basilport.error.BasilportException;
+import org.basilport.error.ConflictException;
+import org.basilport.error.Outcome;
+import org.basilport.error.Step;
+import org.basilport.event.EventSink;
+import org.basilport.platform.ObjectStore;
+import org.basilport.store.FakeObjectStore;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class CommonConfigurationStoreTest {
+  private final FakeObjectStore platform = new FakeObjectStore();
+  private final CommonConfigurationStore store =
+      new CommonConfigurationStore(platform, () -> Instant.EPOCH, EventSink.none());
+
+  static Deployment deployment(String site) {
+    return new Deployment(site, List.of(), List.of(), List.of(), List.of());
+  }
+
+  private static ConfigurationChange change(String applyId, long expected, String site) {
+    return new ConfigurationChange(applyId, "author-" + applyId, expected, deployment(site));
+  }
+
+  private static BasilportException failure(CompletableFuture<?> result) {
+    CompletionException thrown = assertThrows(CompletionException.class, result::join);
+    return BasilportException.unwrap(thrown, Outcome.MAY_HAVE_RUN, Step.CONFIGURE);
+  }
+
+  @Nested
+  class Acceptance {
+    @Test
+    void conflictNamesNumberAndAuthor() {
+      assertThat(store.accept(change("a", 0, "one")).join().number()).isEqualTo(1);
+      BasilportException refused = failure(store.accept(change("b", 0, "two")));
+      assertThat(refused).isInstanceOf(ConflictException.class);
+      assertThat(refused).hasMessageThat().contains("configuration 1 of author-a is in force");
+      assertThat(store.accept(change("b", -1, "two")).join().number()).isEqualTo(2);
+      assertThat(store.history().join().stream().map(HistoryEntry::applyId).toList())
+          .containsExactly("b", "a")
+          .inOrder();
+    }
+
+    // Guards against an apply that is sent again and gets a second number or reverts a later one.
+    @Test
+    void repeatedApplyIdKeepsItsNumber() {
+      store.accept(change("a", -1, "one")).join();
+      store.accept(change("b", -1, "two")).join();
+      assertThat(store.accept(change("a", -1, "one")).join().number()).isEqualTo(1);
+      assertThat(store.latest().join().orElseThrow().deployment().site()).isEqualTo("two");
+      assertThat(failure(store.accept(change("a", -1, "three"))))
+          .isInstanceOf(ConflictException.class);
+    }
+
+    @Test
+    void concurrentAppliesOfOneNumberAcceptExactlyOne() {
+      CompletableFuture<Long> gate = platform.holdNextWrite("config/head");
+      CompletableFuture<AcceptedConfiguration> first = store.accept(change("a", 0, "one"));
+      CompletableFuture<AcceptedConfiguration> second = store.accept(change("b", 0, "two"));
+      gate.complete(0L);
+      assertThat(second.join().number()).isEqualTo(1);
+      assertThat(failure(first)).isInstanceOf(ConflictException.class);
+    }
+  }
+
+  @Nested
+  class LostAnswers {
+    // Guards against a second acceptance when the first took effect and its answer was lost.
+    @Test
+    void writeThatTookEffectIsRecognised() {
+      platform.loseNextAnswer("config/head", true);
+      assertThat(store.accept(change("a", 0, "one")).join().number()).isEqualTo(1);
+      assertThat(store.history().join()).hasSize(1);
+    }
+
+    @Test
+    void writeThatWasLostIsSentAgain() {
+      platform.loseNextAnswer("config/head", false);
+      assertThat(store.accept(change("a", 0, "one")).join().number()).isEqualTo(1);
+    }
+
+    @Test
+    void outageAfterTheWriteLeavesItUndecided() {
+      platform.loseNextAnswer("config/head", true);
+      platform.outageAfterLostAnswer();
+      assertThat(failure(store.accept(change("a", 0, "one"))).outcome())
+          .isEqualTo(Outcome.MAY_HAVE_RUN);
+      platform.outage(false);
+      assertThat(store.accept(change("a", 0, "one")).join().number()).isEqualTo(1);
+    }
+  }
+
+  // Guards against a value above the platform's limit.
+  @Test
+  void largeConfigurationIsSplit() {
+    List<Workspace> workspaces =
+        java.util.stream.IntStream.range(0, 12_000)
+            .mapToObj(i -> new Workspace("workspace-" + i, "0".repeat(64), 1, 1, 1))
+            .toList();
+    Deployment large = new Deployment("s", List.of(), List.of(), workspaces, List.of());
+    store.accept(new ConfigurationChange("a", "x", -1, large)).join();
+    assertThat(platform.largestValue()).isAtMost(ObjectStore.MAX_VALUE_BYTES);
+    assertThat(platform.list("config/part/").join().size()).isAtLeast(2);
+    assertThat(store.latest().join().orElseThrow().deployment()).isEqualTo(large);
+  }
+}
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/config/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the configuration. */
+package org.basilport.config;
