--- /dev/null
+++ b/basilport-common/src/main/java/org/basilport/error/LeavingException.java
@@ -0,0 +1,27 @@
+package org.basilport.error;
+
+import java.time.Duration;
+import java.util.List;
+
+/** An instance is leaving and refuses a request; the caller may use another instance at once. */
+public class LeavingException extends BasilportException {
+  private final transient List<String> addresses;
+
+  /** Creates a refusal that names other instances. */
+  public LeavingException(Step step, List<String> addresses) {
+    super(
+        FailureCode.LEAVING,
+        Outcome.NOT_RUN,
+        step,
+        "",
+        Duration.ZERO,
+        "this instance is leaving",
+        null);
+    this.addresses = List.copyOf(addresses);
+  }
+
+  /** Addresses of other instances, best first. */
+  public List<String> addresses() {
+    return addresses;
+  }
+}
