--- a/basilport-policy/src/main/java/org/basilport/policy/GenerationPolicy.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/GenerationPolicy.java
@@ -30,6 +30,12 @@
    */
   void finished(String requestId, long generatedTokens, boolean completed, long nowNanos);
 
+  /** The engine preempted running work, which continues there later. */
+  default void preempted(String requestId, long nowNanos) {}
+
+  /** A replica's cache event: the leading part of a prompt entered or left its prefix cache. */
+  default void cached(String serverId, long prefixHash, boolean present) {}
+
   /** Replaces the set of replicas that may receive new work, with their latest reports. */
   void replicas(List<ReplicaState> replicas, int feedingInstances, long nowNanos);
 
--- a/basilport-policy/src/main/java/org/basilport/policy/ReplicaState.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/ReplicaState.java
@@ -11,6 +11,8 @@
  * @param running generations that run at the engine
  * @param medianTokenMillis recent median time between tokens, in milliseconds
  * @param reportedAtNanos monotonic time at which the report arrived, in nanoseconds
+ * @param measuredAtNanos monotonic time of this process at which the engine took the report, as far
+ *     as it is known, in nanoseconds
  */
 public record ReplicaState(
     String serverId,
@@ -20,4 +22,28 @@
     int waiting,
     int running,
     double medianTokenMillis,
-    long reportedAtNanos) {}
+    long reportedAtNanos,
+    long measuredAtNanos) {
+
+  /** Creates a state whose report is taken to be as old as its arrival. */
+  public ReplicaState(
+      String serverId,
+      boolean near,
+      long capacityTokens,
+      long usedTokens,
+      int waiting,
+      int running,
+      double medianTokenMillis,
+      long reportedAtNanos) {
+    this(
+        serverId,
+        near,
+        capacityTokens,
+        usedTokens,
+        waiting,
+        running,
+        medianTokenMillis,
+        reportedAtNanos,
+        reportedAtNanos);
+  }
+}
