Add the first version of the shipped policy

Cause: the router needs a policy with admission to code against. Change: length estimate from entries and ends per bucket of lengths, admission by forecast memory at a set of future steps, a fair queue over workspaces, choice between two random replicas, priorities by class and attempt.

--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/AdaptiveGenerationPolicy.java
@@ -0,0 +1,192 @@
+package org.basilport.policy;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.basilport.policy.admission.MemoryAdmission;
+import org.basilport.policy.admission.MemoryForecast;
+import org.basilport.policy.admission.ReplicaLedger;
+import org.basilport.policy.fairness.FairQueue;
+import org.basilport.policy.fairness.WorkspaceAccount;
+import org.basilport.policy.length.LengthEstimator;
+import org.basilport.policy.routing.AffinitySelector;
+import org.basilport.policy.routing.PrefixDirectory;
+import org.basilport.policy.routing.ReplicaSelector;
+
+/**
+ * The shipped policy: admission by forecast memory, fairness between workspaces, choice between two
+ * random replicas, and priorities that protect streamed work.
+ */
+public final class AdaptiveGenerationPolicy implements GenerationPolicy {
+  private static final int PREFIX_LIMIT = 8_192;
+  private static final long RETRY_MILLIS = 1_000;
+
+  /** Service of a prompt token, in output tokens; prompts are computed many tokens at a time. */
+  private static final double PROMPT_SERVICE = 0.1;
+
+  /** Service of holding one token of key-value memory for a second, in output tokens. */
+  private static final double MEMORY_SERVICE = 0.01;
+
+  /** Generated tokens between two updates of a running generation's forecast. */
+  private static final long FORECAST_STEP = 32;
+
+  private static final int STREAMED_PRIORITY = 100;
+  private static final int LARGEST_ATTEMPT_PRIORITY = 50;
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  private final LengthEstimator lengths;
+  private final FairQueue queue;
+  private final MemoryAdmission admission;
+  private final PrefixDirectory prefixes = new PrefixDirectory(PREFIX_LIMIT);
+  private final ReplicaSelector selector;
+  private final Map<String, WorkItem> waiting = new HashMap<>();
+  private final Map<String, RunningWork> running = new HashMap<>();
+  private final MemoryForecast candidate = new MemoryForecast();
+  private List<ReplicaLedger> ledgers = List.of();
+
+  /** Creates a policy with an estimator of output lengths and a seeded random source. */
+  public AdaptiveGenerationPolicy(
+      PolicySettings settings, LengthEstimator lengths, SplittableRandom random) {
+    this.lengths = lengths;
+    this.queue = new FairQueue(settings.queueLimit(), settings.workspaceWeights());
+    this.admission = new MemoryAdmission(settings.admissionRisk());
+    this.selector = new AffinitySelector(prefixes, random);
+  }
+
+  @Override
+  public boolean submit(WorkItem item, long nowNanos) {
+    if (!queue.add(item)) {
+      return false;
+    }
+    waiting.put(item.requestId(), item);
+    return true;
+  }
+
+  @Override
+  public boolean withdraw(String requestId) {
+    WorkItem item = waiting.remove(requestId);
+    return item != null && queue.remove(item);
+  }
+
+  @Override
+  public List<Placement> place(long nowNanos) {
+    if (waiting.isEmpty() || ledgers.isEmpty()) {
+      return List.of();
+    }
+    List<Placement> placements = new ArrayList<>();
+    for (GenerationClass generationClass : GenerationClass.values()) {
+      WorkItem item = queue.peek(generationClass).orElse(null);
+      while (item != null && placeOne(item, placements, nowNanos)) {
+        item = queue.peek(generationClass).orElse(null);
+      }
+    }
+    return placements;
+  }
+
+  private boolean placeOne(WorkItem item, List<Placement> placements, long nowNanos) {
+    candidate.assign(item.promptTokens(), 0, item.maxTokens(), lengths.distribution(item));
+    int position =
+        selector.select(item, ledgers, index -> admission.admits(ledgers.get(index), candidate));
+    if (position == ReplicaSelector.NONE) {
+      return false;
+    }
+    ReplicaLedger ledger = ledgers.get(position);
+    waiting.remove(item.requestId());
+    WorkspaceAccount account = queue.start(item, PROMPT_SERVICE * item.promptTokens());
+    RunningWork work = new RunningWork(item, ledger, account, lengths.distribution(item), nowNanos);
+    work.forecast.add(candidate, 1);
+    ledger.start(work.forecast);
+    admission.adjustFleet(work.forecast, 1);
+    running.put(item.requestId(), work);
+    prefixes.add(item.prefixHash(), ledger.serverId());
+    placements.add(new Placement(item, ledger.serverId(), priority(item)));
+    return true;
+  }
+
+  private static int priority(WorkItem item) {
+    int retried = Math.min(LARGEST_ATTEMPT_PRIORITY, item.attempt() - 1);
+    return item.generationClass() == GenerationClass.STREAMED
+        ? STREAMED_PRIORITY + retried
+        : retried;
+  }
+
+  @Override
+  public void progressed(String requestId, long generatedTokens, long nowNanos) {
+    RunningWork work = running.get(requestId);
+    if (work == null || generatedTokens - work.observed < FORECAST_STEP) {
+      return;
+    }
+    charge(work, generatedTokens, nowNanos);
+    lengths.grown(work.item, work.observed, generatedTokens);
+    work.observed = generatedTokens;
+    work.ledger.adjust(work.forecast, -1);
+    admission.adjustFleet(work.forecast, -1);
+    work.forecast.assign(
+        work.item.promptTokens(), generatedTokens, work.item.maxTokens(), work.lengths);
+    work.ledger.adjust(work.forecast, 1);
+    admission.adjustFleet(work.forecast, 1);
+  }
+
+  private void charge(RunningWork work, long generatedTokens, long nowNanos) {
+    double seconds = (nowNanos - work.lastNanos) / NANOS_PER_SECOND;
+    double held = work.item.promptTokens() + generatedTokens;
+    queue.charge(work.account, generatedTokens - work.generated + MEMORY_SERVICE * held * seconds);
+    work.generated = generatedTokens;
+    work.lastNanos = nowNanos;
+  }
+
+  @Override
+  public void finished(String requestId, long generatedTokens, boolean completed, long nowNanos) {
+    RunningWork work = running.remove(requestId);
+    if (work == null) {
+      return;
+    }
+    charge(work, generatedTokens, nowNanos);
+    if (completed) {
+      lengths.grown(work.item, work.observed, generatedTokens);
+      lengths.ended(work.item, generatedTokens);
+    }
+    work.ledger.end(work.forecast);
+    admission.adjustFleet(work.forecast, -1);
+    queue.end(work.account);
+  }
+
+  @Override
+  public void cached(String serverId, long prefixHash, boolean present) {
+    if (present) {
+      prefixes.add(prefixHash, serverId);
+    } else {
+      prefixes.remove(prefixHash, serverId);
+    }
+  }
+
+  @Override
+  public void replicas(List<ReplicaState> states, int feedingInstances, long nowNanos) {
+    Map<String, ReplicaLedger> known = new HashMap<>();
+    ledgers.forEach(ledger -> known.put(ledger.serverId(), ledger));
+    List<ReplicaLedger> next = new ArrayList<>(states.size());
+    for (ReplicaState state : states) {
+      ReplicaLedger ledger = known.remove(state.serverId());
+      if (ledger == null) {
+        ledger = new ReplicaLedger(state);
+      }
+      ledger.report(state, nowNanos);
+      next.add(ledger);
+    }
+    known.keySet().forEach(prefixes::forget);
+    ledgers = next;
+    admission.feedingInstances(feedingInstances);
+  }
+
+  @Override
+  public int waiting() {
+    return queue.size();
+  }
+
+  @Override
+  public long retryAfterMillis() {
+    return RETRY_MILLIS;
+  }
+}
--- a/basilport-policy/src/main/java/org/basilport/policy/DirectGenerationPolicy.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/DirectGenerationPolicy.java
@@ -47,7 +47,7 @@
     List<Placement> placements = new ArrayList<>(queue.size());
     for (Iterator<WorkItem> waiting = queue.iterator(); waiting.hasNext(); ) {
       WorkItem item = waiting.next();
-      Replica replica = replicas.get(selector.select(item, replicas));
+      Replica replica = replicas.get(selector.select(item, replicas, position -> true));
       replica.outstanding++;
       running.put(item.requestId(), replica);
       placements.add(new Placement(item, replica.serverId, 0));
@@ -108,5 +108,20 @@
     public int outstanding() {
       return outstanding;
     }
+
+    @Override
+    public boolean near() {
+      return true;
+    }
+
+    @Override
+    public double load() {
+      return 0;
+    }
+
+    @Override
+    public double tokenMillis() {
+      return 0;
+    }
   }
 }
--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/admission/MemoryAdmission.java
@@ -0,0 +1,70 @@
+package org.basilport.policy.admission;
+
+/**
+ * Admits a generation to a replica when the forecast memory fits at each future step, at a chosen
+ * risk.
+ *
+ * <p>Lengths are independent given what is known, so the memory of a batch is close to normally
+ * distributed and the rule is: mean plus a quantile times the standard deviation is at most the
+ * capacity. Adding up the quantiles of single generations instead would leave much of the memory
+ * unused, since not all of them are long at once.
+ *
+ * <p>Work of other instances is forecast from its reported size, with the growth of this instance's
+ * own work, since all instances serve the same mix. Between two reports an instance takes at most
+ * its share of the free memory, because the others may do the same.
+ */
+public final class MemoryAdmission {
+  private final double deviations;
+  private final MemoryForecast fleet = new MemoryForecast();
+  private int feedingInstances = 1;
+
+  /**
+   * Creates the rule.
+   *
+   * @param risk accepted probability that the admitted work outgrows the memory
+   */
+  public MemoryAdmission(double risk) {
+    this.deviations = NormalQuantile.of(1 - risk);
+  }
+
+  /** Sets the number of instances that place work on the same replicas. */
+  public void feedingInstances(int count) {
+    feedingInstances = Math.max(1, count);
+  }
+
+  /** Adjusts the forecast of all own work, from which the growth of others' work is derived. */
+  public void adjustFleet(MemoryForecast forecast, double factor) {
+    fleet.add(forecast, factor);
+  }
+
+  /** Returns whether a replica has room for a generation. */
+  public boolean admits(ReplicaLedger ledger, MemoryForecast candidate) {
+    if (ledger.empty()) {
+      return true;
+    }
+    double capacity = ledger.state().capacityTokens();
+    double held = Math.max(1, fleet.mean(0));
+    double others = ledger.othersHeld() / held;
+    for (int i = 0; i < MemoryForecast.SIZE; i++) {
+      double mean = ledger.own().mean(i) + growth(i, others, ledger.othersHeld());
+      double variance = ledger.own().variance(i) + others * fleet.variance(i);
+      double after =
+          mean
+              + candidate.mean(i)
+              + deviations * Math.sqrt(Math.max(0, variance + candidate.variance(i)));
+      if (after > capacity) {
+        return false;
+      }
+      double freshMean = ledger.fresh().mean(i);
+      double free = capacity - mean + freshMean;
+      if ((freshMean + candidate.mean(i)) * feedingInstances > free) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private double growth(int index, double others, double othersHeld) {
+    return fleet.mean(0) < 1 ? othersHeld : others * fleet.mean(index);
+  }
+}
--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/admission/ReplicaLedger.java
@@ -0,0 +1,132 @@
+package org.basilport.policy.admission;
+
+import java.util.Arrays;
+import org.basilport.policy.ReplicaState;
+import org.basilport.policy.routing.ReplicaLoad;
+
+/**
+ * Memory of one replica as this instance knows it: the lagging report and its own work in flight.
+ *
+ * <p>What other instances hold is the reported use minus what this instance held when the report
+ * was measured. Own work that was placed or that ended since then is known exactly.
+ */
+public final class ReplicaLedger implements ReplicaLoad {
+  /** Remembered points of own use; at 100 ms apart they reach back over 12 s. */
+  private static final int HISTORY = 128;
+
+  /** Index of the future step at which {@link #load} looks. */
+  private static final int LOAD_HORIZON = 4;
+
+  private final String serverId;
+  private final MemoryForecast own = new MemoryForecast();
+  private final MemoryForecast fresh = new MemoryForecast();
+  private final long[] historyNanos = new long[HISTORY];
+  private final double[] historyHeld = new double[HISTORY];
+  private int historyNext;
+  private ReplicaState state;
+  private double othersHeld;
+  private int outstanding;
+
+  /** Creates the ledger of a replica from its first report. */
+  public ReplicaLedger(ReplicaState state) {
+    this.serverId = state.serverId();
+    this.state = state;
+    this.othersHeld = state.usedTokens();
+    Arrays.fill(historyNanos, Long.MIN_VALUE);
+  }
+
+  /** Takes a report. */
+  public void report(ReplicaState report, long nowNanos) {
+    historyNanos[historyNext] = nowNanos;
+    historyHeld[historyNext] = own.mean(0);
+    historyNext = (historyNext + 1) % HISTORY;
+    if (report.measuredAtNanos() != state.measuredAtNanos()) {
+      fresh.clear();
+    }
+    state = report;
+    othersHeld = Math.max(0, report.usedTokens() - heldAt(report.measuredAtNanos()));
+  }
+
+  /** Adds own work that starts now. */
+  public void start(MemoryForecast forecast) {
+    own.add(forecast, 1);
+    fresh.add(forecast, 1);
+    outstanding++;
+  }
+
+  /** Adjusts own work; call with -1 before and with 1 after a change of the forecast. */
+  public void adjust(MemoryForecast forecast, int sign) {
+    own.add(forecast, sign);
+  }
+
+  /** Removes own work that ended. */
+  public void end(MemoryForecast forecast) {
+    own.add(forecast, -1);
+    outstanding--;
+    if (outstanding == 0) {
+      own.clear();
+    }
+  }
+
+  /** Returns the forecast of own work. */
+  public MemoryForecast own() {
+    return own;
+  }
+
+  /** Returns the forecast of own work that was placed after the latest report. */
+  public MemoryForecast fresh() {
+    return fresh;
+  }
+
+  /** Returns the latest report. */
+  public ReplicaState state() {
+    return state;
+  }
+
+  /** Returns the memory that other instances' work holds, in tokens. */
+  public double othersHeld() {
+    return othersHeld;
+  }
+
+  /** Returns whether neither the report nor this instance knows of work on the replica. */
+  public boolean empty() {
+    return outstanding == 0 && state.running() == 0 && state.waiting() == 0;
+  }
+
+  @Override
+  public String serverId() {
+    return serverId;
+  }
+
+  @Override
+  public int outstanding() {
+    return outstanding;
+  }
+
+  @Override
+  public boolean near() {
+    return state.near();
+  }
+
+  @Override
+  public double load() {
+    return (othersHeld + own.mean(LOAD_HORIZON)) / state.capacityTokens();
+  }
+
+  @Override
+  public double tokenMillis() {
+    return state.medianTokenMillis();
+  }
+
+  private double heldAt(long nanos) {
+    double held = 0;
+    long best = Long.MIN_VALUE;
+    for (int i = 0; i < HISTORY; i++) {
+      if (historyNanos[i] <= nanos && historyNanos[i] > best) {
+        best = historyNanos[i];
+        held = historyHeld[i];
+      }
+    }
+    return held;
+  }
+}
--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/fairness/FairQueue.java
@@ -0,0 +1,118 @@
+package org.basilport.policy.fairness;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.basilport.policy.GenerationClass;
+import org.basilport.policy.WorkItem;
+
+/**
+ * Waiting generations of all workspaces, in the order of weighted service received.
+ *
+ * <p>The workspace with the smallest counter is next. A workspace that was idle is lifted to the
+ * smallest counter of those that wait, so idling earns nothing.
+ */
+public final class FairQueue {
+  private final Map<String, Double> weights;
+  private final int limit;
+  private final Map<String, WorkspaceAccount> accounts = new HashMap<>();
+  private final AccountHeap[] heaps;
+  private double floor;
+  private int size;
+
+  /**
+   * Creates an empty queue.
+   *
+   * @param limit largest number of waiting generations
+   * @param weights share of each workspace; 1 for a workspace that is not named
+   */
+  public FairQueue(int limit, Map<String, Double> weights) {
+    this.limit = limit;
+    this.weights = Map.copyOf(weights);
+    heaps = new AccountHeap[GenerationClass.values().length];
+    for (int i = 0; i < heaps.length; i++) {
+      heaps[i] = new AccountHeap(i);
+    }
+  }
+
+  /** Adds a generation; returns false when the queue is full. */
+  public boolean add(WorkItem item) {
+    if (size >= limit) {
+      return false;
+    }
+    WorkspaceAccount account = account(item.workspace());
+    if (account.idle()) {
+      account.lift(floor());
+    }
+    account.queues.get(item.generationClass()).add(item);
+    heaps[item.generationClass().ordinal()].add(account);
+    size++;
+    return true;
+  }
+
+  /** Removes a waiting generation; returns false when it does not wait. */
+  public boolean remove(WorkItem item) {
+    WorkspaceAccount account = account(item.workspace());
+    ArrayDeque<WorkItem> queue = account.queues.get(item.generationClass());
+    if (!queue.remove(item)) {
+      return false;
+    }
+    size--;
+    if (queue.isEmpty()) {
+      heaps[item.generationClass().ordinal()].remove(account);
+    }
+    return true;
+  }
+
+  /** Returns the next generation of a class, without removing it. */
+  public Optional<WorkItem> peek(GenerationClass generationClass) {
+    AccountHeap heap = heaps[generationClass.ordinal()];
+    return heap.isEmpty()
+        ? Optional.empty()
+        : Optional.ofNullable(heap.peek().queues.get(generationClass).peek());
+  }
+
+  /** Takes a generation that starts now, and charges its workspace. */
+  public WorkspaceAccount start(WorkItem item, double service) {
+    WorkspaceAccount account = account(item.workspace());
+    floor = Math.max(floor, account.counter());
+    remove(item);
+    account.running++;
+    charge(account, service);
+    return account;
+  }
+
+  /** Charges service, or gives back what was charged too much when negative. */
+  public void charge(WorkspaceAccount account, double service) {
+    account.charge(service);
+    for (AccountHeap heap : heaps) {
+      heap.update(account);
+    }
+  }
+
+  /** Tells that a started generation ended. */
+  public void end(WorkspaceAccount account) {
+    account.running--;
+  }
+
+  /** Returns the number of waiting generations. */
+  public int size() {
+    return size;
+  }
+
+  private WorkspaceAccount account(String workspace) {
+    return accounts.computeIfAbsent(
+        workspace, name -> new WorkspaceAccount(name, weights.getOrDefault(name, 1.0)));
+  }
+
+  private double floor() {
+    double smallest = Double.POSITIVE_INFINITY;
+    for (AccountHeap heap : heaps) {
+      if (!heap.isEmpty()) {
+        smallest = Math.min(smallest, heap.peek().counter());
+      }
+    }
+    return smallest == Double.POSITIVE_INFINITY ? floor : smallest;
+  }
+}
--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/length/HazardHistogram.java
@@ -0,0 +1,108 @@
+package org.basilport.policy.length;
+
+import java.util.Arrays;
+
+/**
+ * A bounded, decaying histogram of output lengths that also learns from generations that still run.
+ *
+ * <p>For each bucket of lengths it counts the generations that entered the bucket and those that
+ * ended in it. A histogram of finished lengths alone is wrong for long outputs: after a start or a
+ * change of load, the short outputs finish first, and the estimate is too low exactly while the
+ * long ones fill the memory. Counting entries and ends (the estimator of Kaplan and Meier) has no
+ * such fault, since a running generation counts in each bucket that it has reached.
+ *
+ * <p>A bucket with few entries is filled up with {@link #PARENT_WEIGHT} entries at the rate of the
+ * parent. This gives the fallback from route to workspace to model without a jump: an estimate
+ * follows its parent until it has observations of its own.
+ */
+final class HazardHistogram implements LengthDistribution {
+  /** Entries at the parent's rate that are added to each bucket. */
+  private static final double PARENT_WEIGHT = 8;
+
+  /** A bucket's counts are halved at this number, so that old observations lose weight. */
+  private static final double DECAY_AT = 400;
+
+  /** Share of the entries of a prior bucket that end in it, when nothing is known. */
+  private static final double PRIOR_HAZARD = 0.09;
+
+  /** Observations after which the survival function is computed again. */
+  private static final int REFRESH_AFTER = 16;
+
+  private final HazardHistogram parent;
+  private final double[] entered = new double[LengthBuckets.COUNT];
+  private final double[] ended = new double[LengthBuckets.COUNT];
+  private final double[] survival = new double[LengthBuckets.COUNT + 1];
+  private int observations;
+  private int refreshedAt = -REFRESH_AFTER;
+  private int parentVersion;
+  private int version;
+
+  HazardHistogram(HazardHistogram parent) {
+    this.parent = parent;
+  }
+
+  /** Counts the buckets that a generation entered between two lengths; starts at -1 tokens. */
+  void grown(long before, long now) {
+    int last = LengthBuckets.indexOf(now);
+    int first = before < 0 ? 0 : LengthBuckets.indexOf(before) + 1;
+    for (int i = first; i <= last; i++) {
+      entered[i]++;
+    }
+  }
+
+  /** Counts the end of a generation whose growth was counted. */
+  void ended(long length) {
+    int index = LengthBuckets.indexOf(length);
+    ended[index]++;
+    if (entered[index] > DECAY_AT) {
+      entered[index] /= 2;
+      ended[index] /= 2;
+    }
+    observations++;
+  }
+
+  @Override
+  public double survival(long generated, long further) {
+    refresh();
+    double base = at(generated);
+    return base <= 0 ? 0 : Math.min(1, at(generated + further) / base);
+  }
+
+  private double at(long length) {
+    int index = LengthBuckets.indexOf(length);
+    double fraction = LengthBuckets.fraction(index, length);
+    return survival[index] + fraction * (survival[index + 1] - survival[index]);
+  }
+
+  private void refresh() {
+    if (parent != null) {
+      parent.refresh();
+    }
+    int inherited = parent == null ? 0 : parent.version;
+    if (observations - refreshedAt < REFRESH_AFTER && inherited == parentVersion) {
+      return;
+    }
+    refreshedAt = observations;
+    parentVersion = inherited;
+    version++;
+    survival[0] = 1;
+    for (int i = 0; i < LengthBuckets.COUNT; i++) {
+      survival[i + 1] = survival[i] * (1 - hazard(i));
+    }
+  }
+
+  private double hazard(int index) {
+    double prior = parent == null ? PRIOR_HAZARD : parent.rate(index);
+    double hazard = (ended[index] + PARENT_WEIGHT * prior) / (entered[index] + PARENT_WEIGHT);
+    return Math.min(1, hazard);
+  }
+
+  private double rate(int index) {
+    return 1 - survival[index + 1] / Math.max(survival[index], Double.MIN_NORMAL);
+  }
+
+  @Override
+  public String toString() {
+    return Arrays.toString(survival);
+  }
+}
--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/length/HierarchicalLengthEstimator.java
@@ -0,0 +1,90 @@
+package org.basilport.policy.length;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.basilport.policy.WorkItem;
+
+/**
+ * Estimates lengths per route, workspace and model, where each falls back to the next.
+ *
+ * <p>The number of histograms is bounded; the one that was used least recently is dropped first.
+ */
+public final class HierarchicalLengthEstimator implements LengthEstimator {
+  private static final float LOAD_FACTOR = 0.75f;
+
+  private final Map<Key, HazardHistogram> histograms;
+
+  /**
+   * Creates an estimator.
+   *
+   * @param histogramLimit largest number of histograms, each about 1.5 KB
+   */
+  public HierarchicalLengthEstimator(int histogramLimit) {
+    this.histograms = new BoundedMap(histogramLimit);
+  }
+
+  @Override
+  public LengthDistribution distribution(WorkItem item) {
+    return route(item);
+  }
+
+  @Override
+  public void grown(WorkItem item, long before, long now) {
+    if (before >= 0 && LengthBuckets.indexOf(before) == LengthBuckets.indexOf(now)) {
+      return;
+    }
+    model(item).grown(before, now);
+    workspace(item).grown(before, now);
+    route(item).grown(before, now);
+  }
+
+  @Override
+  public void ended(WorkItem item, long length) {
+    model(item).ended(length);
+    workspace(item).ended(length);
+    route(item).ended(length);
+  }
+
+  private HazardHistogram model(WorkItem item) {
+    return histogram(new Key(item.model(), "", ""), null);
+  }
+
+  private HazardHistogram workspace(WorkItem item) {
+    return histogram(new Key(item.model(), item.workspace(), ""), item);
+  }
+
+  private HazardHistogram route(WorkItem item) {
+    Key key = new Key(item.model(), item.workspace(), item.route());
+    HazardHistogram known = histograms.get(key);
+    if (known == null) {
+      known = new HazardHistogram(workspace(item));
+      histograms.put(key, known);
+    }
+    return known;
+  }
+
+  private HazardHistogram histogram(Key key, WorkItem child) {
+    HazardHistogram known = histograms.get(key);
+    if (known == null) {
+      known = new HazardHistogram(child == null ? null : model(child));
+      histograms.put(key, known);
+    }
+    return known;
+  }
+
+  private record Key(String model, String workspace, String route) {}
+
+  private static final class BoundedMap extends LinkedHashMap<Key, HazardHistogram> {
+    private final int limit;
+
+    BoundedMap(int limit) {
+      super(limit, LOAD_FACTOR, true);
+      this.limit = limit;
+    }
+
+    @Override
+    protected boolean removeEldestEntry(Map.Entry<Key, HazardHistogram> eldest) {
+      return size() > limit;
+    }
+  }
+}
--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/routing/AffinitySelector.java
@@ -0,0 +1,74 @@
+package org.basilport.policy.routing;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.IntPredicate;
+import org.basilport.policy.WorkItem;
+
+/**
+ * Takes the better of two random replicas that have room, with a preference for replicas that hold
+ * the prompt's prefix and for near ones.
+ *
+ * <p>Several instances choose from the same lagging reports. If each took the least loaded replica,
+ * all of them would fill the same one until the next report.
+ */
+public final class AffinitySelector implements ReplicaSelector {
+  private static final int CHOICES = 2;
+
+  /** Replicas that are asked for room before the generation waits; bounds the cost of a choice. */
+  private static final int PROBES = 16;
+
+  /** Share of memory by which a replica with the prefix may be fuller. */
+  private static final double PREFIX_BONUS = 0.15;
+
+  /** Share of memory by which a replica in another data centre must be emptier. */
+  private static final double FAR_PENALTY = 0.05;
+
+  private final PrefixDirectory prefixes;
+  private final SplittableRandom random;
+
+  /** Creates a selector over a directory of cached prefixes. */
+  public AffinitySelector(PrefixDirectory prefixes, SplittableRandom random) {
+    this.prefixes = prefixes;
+    this.random = random;
+  }
+
+  @Override
+  public int select(WorkItem item, List<? extends ReplicaLoad> replicas, IntPredicate admits) {
+    List<String> holders = prefixes.holders(item.prefixHash());
+    int size = replicas.size();
+    int first = random.nextInt(size);
+    int step = size == 1 ? 1 : 1 + random.nextInt(size - 1);
+    while (greatestCommonDivisor(size, step) != 1) {
+      step--;
+    }
+    int best = NONE;
+    double bestScore = Double.POSITIVE_INFINITY;
+    int found = 0;
+    int position = first;
+    for (int i = 0; i < Math.min(size, PROBES) && found < CHOICES; i++) {
+      if (admits.test(position)) {
+        found++;
+        double score = score(replicas.get(position), holders);
+        if (score < bestScore) {
+          bestScore = score;
+          best = position;
+        }
+      }
+      position = (position + step) % size;
+    }
+    return best;
+  }
+
+  private static double score(ReplicaLoad replica, List<String> holders) {
+    double score = replica.load();
+    if (holders.contains(replica.serverId())) {
+      score -= PREFIX_BONUS;
+    }
+    return replica.near() ? score : score + FAR_PENALTY;
+  }
+
+  private static int greatestCommonDivisor(int a, int b) {
+    return b == 0 ? a : greatestCommonDivisor(b, a % b);
+  }
+}
--- a/basilport-policy/src/main/java/org/basilport/policy/routing/LeastOutstandingSelector.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/routing/LeastOutstandingSelector.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.IntPredicate;
 import org.basilport.policy.WorkItem;
 
 /** Takes the replica with the fewest outstanding generations of this instance. */
@@ -14,7 +15,7 @@
   }
 
   @Override
-  public int select(WorkItem item, List<? extends ReplicaLoad> replicas) {
+  public int select(WorkItem item, List<? extends ReplicaLoad> replicas, IntPredicate admits) {
     int first = random.nextInt(replicas.size());
     int best = first;
     for (int i = 1; i < replicas.size(); i++) {
--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/routing/PrefixDirectory.java
@@ -0,0 +1,62 @@
+package org.basilport.policy.routing;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Remembers which replicas probably hold a prompt prefix in their cache.
+ *
+ * <p>It learns from this instance's own placements and from cache events. Events are late and may
+ * be lost, so an entry is only a hint: a wrong one costs the time to compute the prefix.
+ */
+public final class PrefixDirectory {
+  private static final float LOAD_FACTOR = 0.75f;
+
+  /** Replicas remembered per prefix; more would spread a prefix over all caches. */
+  private static final int HOLDERS = 4;
+
+  private final Map<Long, List<String>> holders;
+
+  /** Creates a directory that remembers a bounded number of prefixes. */
+  public PrefixDirectory(int prefixLimit) {
+    this.holders =
+        new LinkedHashMap<>(prefixLimit, LOAD_FACTOR, true) {
+          @Override
+          protected boolean removeEldestEntry(Map.Entry<Long, List<String>> eldest) {
+            return size() > prefixLimit;
+          }
+        };
+  }
+
+  /** Tells that a replica holds a prefix. */
+  public void add(long prefixHash, String serverId) {
+    List<String> known = holders.computeIfAbsent(prefixHash, hash -> new ArrayList<>(HOLDERS));
+    if (known.contains(serverId)) {
+      return;
+    }
+    if (known.size() == HOLDERS) {
+      known.remove(0);
+    }
+    known.add(serverId);
+  }
+
+  /** Tells that a replica dropped a prefix. */
+  public void remove(long prefixHash, String serverId) {
+    List<String> known = holders.get(prefixHash);
+    if (known != null) {
+      known.remove(serverId);
+    }
+  }
+
+  /** Forgets a replica that is gone. */
+  public void forget(String serverId) {
+    holders.values().forEach(known -> known.remove(serverId));
+  }
+
+  /** Returns the replicas that probably hold a prefix, oldest first. */
+  public List<String> holders(long prefixHash) {
+    return holders.getOrDefault(prefixHash, List.of());
+  }
+}
--- a/basilport-policy/src/main/java/org/basilport/policy/routing/RoundRobinSelector.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/routing/RoundRobinSelector.java
@@ -1,6 +1,7 @@
 package org.basilport.policy.routing;
 
 import java.util.List;
+import java.util.function.IntPredicate;
 import org.basilport.policy.WorkItem;
 
 /** Takes the replicas in turn. */
@@ -17,7 +18,7 @@
   }
 
   @Override
-  public int select(WorkItem item, List<? extends ReplicaLoad> replicas) {
+  public int select(WorkItem item, List<? extends ReplicaLoad> replicas, IntPredicate admits) {
     return Math.floorMod(next++, replicas.size());
   }
 }
