--- /dev/null
+++ b/basilport-bench/src/main/java/org/basilport/bench/policy/RunResult.java
@@ -0,0 +1,18 @@
+package org.basilport.bench.policy;
+
+import java.util.EnumMap;
+import java.util.Map;
+
+/** Measures of one run. */
+public final class RunResult {
+  private final Map<Measure, Double> values = new EnumMap<>(Measure.class);
+
+  void put(Measure measure, double value) {
+    values.put(measure, value);
+  }
+
+  /** Returns the value of a measure. */
+  public double value(Measure measure) {
+    return values.getOrDefault(measure, 0.0);
+  }
+}
--- /dev/null
+++ b/basilport-bench/src/main/java/org/basilport/bench/policy/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmark of generation policies against compact engine models on a virtual clock. */
+package org.basilport.bench.policy;
