--- /dev/null
+++ b/basilport-cli/src/main/java/org/basilport/cli/BaseCommand.java
@@ -0,0 +1,43 @@
+package org.basilport.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.PrintWriter;
+import java.util.concurrent.Callable;
+import org.basilport.daemon.http.Json;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Spec;
+
+/** What all subcommands share: output and the exit code. */
+@Command(mixinStandardHelpOptions = true)
+abstract class BaseCommand implements Callable<Integer> {
+  @Spec private CommandSpec spec;
+
+  @Override
+  public final Integer call() throws Exception {
+    ExitCode code = execute();
+    out().flush();
+    return code.number();
+  }
+
+  /** Does the command's work. */
+  abstract ExitCode execute() throws Exception;
+
+  PrintWriter out() {
+    return spec.commandLine().getOut();
+  }
+
+  PrintWriter err() {
+    return spec.commandLine().getErr();
+  }
+
+  /** Prints an answer as one line of JSON, or as a table when it is a list of flat objects. */
+  void print(String answer, boolean json) {
+    if (json) {
+      out().println(answer);
+      return;
+    }
+    JsonNode tree = Json.tree(answer);
+    out().print(TextTable.format(tree));
+  }
+}
--- /dev/null
+++ b/basilport-cli/src/main/java/org/basilport/cli/ConfigStatusCommand.java
@@ -0,0 +1,47 @@
+package org.basilport.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.basilport.daemon.http.Json;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+
+/** Prints the number of the configuration in force on each instance. */
+@Command(
+    name = "status",
+    description = {
+      "Print the number of the configuration in force on each instance.",
+      "Exit code 1 when a live instance has another number than the one that was asked."
+    })
+final class ConfigStatusCommand extends BaseCommand {
+  @Mixin private OperatorOptions operator;
+
+  @Option(names = "--json", description = "print the answer as JSON")
+  private boolean json;
+
+  @Override
+  ExitCode execute() {
+    String answer = operator.client().get(ConfigurationInForce.PATH + "/status");
+    JsonNode status = Json.tree(answer);
+    if (json) {
+      out().println(answer);
+    } else {
+      out().println("configuration " + status.path("number").asLong());
+      out().print(TextTable.format(status.path("instances")));
+    }
+    return agrees(status) ? ExitCode.DONE : ExitCode.CHECK_FAILED;
+  }
+
+  private static boolean agrees(JsonNode status) {
+    long number = status.path("number").asLong();
+    for (JsonNode instance : status.path("instances")) {
+      boolean counted =
+          instance.path("status").asText().equals("SERVING")
+              && instance.path("health").asText().equals("ALIVE");
+      if (counted && instance.path("configurationNumber").asLong() != number) {
+        return false;
+      }
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/basilport-cli/src/main/java/org/basilport/cli/ExitCode.java
@@ -0,0 +1,48 @@
+package org.basilport.cli;
+
+import org.basilport.error.BasilportException;
+import org.basilport.error.FailureCode;
+import org.basilport.error.Outcome;
+
+/** Exit codes of the command. */
+public enum ExitCode {
+  DONE(0),
+  CHECK_FAILED(1),
+  USAGE(2),
+  REFUSED(3),
+  MAY_HAVE_RUN(4),
+  LOST_PART_WAY(5),
+  UNAVAILABLE(6),
+  CONFLICT(7);
+
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  private final int number;
+
+  ExitCode(int number) {
+    this.number = number;
+  }
+
+  /** The number that the process exits with. */
+  public int number() {
+    return number;
+  }
+
+  /**
+   * The exit code of a failure. What a caller may conclude about the request comes first; a request
+   * that was not run is told apart by whether another operator was first, the request was refused,
+   * or nobody could take it.
+   */
+  public static ExitCode of(BasilportException failure) {
+    if (failure.outcome() == Outcome.MAY_HAVE_RUN) {
+      return MAY_HAVE_RUN;
+    }
+    if (failure.outcome() == Outcome.LOST_PART_WAY) {
+      return LOST_PART_WAY;
+    }
+    if (failure.code() == FailureCode.CONFLICT || failure.code() == FailureCode.DUPLICATE) {
+      return CONFLICT;
+    }
+    return failure.code().httpStatus() >= FIRST_SERVER_ERROR ? UNAVAILABLE : REFUSED;
+  }
+}
--- /dev/null
+++ b/basilport-cli/src/main/java/org/basilport/cli/SiteOptions.java
@@ -0,0 +1,59 @@
+package org.basilport.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.basilport.config.ConfigurationLoader;
+import org.basilport.config.ConfigurationSource;
+import org.basilport.config.Deployment;
+import picocli.CommandLine.Option;
+
+/** The directory of a site's configuration files. */
+final class SiteOptions {
+  private static final String OVERLAYS = "overlays";
+  private static final String SUFFIX = ".yaml";
+
+  @Option(
+      names = "--site",
+      required = true,
+      description = "directory with base.yaml and overlays/<name>.yaml")
+  private Path directory;
+
+  @Option(names = "--overlay", description = "name of the overlay; needed when there are several")
+  private String overlay;
+
+  /** Loads and checks base and overlay; fails with {@code InvalidConfigurationException}. */
+  Deployment load() {
+    return ConfigurationLoader.load(read(directory.resolve("base.yaml")), read(overlayFile()));
+  }
+
+  private Path overlayFile() {
+    if (overlay != null) {
+      return directory.resolve(OVERLAYS).resolve(overlay + SUFFIX);
+    }
+    try (Stream<Path> files = Files.list(directory.resolve(OVERLAYS))) {
+      List<Path> overlays = files.filter(file -> file.toString().endsWith(SUFFIX)).toList();
+      if (overlays.size() != 1) {
+        throw new IllegalArgumentException(
+            "--overlay is needed, " + directory.resolve(OVERLAYS) + " has " + overlays.size());
+      }
+      return overlays.get(0);
+    } catch (IOException e) {
+      throw unreadable(directory.resolve(OVERLAYS), e);
+    }
+  }
+
+  private static ConfigurationSource read(Path file) {
+    try {
+      return new ConfigurationSource(file.toString(), Files.readString(file));
+    } catch (IOException e) {
+      throw unreadable(file, e);
+    }
+  }
+
+  private static IllegalArgumentException unreadable(Path file, IOException e) {
+    return new IllegalArgumentException("cannot read " + file + ": " + e, e);
+  }
+}
--- /dev/null
+++ b/basilport-cli/src/main/java/org/basilport/cli/client/CallerClient.java
@@ -0,0 +1,151 @@
+package org.basilport.cli.client;
+
+import java.net.URLEncoder;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import org.basilport.daemon.http.Json;
+import org.basilport.delivery.GenerationRequest;
+import org.basilport.error.BasilportException;
+import org.basilport.error.FailureCode;
+import org.basilport.error.Outcome;
+import org.basilport.router.CallRequest;
+
+/** A caller: asks which instances to use, keeps the answer for its lifetime and connects. */
+public final class CallerClient {
+  private static final long NANOS_PER_MILLI = 1_000_000;
+  private static final String REQUEST_ID = "Basilport-Request-Id";
+
+  private final Caller caller;
+  private final InstanceClient client;
+  private final Map<String, KeptAnswer> kept = new HashMap<>();
+
+  /** Creates a caller over a connection pool. */
+  public CallerClient(Caller caller, InstanceClient client) {
+    this.caller = caller;
+    this.client = client;
+  }
+
+  /** Asks which instances to use, or returns an answer that is still valid. */
+  public synchronized LocationAnswer locate(String route) {
+    KeptAnswer answer = kept.get(route);
+    if (answer != null && System.nanoTime() - answer.expiresAtNanos < 0) {
+      return answer.location;
+    }
+    String path =
+        "/v1/locate?route=" + encode(route) + "&dataCentre=" + encode(caller.dataCentre());
+    LocationAnswer location =
+        firstThatServes(
+            caller.entries(),
+            address ->
+                Json.readAnswer(
+                    client.send(address, "GET", path, headers(), "").body(), LocationAnswer.class));
+    long expiresAt = System.nanoTime() + location.lifetimeMillis() * NANOS_PER_MILLI;
+    kept.put(route, new KeptAnswer(location, expiresAt));
+    return location;
+  }
+
+  /** Reads a generation to its end, over as many connections as that takes. */
+  public GenerationSummary generate(GenerationRequest request, TokenReader reader) {
+    return new GenerationReading(this, client, reader).read(request);
+  }
+
+  /** Calls a plain service; an attempt that was not run is made again at the next address. */
+  public CallAnswer call(CallRequest request) {
+    Map<String, String> headers = headers();
+    headers.put("Repeatable", String.valueOf(request.repeatable()));
+    if (!request.requestKey().isEmpty()) {
+      headers.put("Request-Key", request.requestKey());
+    }
+    String path = "/v1/services/" + encode(request.route()) + request.path();
+    return firstThatServes(
+        locate(request.route()).addresses(), address -> call(address, path, headers, request));
+  }
+
+  /** Accepts a generation whose result is collected later; returns the id of the job. */
+  public String submitDeferred(GenerationRequest request) {
+    return firstThatServes(
+        locate(request.route()).addresses(),
+        address -> {
+          String body =
+              client.send(address, "POST", "/v1/deferred", headers(), Json.write(request)).body();
+          return Json.tree(body).path("id").asText();
+        });
+  }
+
+  /** Returns the state of a job as the instance describes it. */
+  public String collectDeferred(String id) {
+    String path = "/v1/deferred/" + encode(id);
+    return firstThatServes(
+        caller.entries(), address -> client.send(address, "GET", path, headers(), "").body());
+  }
+
+  /**
+   * Tries addresses in order until one serves; goes on only after a failure that proves that the
+   * request was not run and that concerns the instance rather than the request.
+   */
+  <T> T firstThatServes(List<String> addresses, Function<String, T> attempt) {
+    List<String> remaining = new ArrayList<>(addresses);
+    Set<String> tried = new LinkedHashSet<>();
+    BasilportException last = null;
+    while (!remaining.isEmpty()) {
+      String address = remaining.remove(0);
+      if (!tried.add(address)) {
+        continue;
+      }
+      try {
+        return attempt.apply(address);
+      } catch (BasilportException e) {
+        if (!concernsInstance(e)) {
+          throw e;
+        }
+        last = e;
+        if (e instanceof RemoteFailure) {
+          remaining.addAll(((RemoteFailure) e).addresses());
+        }
+      }
+    }
+    if (last == null) {
+      throw new IllegalArgumentException("no address of an entry instance is known");
+    }
+    throw last;
+  }
+
+  Map<String, String> headers() {
+    Map<String, String> headers = new HashMap<>();
+    headers.put("Basilport-Workspace", caller.workspace());
+    headers.put("Authorization", "Bearer " + caller.key());
+    return headers;
+  }
+
+  private CallAnswer call(
+      String address, String path, Map<String, String> headers, CallRequest request) {
+    HttpResponse<String> response =
+        client.sendMarked(address, path, headers, request.body(), REQUEST_ID);
+    return new CallAnswer(
+        response.headers().firstValue(REQUEST_ID).orElse(""),
+        response.statusCode(),
+        response.headers().firstValue("Basilport-Duplicate").orElse("").equals("true"),
+        response.body());
+  }
+
+  private static boolean concernsInstance(BasilportException failure) {
+    FailureCode code = failure.code();
+    return failure.outcome() == Outcome.NOT_RUN
+        && (code == FailureCode.PEER_UNAVAILABLE
+            || code == FailureCode.LEAVING
+            || code == FailureCode.NOT_READY);
+  }
+
+  private static String encode(String text) {
+    return URLEncoder.encode(text, StandardCharsets.UTF_8);
+  }
+
+  private record KeptAnswer(LocationAnswer location, long expiresAtNanos) {}
+}
--- /dev/null
+++ b/basilport-cli/src/main/java/org/basilport/cli/client/GenerationReading.java
@@ -0,0 +1,139 @@
+package org.basilport.cli.client;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.basilport.daemon.http.FailureBody;
+import org.basilport.daemon.http.Json;
+import org.basilport.daemon.http.StreamBodies;
+import org.basilport.delivery.GenerationRequest;
+import org.basilport.error.Outcome;
+import org.basilport.error.Step;
+
+/**
+ * Reads one generation over several connections.
+ *
+ * <p>After a {@code resume} event or a lost connection it goes on after the last event that it
+ * received, so no token is read twice and none is missed.
+ */
+final class GenerationReading {
+  private static final int MOST_RECONNECTS = 20;
+  private static final long RECONNECT_DELAY_MILLIS = 100;
+
+  private final CallerClient caller;
+  private final InstanceClient client;
+  private final TokenReader reader;
+  private List<String> addresses;
+  private String lastEventId = "";
+  private int reconnects;
+  private GenerationSummary summary;
+
+  GenerationReading(CallerClient caller, InstanceClient client, TokenReader reader) {
+    this.caller = caller;
+    this.client = client;
+    this.reader = reader;
+  }
+
+  GenerationSummary read(GenerationRequest request) {
+    addresses = new ArrayList<>(caller.locate(request.route()).addresses());
+    String body = Json.write(request);
+    consume(
+        caller.firstThatServes(
+            addresses,
+            address ->
+                new Connection(
+                    address,
+                    client.open(address, "POST", "/v1/generations", caller.headers(), body))));
+    while (summary == null) {
+      countReconnect();
+      consume(caller.firstThatServes(addresses, this::reopen));
+    }
+    return summary;
+  }
+
+  private Connection reopen(String address) {
+    Map<String, String> headers = caller.headers();
+    headers.put("Last-Event-ID", lastEventId);
+    HttpResponse<InputStream> response =
+        client.open(address, "GET", "/v1/generations/events", headers, "");
+    reader.onReconnect(address);
+    return new Connection(address, response);
+  }
+
+  private void consume(Connection connection) {
+    try (EventReader events = new EventReader(connection.response.body())) {
+      boolean open = true;
+      while (open) {
+        open = events.next().map(event -> handle(event)).orElse(false);
+      }
+    } catch (IOException e) {
+      moveToEnd(connection.address, e);
+      return;
+    }
+    if (summary == null && lastEventId.isEmpty()) {
+      throw InstanceClient.failure(
+          connection.address,
+          Outcome.MAY_HAVE_RUN,
+          Step.STREAM,
+          "the stream ended before its first token",
+          null);
+    }
+  }
+
+  /** Returns whether more events follow on this connection. */
+  private boolean handle(ReceivedEvent event) {
+    switch (event.event()) {
+      case "token":
+        StreamBodies.Tokens tokens = Json.readAnswer(event.data(), StreamBodies.Tokens.class);
+        lastEventId = event.id();
+        reader.onTokens(tokens.offset(), tokens.tokens());
+        return true;
+      case "end":
+        StreamBodies.End end = Json.readAnswer(event.data(), StreamBodies.End.class);
+        summary = new GenerationSummary(end.totalTokens(), end.reason(), reconnects);
+        return false;
+      case "resume":
+        StreamBodies.Resume resume = Json.readAnswer(event.data(), StreamBodies.Resume.class);
+        lastEventId = resume.resumeToken();
+        if (!resume.addresses().isEmpty()) {
+          addresses = new ArrayList<>(resume.addresses());
+        }
+        return false;
+      case "error":
+        throw new RemoteFailure(Json.readAnswer(event.data(), FailureBody.class));
+      default:
+        return true;
+    }
+  }
+
+  private void moveToEnd(String address, IOException cause) {
+    if (lastEventId.isEmpty()) {
+      throw InstanceClient.failure(
+          address, Outcome.MAY_HAVE_RUN, Step.STREAM, "the stream broke before a token", cause);
+    }
+    addresses.remove(address);
+    addresses.add(address);
+  }
+
+  private void countReconnect() {
+    reconnects++;
+    if (reconnects > MOST_RECONNECTS) {
+      throw InstanceClient.failure(
+          String.join(",", addresses),
+          Outcome.LOST_PART_WAY,
+          Step.STREAM,
+          "the stream ended " + reconnects + " times without an end event",
+          null);
+    }
+    try {
+      Thread.sleep(RECONNECT_DELAY_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private record Connection(String address, HttpResponse<InputStream> response) {}
+}
--- /dev/null
+++ b/basilport-cli/src/main/java/org/basilport/cli/client/InstanceClient.java
@@ -0,0 +1,137 @@
+package org.basilport.cli.client;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import org.basilport.daemon.http.FailureBody;
+import org.basilport.daemon.http.Json;
+import org.basilport.error.BasilportException;
+import org.basilport.error.FailureCode;
+import org.basilport.error.Outcome;
+import org.basilport.error.Step;
+import org.basilport.error.UnavailableException;
+
+/** Sends single requests to one instance and turns failed answers into typed failures. */
+public final class InstanceClient {
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(60);
+  private static final int FIRST_ERROR_STATUS = 400;
+
+  private final HttpClient http =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(CONNECT_TIMEOUT)
+          .executor(Executors.newCachedThreadPool(InstanceClient::daemonThread))
+          .build();
+
+  /** Sends a request and reads the whole answer; fails with {@code BasilportException}. */
+  public HttpResponse<String> send(
+      String address, String method, String path, Map<String, String> headers, String body) {
+    HttpRequest request =
+        build(address, method, path, headers, body).timeout(REQUEST_TIMEOUT).build();
+    HttpResponse<String> response = exchange(address, request, BodyHandlers.ofString());
+    refuse(address, response, response.body());
+    return response;
+  }
+
+  /**
+   * Sends a request and returns the status even when it is an error that the called service chose.
+   *
+   * @param mark header that an answer of the service carries
+   */
+  public HttpResponse<String> sendMarked(
+      String address, String path, Map<String, String> headers, String body, String mark) {
+    HttpRequest request =
+        build(address, "POST", path, headers, body).timeout(REQUEST_TIMEOUT).build();
+    HttpResponse<String> response = exchange(address, request, BodyHandlers.ofString());
+    if (response.headers().firstValue(mark).isEmpty()) {
+      refuse(address, response, response.body());
+    }
+    return response;
+  }
+
+  /** Opens a stream of server-sent events. */
+  public HttpResponse<InputStream> open(
+      String address, String method, String path, Map<String, String> headers, String body) {
+    HttpRequest request = build(address, method, path, headers, body).build();
+    HttpResponse<InputStream> response = exchange(address, request, BodyHandlers.ofInputStream());
+    if (response.statusCode() >= FIRST_ERROR_STATUS) {
+      refuse(address, response, readAll(address, response.body()));
+    }
+    return response;
+  }
+
+  private static HttpRequest.Builder build(
+      String address, String method, String path, Map<String, String> headers, String body) {
+    HttpRequest.Builder builder = HttpRequest.newBuilder(URI.create("http://" + address + path));
+    headers.forEach(builder::header);
+    return builder.method(
+        method, body.isEmpty() ? BodyPublishers.noBody() : BodyPublishers.ofString(body));
+  }
+
+  private <T> HttpResponse<T> exchange(
+      String address, HttpRequest request, HttpResponse.BodyHandler<T> handler) {
+    try {
+      return http.send(request, handler);
+    } catch (ConnectException | HttpConnectTimeoutException e) {
+      throw failure(address, Outcome.NOT_RUN, Step.CONNECT, "cannot connect", e);
+    } catch (IOException e) {
+      throw failure(address, Outcome.MAY_HAVE_RUN, Step.SEND, "the connection failed", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw failure(address, Outcome.MAY_HAVE_RUN, Step.SEND, "interrupted", e);
+    }
+  }
+
+  private static void refuse(String address, HttpResponse<?> response, String body) {
+    int status = response.statusCode();
+    if (status < FIRST_ERROR_STATUS) {
+      return;
+    }
+    try {
+      throw new RemoteFailure(Json.readAnswer(body, FailureBody.class));
+    } catch (RemoteFailure e) {
+      throw e;
+    } catch (BasilportException e) {
+      String text = "status " + status + " without a typed failure";
+      throw failure(address, Outcome.MAY_HAVE_RUN, Step.SEND, text, e);
+    }
+  }
+
+  private static String readAll(String address, InputStream body) {
+    try (body) {
+      return new String(body.readAllBytes(), StandardCharsets.UTF_8);
+    } catch (IOException e) {
+      throw failure(address, Outcome.MAY_HAVE_RUN, Step.SEND, "the connection failed", e);
+    }
+  }
+
+  static UnavailableException failure(
+      String address, Outcome outcome, Step step, String problem, Exception cause) {
+    return new UnavailableException(
+        FailureCode.PEER_UNAVAILABLE,
+        outcome,
+        step,
+        address,
+        null,
+        problem + " to " + address + ": " + cause,
+        cause);
+  }
+
+  private static Thread daemonThread(Runnable task) {
+    Thread thread = new Thread(task, "basilport-client");
+    thread.setDaemon(true);
+    return thread;
+  }
+}
--- /dev/null
+++ b/basilport-cli/src/main/java/org/basilport/cli/client/OperatorClient.java
@@ -0,0 +1,48 @@
+package org.basilport.cli.client;
+
+import java.util.List;
+import java.util.Map;
+import org.basilport.error.BasilportException;
+import org.basilport.error.Step;
+
+/** Operator calls to the first instance that can be reached. */
+public final class OperatorClient {
+  private final List<String> entries;
+  private final Map<String, String> headers;
+  private final InstanceClient client;
+
+  /** Creates a client with the operator key. */
+  public OperatorClient(List<String> entries, String operatorKey, InstanceClient client) {
+    this.entries = List.copyOf(entries);
+    this.headers = Map.of("Basilport-Operator-Key", operatorKey);
+    this.client = client;
+  }
+
+  /** Reads from the first instance that can be reached; returns the answer's JSON. */
+  public String get(String path) {
+    return send("GET", path, "");
+  }
+
+  /** Sends JSON to the first instance that can be reached; returns the answer's JSON. */
+  public String post(String path, String body) {
+    return send("POST", path, body);
+  }
+
+  private String send(String method, String path, String body) {
+    BasilportException last = null;
+    for (String address : entries) {
+      try {
+        return client.send(address, method, path, headers, body).body();
+      } catch (BasilportException e) {
+        if (e instanceof RemoteFailure || e.step() != Step.CONNECT) {
+          throw e;
+        }
+        last = e;
+      }
+    }
+    if (last == null) {
+      throw new IllegalArgumentException("no address of an entry instance is known");
+    }
+    throw last;
+  }
+}
--- /dev/null
+++ b/basilport-cli/src/main/java/org/basilport/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The {@code basilport} command. */
+package org.basilport.cli;
