Add the simulated engine and the counting service

The randomised runs need engines and plain services that fail on command and count what they ran. SimulatedEngine batches continuously in limited memory with priorities, preemption and a prefix cache; CountingService counts executions per request key and id. Both run on a Scheduler and draw only from the seed that they are given.

--- /dev/null
+++ b/basilport-standin/src/main/java/org/basilport/standin/engine/ContinuousBatch.java
@@ -0,0 +1,154 @@
+package org.basilport.standin.engine;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.TreeSet;
+import org.basilport.engine.GenerationEnd;
+
+/**
+ * Continuous batching in limited key-value memory; guarded by the engine's lock.
+ *
+ * <p>A step gives one token to each running generation whose prompt is computed. Before a step, the
+ * lowest priority is preempted until the new tokens fit. A preempted generation loses its memory,
+ * waits, and computes its prompt and its tokens again.
+ */
+final class ContinuousBatch {
+  private static final Comparator<SimulatedGeneration> HIGHEST_PRIORITY_FIRST =
+      Comparator.<SimulatedGeneration>comparingInt(generation -> -generation.request.priority())
+          .thenComparingLong(generation -> generation.arrival);
+  private static final Comparator<SimulatedGeneration> PREEMPTED_FIRST =
+      Comparator.<SimulatedGeneration>comparingInt(generation -> generation.request.priority())
+          .thenComparingLong(generation -> -generation.admission);
+
+  private final EngineSettings settings;
+  private final PrefixCache cache;
+  private final TreeSet<SimulatedGeneration> waiting = new TreeSet<>(HIGHEST_PRIORITY_FIRST);
+  private final List<SimulatedGeneration> running = new ArrayList<>();
+  private long usedTokens;
+  private long admissions;
+  private long preemptions;
+
+  ContinuousBatch(EngineSettings settings, PrefixCache cache) {
+    this.settings = settings;
+    this.cache = cache;
+  }
+
+  void add(SimulatedGeneration generation) {
+    waiting.add(generation);
+  }
+
+  void remove(SimulatedGeneration generation) {
+    waiting.remove(generation);
+    if (running.remove(generation)) {
+      usedTokens -= generation.heldTokens();
+      generation.admitted = false;
+    }
+  }
+
+  void clear() {
+    waiting.clear();
+    running.clear();
+    usedTokens = 0;
+    preemptions = 0;
+  }
+
+  boolean isEmpty() {
+    return waiting.isEmpty() && running.isEmpty();
+  }
+
+  int waiting() {
+    return waiting.size();
+  }
+
+  long usedTokens() {
+    return usedTokens;
+  }
+
+  long preemptions() {
+    return preemptions;
+  }
+
+  List<SimulatedGeneration> running() {
+    return running;
+  }
+
+  /** Generations that run or wait. */
+  List<SimulatedGeneration> all() {
+    List<SimulatedGeneration> all = new ArrayList<>(running);
+    all.addAll(waiting);
+    return all;
+  }
+
+  /** Admits and preempts generations, and returns the time of the next step. */
+  Duration planStep() {
+    while (running.size() > 1 && usedTokens + running.size() > settings.capacityTokens()) {
+      preempt(running.stream().min(PREEMPTED_FIRST).orElseThrow());
+    }
+    while (!waiting.isEmpty() && fits(waiting.first())) {
+      admit(waiting.pollFirst());
+    }
+    long prefill = running.stream().mapToLong(generation -> generation.prefillRemaining).sum();
+    long computed = Math.min(prefill, settings.prefillTokensPerStep());
+    return settings
+        .baseStep()
+        .plus(settings.stepPerSequence().multipliedBy(running.size()))
+        .plus(settings.stepPerPrefillToken().multipliedBy(computed));
+  }
+
+  /** Ends the step that was planned, and returns the generations that have a new token or ended. */
+  List<SimulatedGeneration> finishStep() {
+    long budget = settings.prefillTokensPerStep();
+    List<SimulatedGeneration> changed = new ArrayList<>();
+    for (SimulatedGeneration generation : List.copyOf(running)) {
+      long computed = Math.min(budget, generation.prefillRemaining);
+      budget -= computed;
+      generation.prefillRemaining -= computed;
+      if (generation.prefillRemaining == 0) {
+        if (computed > 0) {
+          cache.add(generation.request.prompt());
+        }
+        addToken(generation);
+        changed.add(generation);
+      }
+    }
+    return changed;
+  }
+
+  private void addToken(SimulatedGeneration generation) {
+    if (usedTokens >= settings.capacityTokens()) {
+      // A generation that fills the memory alone cannot go on.
+      generation.endReason = GenerationEnd.Reason.LENGTH;
+    } else {
+      generation.addToken();
+      usedTokens++;
+    }
+    if (generation.ended()) {
+      remove(generation);
+    }
+  }
+
+  private boolean fits(SimulatedGeneration generation) {
+    long growth = running.size() + 1;
+    boolean memory =
+        usedTokens + generation.neededTokens() + growth <= settings.capacityTokens()
+            || running.isEmpty();
+    return memory && running.size() < settings.maxBatch();
+  }
+
+  private void admit(SimulatedGeneration generation) {
+    long cached = cache.cachedTokens(generation.request.prompt());
+    generation.prefillRemaining = Math.max(1, generation.neededTokens() - cached);
+    generation.admission = ++admissions;
+    generation.admitted = true;
+    usedTokens += generation.neededTokens();
+    running.add(generation);
+  }
+
+  private void preempt(SimulatedGeneration generation) {
+    remove(generation);
+    waiting.add(generation);
+    preemptions++;
+  }
+}
--- /dev/null
+++ b/basilport-standin/src/main/java/org/basilport/standin/engine/LaggingReports.java
@@ -0,0 +1,56 @@
+package org.basilport.standin.engine;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Supplier;
+import org.basilport.engine.EngineReport;
+
+/** Keeps snapshots of an engine's load and returns one of the wanted age; guarded by its lock. */
+final class LaggingReports {
+  private static final long SNAPSHOT_NANOS = Duration.ofMillis(200).toNanos();
+
+  private final long lagNanos;
+  private final Supplier<EngineReport> current;
+  private final Deque<Snapshot> snapshots = new ArrayDeque<>();
+
+  LaggingReports(Duration lag, Supplier<EngineReport> current) {
+    this.lagNanos = lag.toNanos();
+    this.current = current;
+  }
+
+  /** Takes a snapshot unless the last one is recent; a forced one is always taken. */
+  void record(long nowNanos, boolean forced) {
+    if (lagNanos == 0) {
+      return;
+    }
+    Snapshot last = snapshots.peekLast();
+    if (forced || last == null || nowNanos - last.nanos >= SNAPSHOT_NANOS) {
+      snapshots.add(new Snapshot(nowNanos, current.get()));
+      dropOld(nowNanos);
+    }
+  }
+
+  EngineReport report(long nowNanos) {
+    if (lagNanos == 0 || snapshots.isEmpty()) {
+      return current.get();
+    }
+    dropOld(nowNanos);
+    return snapshots.peekFirst().report;
+  }
+
+  void clear() {
+    snapshots.clear();
+  }
+
+  /** Keeps the newest snapshot that is older than the lag, and all later ones. */
+  private void dropOld(long nowNanos) {
+    Snapshot first = snapshots.pollFirst();
+    while (!snapshots.isEmpty() && nowNanos - snapshots.peekFirst().nanos >= lagNanos) {
+      first = snapshots.pollFirst();
+    }
+    snapshots.addFirst(first);
+  }
+
+  private record Snapshot(long nanos, EngineReport report) {}
+}
--- /dev/null
+++ b/basilport-standin/src/main/java/org/basilport/standin/service/CountingService.java
@@ -0,0 +1,205 @@
+package org.basilport.standin.service;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.basilport.error.BackendException;
+import org.basilport.error.FailureCode;
+import org.basilport.error.Outcome;
+import org.basilport.error.Step;
+import org.basilport.misc.Scheduler;
+import org.basilport.service.PlainService;
+import org.basilport.service.ServiceReport;
+import org.basilport.service.ServiceRequest;
+import org.basilport.service.ServiceResponse;
+
+/**
+ * A replica of a plain service in memory that counts executions. Its methods may be called from any
+ * thread; results complete on the scheduler.
+ */
+public final class CountingService implements PlainService {
+  private static final int OK = 200;
+
+  private final String name;
+  private final Scheduler scheduler;
+  private final SplittableRandom random;
+  private final ExecutionCounts counts;
+  private final ServiceFaults faults;
+  private final Duration latency;
+  private final Duration executionTime;
+  private ServiceRequest previous;
+  private boolean down;
+  private boolean leaving;
+  private long leavingSinceNanos;
+  private long incarnation = 1;
+  private int active;
+
+  /** Creates a running replica with a one-way latency of 1 ms and executions of 5 ms. */
+  public CountingService(
+      String name, Scheduler scheduler, SplittableRandom random, ExecutionCounts counts) {
+    this(name, scheduler, random, counts, Duration.ofMillis(1), Duration.ofMillis(5));
+  }
+
+  /**
+   * Creates a running replica.
+   *
+   * @param counts counters that replicas of the same service may share
+   * @param latency one-way latency of requests and answers
+   * @param executionTime mean time of an execution; it varies by half of it
+   */
+  public CountingService(
+      String name,
+      Scheduler scheduler,
+      SplittableRandom random,
+      ExecutionCounts counts,
+      Duration latency,
+      Duration executionTime) {
+    this.name = name;
+    this.scheduler = scheduler;
+    this.random = random;
+    this.counts = counts;
+    this.faults = new ServiceFaults(random.split());
+    this.latency = latency;
+    this.executionTime = executionTime;
+  }
+
+  /** Name of the replica. */
+  public String name() {
+    return name;
+  }
+
+  /** Switches for faults. */
+  public ServiceFaults faults() {
+    return faults;
+  }
+
+  /** Counters of executions. */
+  public ExecutionCounts counts() {
+    return counts;
+  }
+
+  /** Number that grows with each restart. */
+  public synchronized long incarnation() {
+    return incarnation;
+  }
+
+  /** Whether the replica is down after a crash. */
+  public synchronized boolean isDown() {
+    return down;
+  }
+
+  /** Body of the answer to a request. */
+  public static String answerTo(ServiceRequest request) {
+    return "{\"requestId\":\"" + request.requestId() + "\",\"done\":\"" + request.path() + "\"}";
+  }
+
+  /** Marks the replica as leaving; it still runs what it receives. */
+  public synchronized void markLeaving() {
+    if (!leaving) {
+      leaving = true;
+      leavingSinceNanos = scheduler.nanoTime();
+    }
+  }
+
+  /** Kills the replica; calls in progress fail as MAY_HAVE_RUN. */
+  public synchronized void crash() {
+    down = true;
+    active = 0;
+  }
+
+  /** Starts the replica again with a new incarnation. */
+  public synchronized void restart() {
+    crash();
+    down = false;
+    leaving = false;
+    incarnation++;
+  }
+
+  @Override
+  public CompletableFuture<ServiceResponse> call(ServiceRequest request) {
+    CompletableFuture<ServiceResponse> result = new CompletableFuture<>();
+    scheduler.schedule(latency, () -> accept(request, result));
+    return result;
+  }
+
+  @Override
+  public CompletableFuture<ServiceReport> report() {
+    CompletableFuture<ServiceReport> result = new CompletableFuture<>();
+    scheduler.schedule(latency.multipliedBy(2), () -> sendReport(result));
+    return result;
+  }
+
+  private void sendReport(CompletableFuture<ServiceReport> result) {
+    ServiceReport report;
+    synchronized (this) {
+      report = down ? null : new ServiceReport(incarnation, leaving, active);
+    }
+    if (report == null) {
+      result.completeExceptionally(refusedConnection());
+    } else {
+      result.complete(report);
+    }
+  }
+
+  private synchronized void accept(
+      ServiceRequest request, CompletableFuture<ServiceResponse> result) {
+    Optional<ServiceFault> fault = faults.draw();
+    if (down || fault.equals(Optional.of(ServiceFault.REFUSED_CONNECT))) {
+      fail(result, refusedConnection());
+      return;
+    }
+    if (fault.equals(Optional.of(ServiceFault.LOST_BEFORE_EXECUTION))) {
+      fail(result, lost("the connection was lost before an answer"));
+      return;
+    }
+    Duration afterLeaving =
+        Duration.ofNanos(leaving ? scheduler.nanoTime() - leavingSinceNanos : 0);
+    counts.executed(request, afterLeaving);
+    active++;
+    long running = incarnation;
+    long nanos = (long) (executionTime.toNanos() * (0.5 + random.nextDouble()));
+    scheduler.schedule(
+        faults.slowness().plusNanos(nanos), () -> finish(request, fault, running, result));
+  }
+
+  private synchronized void finish(
+      ServiceRequest request,
+      Optional<ServiceFault> fault,
+      long running,
+      CompletableFuture<ServiceResponse> result) {
+    if (down || incarnation != running) {
+      fail(result, lost("the replica crashed"));
+      return;
+    }
+    active--;
+    ServiceRequest answered = request;
+    if (fault.equals(Optional.of(ServiceFault.MISROUTED_ANSWER)) && previous != null) {
+      answered = previous;
+    }
+    previous = request;
+    if (faults.crashes(request.body())) {
+      crash();
+      fail(result, lost("the replica crashed"));
+    } else if (fault.equals(Optional.of(ServiceFault.LOST_AFTER_EXECUTION))) {
+      fail(result, lost("the connection was lost before an answer"));
+    } else {
+      ServiceResponse response = new ServiceResponse(answered.requestId(), OK, answerTo(answered));
+      scheduler.schedule(latency, () -> result.complete(response));
+    }
+  }
+
+  private void fail(CompletableFuture<ServiceResponse> result, BackendException failure) {
+    scheduler.schedule(latency, () -> result.completeExceptionally(failure));
+  }
+
+  private BackendException refusedConnection() {
+    return new BackendException(
+        FailureCode.BACKEND_LOST, Outcome.NOT_RUN, Step.CONNECT, name, "connection refused", null);
+  }
+
+  private BackendException lost(String message) {
+    return new BackendException(
+        FailureCode.BACKEND_LOST, Outcome.MAY_HAVE_RUN, Step.SEND, name, message, null);
+  }
+}
--- /dev/null
+++ b/basilport-standin/src/main/java/org/basilport/standin/service/ExecutionCounts.java
@@ -0,0 +1,48 @@
+package org.basilport.standin.service;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.basilport.service.ServiceRequest;
+
+/** Counts executions; may be shared by the replicas of a service. */
+public final class ExecutionCounts {
+  private final Map<String, Integer> byKey = new ConcurrentHashMap<>();
+  private final Map<String, Integer> byId = new ConcurrentHashMap<>();
+  private volatile Duration latestStartAfterLeaving = Duration.ZERO;
+
+  /** Executions of requests with a request key. */
+  public int ofKey(String requestKey) {
+    return byKey.getOrDefault(requestKey, 0);
+  }
+
+  /** Executions of requests with a request id. */
+  public int ofId(String requestId) {
+    return byId.getOrDefault(requestId, 0);
+  }
+
+  /** Executions of each request key. */
+  public Map<String, Integer> byKey() {
+    return Map.copyOf(byKey);
+  }
+
+  /** Longest time between a leaving mark and a call that a replica ran after it. */
+  public Duration latestStartAfterLeaving() {
+    return latestStartAfterLeaving;
+  }
+
+  /** Forgets counts per request id, so that a long run needs bounded memory. */
+  public void clearIds() {
+    byId.clear();
+  }
+
+  synchronized void executed(ServiceRequest request, Duration afterLeaving) {
+    byId.merge(request.requestId(), 1, Integer::sum);
+    if (!request.requestKey().isEmpty()) {
+      byKey.merge(request.requestKey(), 1, Integer::sum);
+    }
+    if (afterLeaving.compareTo(latestStartAfterLeaving) > 0) {
+      latestStartAfterLeaving = afterLeaving;
+    }
+  }
+}
--- /dev/null
+++ b/basilport-standin/src/main/java/org/basilport/standin/service/ServiceFaults.java
@@ -0,0 +1,64 @@
+package org.basilport.standin.service;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/** Faults of one replica; each can be switched at any moment and from any thread. */
+public final class ServiceFaults {
+  private final SplittableRandom random;
+  private final Map<ServiceFault, Double> probabilities = new EnumMap<>(ServiceFault.class);
+  private final Deque<ServiceFault> next = new ArrayDeque<>();
+  private Duration slowness = Duration.ZERO;
+  private String crashMarker = "";
+
+  ServiceFaults(SplittableRandom random) {
+    this.random = random;
+  }
+
+  /** Lets calls fail in a way with a probability from 0 to 1. */
+  public synchronized void probability(ServiceFault fault, double probability) {
+    probabilities.put(fault, probability);
+  }
+
+  /** Lets the next call without a planned fault fail in a way. */
+  public synchronized void failNext(ServiceFault fault) {
+    next.add(fault);
+  }
+
+  /** Sets time that is added to each execution; zero ends the slowness. */
+  public synchronized void slowness(Duration value) {
+    slowness = value;
+  }
+
+  /** Crashes the replica when it runs a body that contains the marker; empty switches it off. */
+  public synchronized void crashMarker(String marker) {
+    crashMarker = marker;
+  }
+
+  synchronized Duration slowness() {
+    return slowness;
+  }
+
+  synchronized boolean crashes(String body) {
+    return !crashMarker.isEmpty() && body.contains(crashMarker);
+  }
+
+  synchronized Optional<ServiceFault> draw() {
+    if (!next.isEmpty()) {
+      return Optional.of(next.remove());
+    }
+    double draw = probabilities.isEmpty() ? 1 : random.nextDouble();
+    for (Map.Entry<ServiceFault, Double> entry : probabilities.entrySet()) {
+      draw -= entry.getValue();
+      if (draw < 0) {
+        return Optional.of(entry.getKey());
+      }
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/basilport-standin/src/main/java/org/basilport/standin/service/package-info.java
@@ -0,0 +1,2 @@
+/** In-memory stand-in of a plain service that counts executions. */
+package org.basilport.standin.service;
