--- /dev/null
+++ b/basilport-router/src/main/java/org/basilport/quarantine/CrashTracker.java
@@ -0,0 +1,232 @@
+package org.basilport.quarantine;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.basilport.backend.BackendListener;
+import org.basilport.backend.BackendServer;
+import org.basilport.engine.EngineReport;
+import org.basilport.event.EventSink;
+import org.basilport.event.EventSubject;
+import org.basilport.event.EventType;
+import org.basilport.misc.Scheduler;
+import org.basilport.peer.GossipParticipant;
+import org.basilport.protocol.GossipMessage;
+import org.basilport.protocol.SuspicionEntry;
+
+/**
+ * Finds requests that crash backend servers; safe to use from any thread.
+ *
+ * <p>When a backend server dies, each request in flight at that incarnation becomes a suspect and
+ * runs in isolation from then on. A lost connection makes a request a suspect for a short time even
+ * before the death is known, since a retry elsewhere would otherwise crash the next server.
+ */
+public final class CrashTracker implements BackendListener, GossipParticipant {
+  /** How long a request stays a suspect after the last death. */
+  static final Duration SUSPICION = Duration.ofMinutes(10);
+
+  /** How long a quarantined request is refused. */
+  static final Duration QUARANTINE = Duration.ofHours(1);
+
+  /** How long a lost connection may wait for news of the backend server. */
+  static final Duration DEATH_NEWS = Duration.ofSeconds(15);
+
+  private static final int DEATHS_TO_QUARANTINE = 2;
+  private static final int MAX_RECORDS = 10_000;
+  private static final int MAX_GOSSIP_ENTRIES = 64;
+
+  private final Scheduler control;
+  private final EventSink events;
+  private final Runnable gossipSoon;
+  private final Map<String, SuspicionRecord> records = new HashMap<>();
+  private final Map<String, List<Flight>> flights = new HashMap<>();
+  private Consumer<List<SuspicionEntry>> onQuarantine = entries -> {};
+
+  /**
+   * Creates a tracker.
+   *
+   * @param gossipSoon asks for gossip before the next round
+   */
+  public CrashTracker(Scheduler control, EventSink events, Runnable gossipSoon) {
+    this.control = control;
+    this.events = events;
+    this.gossipSoon = gossipSoon;
+  }
+
+  /** Sets what runs with all quarantined fingerprints after a new one was added. */
+  public synchronized void onQuarantine(Consumer<List<SuspicionEntry>> action) {
+    onQuarantine = action;
+  }
+
+  /** Tells how a request may run. */
+  public synchronized Verdict verdict(String fingerprint) {
+    SuspicionRecord suspicion = records.get(fingerprint);
+    return suspicion == null ? Verdict.CLEAR : suspicion.verdict(nowMillis());
+  }
+
+  /** Notes that a backend server receives a request now. */
+  public synchronized RequestFlight begin(
+      String fingerprint, BackendServer server, boolean isolated) {
+    Flight flight = new Flight(fingerprint, deathId(server), isolated);
+    flights.computeIfAbsent(flight.deathId, id -> new ArrayList<>()).add(flight);
+    return flight;
+  }
+
+  @Override
+  public synchronized void onDeath(BackendServer server) {
+    String deathId = deathId(server);
+    List<Flight> victims = flights.getOrDefault(deathId, List.of());
+    flights.remove(deathId);
+    events.record(
+        EventType.BACKEND_DEAD, EventSubject.server(server.id()), server.id(), victims.size());
+    long isolated = victims.stream().filter(flight -> flight.isolated).count();
+    for (Flight victim : victims) {
+      SuspicionRecord suspicion = suspicion(victim.fingerprint);
+      boolean counted = suspicion.addDeath(deathId, nowMillis() + SUSPICION.toMillis());
+      int deaths = suspicion.deathCount();
+      if (counted) {
+        record(EventType.REQUEST_SUSPECTED, victim.fingerprint, deaths);
+      }
+      boolean onlySuspect = victim.isolated && isolated == 1;
+      if (deaths >= DEATHS_TO_QUARANTINE && onlySuspect && !suspicion.quarantined()) {
+        quarantine(victim.fingerprint, suspicion);
+      }
+    }
+    if (!victims.isEmpty()) {
+      gossipSoon.run();
+    }
+  }
+
+  @Override
+  public synchronized void onReport(BackendServer server, EngineReport report) {
+    // A report of the same incarnation shows that a lost connection was no death.
+    if (report.incarnation() == server.incarnation()) {
+      String deathId = deathId(server);
+      records.values().forEach(suspicion -> suspicion.resolve(deathId));
+      List<Flight> atServer = flights.get(deathId);
+      if (atServer != null) {
+        atServer.removeIf(flight -> flight.lost);
+      }
+    }
+  }
+
+  @Override
+  public synchronized void contribute(GossipMessage.Builder message) {
+    long now = nowMillis();
+    records.values().removeIf(suspicion -> suspicion.expired(now));
+    records.entrySet().stream()
+        .sorted(
+            Comparator.comparingLong(
+                (Map.Entry<String, SuspicionRecord> entry) -> -entry.getValue().expiresAtMillis()))
+        .limit(MAX_GOSSIP_ENTRIES)
+        .forEach(entry -> message.addSuspicions(entry.getValue().toEntry(entry.getKey())));
+  }
+
+  @Override
+  public synchronized void receive(GossipMessage message) {
+    learn(message.getSuspicionsList());
+  }
+
+  /** Takes over entries from gossip or from the platform. */
+  public synchronized void learn(List<SuspicionEntry> entries) {
+    long now = nowMillis();
+    for (SuspicionEntry entry : entries) {
+      if (entry.getExpiresAtMillis() > now) {
+        suspicion(entry.getFingerprint()).merge(entry);
+      }
+    }
+  }
+
+  private void quarantine(String fingerprint, SuspicionRecord suspicion) {
+    suspicion.quarantine(nowMillis() + QUARANTINE.toMillis());
+    record(EventType.REQUEST_QUARANTINED, fingerprint, suspicion.deathCount());
+    List<SuspicionEntry> all = new ArrayList<>();
+    records.forEach(
+        (name, known) -> {
+          if (known.quarantined() && !known.expired(nowMillis())) {
+            all.add(known.toEntry(name));
+          }
+        });
+    control.execute(() -> onQuarantine.accept(all));
+  }
+
+  private SuspicionRecord suspicion(String fingerprint) {
+    if (records.size() >= MAX_RECORDS && !records.containsKey(fingerprint)) {
+      records.entrySet().stream()
+          .min(Comparator.comparingLong(entry -> entry.getValue().expiresAtMillis()))
+          .ifPresent(oldest -> records.remove(oldest.getKey()));
+    }
+    return records.computeIfAbsent(fingerprint, name -> new SuspicionRecord());
+  }
+
+  private synchronized void end(Flight flight, boolean completed) {
+    List<Flight> atServer = flights.get(flight.deathId);
+    if (atServer != null) {
+      atServer.remove(flight);
+      if (atServer.isEmpty()) {
+        flights.remove(flight.deathId);
+      }
+    }
+    SuspicionRecord suspicion = records.get(flight.fingerprint);
+    if (completed && suspicion != null && !suspicion.quarantined()) {
+      suspicion.clear(nowMillis() + SUSPICION.toMillis());
+      events.record(EventType.REQUEST_CLEARED, EventSubject.NONE, flight.fingerprint);
+    }
+  }
+
+  private synchronized void lose(Flight flight) {
+    List<Flight> atServer = flights.get(flight.deathId);
+    if (atServer == null || !atServer.contains(flight)) {
+      // The death was counted before the connection failed.
+      return;
+    }
+    flight.lost = true;
+    long until = nowMillis() + DEATH_NEWS.toMillis();
+    suspicion(flight.fingerprint).addLoss(flight.deathId, flight.isolated, until);
+    control.schedule(DEATH_NEWS, () -> end(flight, false));
+  }
+
+  private void record(EventType type, String fingerprint, int deaths) {
+    events.record(type, EventSubject.NONE, fingerprint, deaths);
+  }
+
+  private long nowMillis() {
+    return control.now().toEpochMilli();
+  }
+
+  private static String deathId(BackendServer server) {
+    return server.id() + "@" + server.incarnation();
+  }
+
+  private final class Flight implements RequestFlight {
+    private final String fingerprint;
+    private final String deathId;
+    private final boolean isolated;
+    private boolean lost;
+
+    Flight(String fingerprint, String deathId, boolean isolated) {
+      this.fingerprint = fingerprint;
+      this.deathId = deathId;
+      this.isolated = isolated;
+    }
+
+    @Override
+    public void completed() {
+      end(this, true);
+    }
+
+    @Override
+    public void withdrawn() {
+      end(this, false);
+    }
+
+    @Override
+    public void lost() {
+      lose(this);
+    }
+  }
+}
--- /dev/null
+++ b/basilport-router/src/main/java/org/basilport/quarantine/IsolationSlots.java
@@ -0,0 +1,61 @@
+package org.basilport.quarantine;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.basilport.misc.Scheduler;
+import org.basilport.protocol.IsolationReply;
+import org.basilport.protocol.IsolationRequest;
+
+/**
+ * Grants each slot to one holder at a time; safe to use from any thread.
+ *
+ * <p>A slot whose holder does not renew it expires, so that the death of a holder does not block a
+ * backend server for good.
+ */
+public final class IsolationSlots implements IsolationHandler {
+  /** How long a slot is kept without renewal. */
+  static final Duration LIFETIME = Duration.ofSeconds(30);
+
+  private final Scheduler clock;
+  private final Map<String, Slot> slots = new HashMap<>();
+
+  /** Creates free slots; only the scheduler's clock is used. */
+  public IsolationSlots(Scheduler clock) {
+    this.clock = clock;
+  }
+
+  @Override
+  public synchronized IsolationReply acquire(IsolationRequest request) {
+    long now = clock.nanoTime();
+    slots.values().removeIf(slot -> slot.expiresNanos - now <= 0);
+    Slot current = slots.get(request.getServerId());
+    boolean free = current == null || current.holderId.equals(request.getHolderId());
+    boolean elsewhere =
+        slots.values().stream()
+            .anyMatch(
+                slot ->
+                    slot.fingerprint.equals(request.getFingerprint())
+                        && !slot.holderId.equals(request.getHolderId()));
+    boolean granted = free && !elsewhere;
+    if (granted) {
+      long expires = now + LIFETIME.toNanos();
+      slots.put(
+          request.getServerId(),
+          new Slot(request.getHolderId(), request.getFingerprint(), expires));
+    }
+    return IsolationReply.newBuilder().setGranted(granted).build();
+  }
+
+  @Override
+  public synchronized IsolationReply release(IsolationRequest request) {
+    Slot current = slots.get(request.getServerId());
+    boolean held = current != null && current.holderId.equals(request.getHolderId());
+    if (held) {
+      slots.remove(request.getServerId());
+    }
+    return IsolationReply.newBuilder().setGranted(held).build();
+  }
+
+  private record Slot(String holderId, String fingerprint, long expiresNanos) {}
+}
