--- a/basilport-bench/src/main/java/org/basilport/bench/policy/BenchmarkResult.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/policy/BenchmarkResult.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.stream.Collectors;
 
 /** Results of a benchmark. */
 public final class BenchmarkResult {
@@ -23,6 +24,11 @@
     return runs;
   }
 
+  /** Returns the policies that ran, in order. */
+  public List<Candidate> candidates() {
+    return runs.stream().map(Run::candidate).distinct().sorted().collect(Collectors.toList());
+  }
+
   /** Returns a measure over the seeds. */
   public Spread spread(
       Deployment deployment, String workload, Candidate candidate, Measure measure) {
--- a/basilport-bench/src/main/java/org/basilport/bench/policy/FairnessProbe.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/policy/FairnessProbe.java
@@ -7,7 +7,7 @@
  * whole window.
  */
 final class FairnessProbe {
-  private static final int SAMPLES_PER_WINDOW = 60;
+  private static final int SAMPLES_PER_WINDOW = 180;
 
   private final double[] weights;
   private final double[] service;
--- a/basilport-bench/src/main/java/org/basilport/bench/policy/PolicyBenchmarkCommand.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/policy/PolicyBenchmarkCommand.java
@@ -40,6 +40,9 @@
   @Option(names = "--deployment", description = "Deployments to run; all by default.")
   private List<String> deployments;
 
+  @Option(names = "--candidate", description = "Policies to run: ${COMPLETION-CANDIDATES}.")
+  private List<Candidate> candidates;
+
   @Override
   public Integer call() throws IOException {
     BenchmarkSettings settings =
@@ -52,12 +55,16 @@
             threads);
     BenchmarkResult result =
         new PolicyBenchmark(settings)
-            .run(selectedDeployments(), selectedWorkloads(), List.of(Candidate.values()));
+            .run(selectedDeployments(), selectedWorkloads(), selectedCandidates());
     spec.commandLine().getOut().print(new TextReport().render(result));
     spec.commandLine().getOut().flush();
     return 0;
   }
 
+  private List<Candidate> selectedCandidates() {
+    return candidates == null ? List.of(Candidate.values()) : candidates;
+  }
+
   private List<Deployment> selectedDeployments() {
     return Arrays.stream(Deployment.values())
         .filter(deployment -> deployments == null || deployments.contains(deployment.service()))
--- a/basilport-bench/src/main/java/org/basilport/bench/policy/TextReport.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/policy/TextReport.java
@@ -44,18 +44,18 @@
             workload,
             result.settings().seeds()));
     text.append(String.format(Locale.ROOT, "%-20s", "mean [min..max]"));
-    for (Candidate candidate : Candidate.values()) {
-      text.append(String.format(Locale.ROOT, "%30s", candidate.title()));
+    for (Candidate candidate : result.candidates()) {
+      text.append(String.format(Locale.ROOT, "%34s", candidate.title()));
     }
     text.append(String.format(Locale.ROOT, "%12s%12s%n", "/least out.", "/oracle"));
     for (Measure measure : COLUMNS) {
       text.append(String.format(Locale.ROOT, "%-20s", measure.title()));
-      for (Candidate candidate : Candidate.values()) {
+      for (Candidate candidate : result.candidates()) {
         BenchmarkResult.Spread spread = result.spread(deployment, workload, candidate, measure);
         text.append(
             String.format(
                 Locale.ROOT,
-                "%30s",
+                "%34s",
                 String.format(
                     Locale.ROOT,
                     "%.2f [%.2f..%.2f]",
