--- a/tools/run-tests.sh
+++ b/tools/run-tests.sh
@@ -30,6 +30,7 @@
   fi
 done
 
-if [ -x ./basilport ] && [ -f examples/nucleo-andino/base.yaml ]; then
+demo=basilport-cli/src/main/java/org/basilport/cli/demo/DemoCommand.java
+if [ -x ./basilport ] && [ -f "$demo" ]; then
   ./basilport demo --site examples/nucleo-andino || exit 1
 fi
