--- /dev/null
+++ b/basilport-clients/src/main/java/org/basilport/engine/http/SseParser.java
@@ -0,0 +1,45 @@
+package org.basilport.engine.http;
+
+import io.netty.buffer.ByteBuf;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Parses the data fields of server-sent events from chunks that may end anywhere. */
+final class SseParser {
+  private static final String DATA = "data:";
+
+  private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+  private final StringBuilder data = new StringBuilder();
+
+  /** Adds a chunk and returns the data of all events that it completes. */
+  List<String> add(ByteBuf chunk) {
+    List<String> events = new ArrayList<>();
+    while (chunk.isReadable()) {
+      byte next = chunk.readByte();
+      if (next == '\n') {
+        endLine(events);
+      } else if (next != '\r') {
+        line.write(next);
+      }
+    }
+    return events;
+  }
+
+  private void endLine(List<String> events) {
+    String text = line.toString(StandardCharsets.UTF_8);
+    line.reset();
+    if (text.isEmpty()) {
+      if (data.length() > 0) {
+        events.add(data.toString());
+        data.setLength(0);
+      }
+    } else if (text.startsWith(DATA)) {
+      if (data.length() > 0) {
+        data.append('\n');
+      }
+      data.append(text.substring(DATA.length()).strip());
+    }
+  }
+}
--- /dev/null
+++ b/basilport-clients/src/main/java/org/basilport/engine/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP client of model engines, with server-sent events. */
+package org.basilport.engine.http;
--- /dev/null
+++ b/basilport-clients/src/main/java/org/basilport/http/Json.java
@@ -0,0 +1,58 @@
+package org.basilport.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/** Reads and writes JSON; unknown fields are ignored. */
+public final class Json {
+  private static final ObjectMapper MAPPER =
+      new ObjectMapper().configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+
+  private Json() {}
+
+  /** Writes a value as JSON text. */
+  public static String write(Object value) {
+    try {
+      return MAPPER.writeValueAsString(value);
+    } catch (JsonProcessingException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Writes a value as UTF-8 JSON. */
+  public static byte[] bytes(Object value) {
+    return write(value).getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** Reads a value; fails with {@code UncheckedIOException} when the text does not fit. */
+  public static <T> T read(String text, Class<T> type) {
+    try {
+      return MAPPER.readValue(text, type);
+    } catch (JsonProcessingException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Reads a value of a generic type; fails like {@link #read(String, Class)}. */
+  public static <T> T read(String text, TypeReference<T> type) {
+    try {
+      return MAPPER.readValue(text, type);
+    } catch (JsonProcessingException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Reads a value; empty when the text does not fit. */
+  public static <T> Optional<T> tryRead(String text, Class<T> type) {
+    try {
+      return Optional.ofNullable(MAPPER.readValue(text, type));
+    } catch (JsonProcessingException ignored) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/basilport-clients/src/main/java/org/basilport/http/package-info.java
@@ -0,0 +1,2 @@
+/** Shared HTTP plumbing of the clients. */
+package org.basilport.http;
--- /dev/null
+++ b/basilport-clients/src/main/java/org/basilport/platform/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP clients of the platform. */
+package org.basilport.platform.http;
--- /dev/null
+++ b/basilport-clients/src/main/java/org/basilport/service/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP client of plain services. */
+package org.basilport.service.http;
