--- /dev/null
+++ b/basilport-clients/src/main/java/org/basilport/platform/http/HttpInstanceDirectory.java
@@ -0,0 +1,28 @@
+package org.basilport.platform.http;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.basilport.http.HttpCall;
+import org.basilport.http.HttpConnector;
+import org.basilport.http.Json;
+import org.basilport.platform.InstanceDirectory;
+import org.basilport.platform.ListedInstance;
+
+/** The instance list over HTTP. */
+public final class HttpInstanceDirectory implements InstanceDirectory {
+  private static final TypeReference<List<ListedInstance>> INSTANCES = new TypeReference<>() {};
+
+  private final PlatformHttp http;
+
+  /** Creates a client of the platform at an IP address and port. */
+  public HttpInstanceDirectory(HttpConnector connector, String address, String clientId) {
+    this.http = new PlatformHttp(connector, address, clientId);
+  }
+
+  @Override
+  public CompletableFuture<List<ListedInstance>> list() {
+    HttpCall call = http.call("GET", "/instances");
+    return http.send(call, answer -> Json.read(answer.text(), INSTANCES));
+  }
+}
--- /dev/null
+++ b/basilport-standin/src/main/java/org/basilport/standin/http/PlatformHttpServer.java
@@ -0,0 +1,186 @@
+package org.basilport.standin.http;
+
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.basilport.error.FailureCode;
+import org.basilport.error.RejectedException;
+import org.basilport.error.Step;
+import org.basilport.http.Json;
+import org.basilport.platform.ListedInstance;
+import org.basilport.platform.ObjectStore;
+import org.basilport.platform.StoredObject;
+import org.basilport.platform.http.HttpObjectStore;
+import org.basilport.standin.platform.MemoryPlatform;
+import org.basilport.standin.platform.PlatformClient;
+import ratpack.handling.Chain;
+import ratpack.handling.Context;
+import ratpack.http.Headers;
+import ratpack.http.TypedData;
+
+/**
+ * The platform over HTTP, with admin calls for its instance list: {@code PUT /instances/<id>} puts
+ * an entry, {@code DELETE /instances/<id>} removes one, {@code POST /instances/<id>/leaving} marks
+ * one as leaving, and {@code POST /outage?down=true|false} starts or ends an outage.
+ */
+public final class PlatformHttpServer extends StandInServer {
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
+  private static final int NOT_FOUND = 404;
+
+  private final MemoryPlatform platform;
+
+  /** Creates a server on a port of the loopback address, 0 for any. */
+  public PlatformHttpServer(MemoryPlatform platform, int port) {
+    super(port);
+    this.platform = platform;
+  }
+
+  @Override
+  void addHandlers(Chain chain) throws Exception {
+    chain
+        .get("objects", this::listObjects)
+        .prefix("objects", objects -> objects.all(this::object))
+        .get("instances", context -> await(context, client(context).list(), sender(context)))
+        .post("instances/:id/leaving", this::markLeaving)
+        .put("instances/:id", this::putInstance)
+        .delete("instances/:id", this::removeInstance)
+        .post("weights", this::reserve)
+        .post("outage", this::outage);
+  }
+
+  private PlatformClient client(Context context) {
+    String id = context.getRequest().getHeaders().get(HttpObjectStore.CLIENT_ID);
+    return platform.client(id == null ? "" : id);
+  }
+
+  private static <T> Consumer<T> sender(Context context) {
+    return value -> sendJson(context, value);
+  }
+
+  private void listObjects(Context context) {
+    String prefix = parameter(context, "prefix").orElse("");
+    await(context, client(context).list(prefix), sender(context));
+  }
+
+  private void object(Context context) throws Exception {
+    String name =
+        URLDecoder.decode(context.getPathBinding().getPastBinding(), StandardCharsets.UTF_8);
+    context.byMethod(
+        methods ->
+            methods
+                .get(() -> read(context, name))
+                .put(() -> context.getRequest().getBody().then(body -> write(context, name, body)))
+                .delete(() -> delete(context, name)));
+  }
+
+  private void read(Context context, String name) {
+    Optional<String> watched = parameter(context, "watch");
+    if (watched.isEmpty()) {
+      await(context, client(context).read(name), found -> sendObject(context, found, NOT_FOUND));
+      return;
+    }
+    Duration wait = Duration.ofMillis(Long.parseLong(parameter(context, "waitMillis").orElse("0")));
+    await(
+        context,
+        client(context).watch(name, Long.parseLong(watched.get()), wait),
+        found -> sendObject(context, found, NOT_MODIFIED));
+  }
+
+  private void write(Context context, String name, TypedData body) {
+    Optional<Long> expected = expectedVersion(context);
+    if (expected.isEmpty()) {
+      sendFailure(context, missingCondition());
+      return;
+    }
+    await(
+        context,
+        client(context).write(name, body.getBytes(), expected.get()),
+        version -> {
+          context.getResponse().getHeaders().set("ETag", etag(version));
+          context.getResponse().status(NO_CONTENT).send();
+        });
+  }
+
+  private void delete(Context context, String name) {
+    Optional<Long> expected = expectedVersion(context);
+    if (expected.isEmpty()) {
+      sendFailure(context, missingCondition());
+      return;
+    }
+    await(
+        context,
+        client(context).delete(name, expected.get()),
+        deleted -> context.getResponse().status(NO_CONTENT).send());
+  }
+
+  private static RejectedException missingCondition() {
+    return new RejectedException(
+        FailureCode.MALFORMED, Step.STORE, "If-Match or If-None-Match: * is required");
+  }
+
+  private static void sendObject(Context context, Optional<StoredObject> found, int absent) {
+    if (found.isEmpty()) {
+      context.getResponse().status(absent).send();
+      return;
+    }
+    context.getResponse().getHeaders().set("ETag", etag(found.get().version()));
+    context.getResponse().send("application/octet-stream", found.get().value());
+  }
+
+  private static String etag(long version) {
+    return "\"" + version + "\"";
+  }
+
+  private static Optional<Long> expectedVersion(Context context) {
+    Headers headers = context.getRequest().getHeaders();
+    String match = headers.get("If-Match");
+    if (match != null) {
+      return Optional.of(Long.parseLong(match.replace("\"", "")));
+    }
+    return "*".equals(headers.get("If-None-Match"))
+        ? Optional.of(ObjectStore.ABSENT)
+        : Optional.empty();
+  }
+
+  private void putInstance(Context context) {
+    context
+        .getRequest()
+        .getBody()
+        .then(
+            body -> {
+              platform.putInstance(Json.read(body.getText(), ListedInstance.class));
+              context.getResponse().status(NO_CONTENT).send();
+            });
+  }
+
+  private void removeInstance(Context context) {
+    platform.removeInstance(context.getPathTokens().get("id"));
+    context.getResponse().status(NO_CONTENT).send();
+  }
+
+  private void markLeaving(Context context) {
+    platform.markLeaving(context.getPathTokens().get("id"));
+    context.getResponse().status(NO_CONTENT).send();
+  }
+
+  private void reserve(Context context) {
+    String model = parameter(context, "model").orElse("");
+    String version = parameter(context, "version").orElse("");
+    await(
+        context,
+        client(context).reserveFetch(model, version),
+        reserved -> context.getResponse().status(NO_CONTENT).send());
+  }
+
+  private void outage(Context context) {
+    platform.faults().outage(Boolean.parseBoolean(parameter(context, "down").orElse("true")));
+    context.getResponse().status(NO_CONTENT).send();
+  }
+
+  private static Optional<String> parameter(Context context, String name) {
+    return Optional.ofNullable(context.getRequest().getQueryParams().get(name));
+  }
+}
--- /dev/null
+++ b/basilport-standin/src/main/java/org/basilport/standin/http/ServiceHttpServer.java
@@ -0,0 +1,71 @@
+package org.basilport.standin.http;
+
+import org.basilport.service.ServiceRequest;
+import org.basilport.service.ServiceResponse;
+import org.basilport.service.http.HttpPlainService;
+import org.basilport.standin.service.CountingService;
+import ratpack.handling.Chain;
+import ratpack.handling.Context;
+import ratpack.http.Headers;
+
+/**
+ * A replica of a plain service over HTTP, with admin calls {@code POST /admin/leaving}, {@code
+ * /admin/crash} and {@code /admin/restart}. While the replica is down, connections are accepted and
+ * closed without an answer; stop the server to have them refused.
+ */
+public final class ServiceHttpServer extends StandInServer {
+  private static final int NO_CONTENT = 204;
+
+  private final CountingService service;
+
+  /** Creates a server on a port of the loopback address, 0 for any. */
+  public ServiceHttpServer(CountingService service, int port) {
+    super(port);
+    this.service = service;
+  }
+
+  @Override
+  void addHandlers(Chain chain) throws Exception {
+    chain
+        .get("load", context -> await(context, service.report(), r -> sendJson(context, r)))
+        .prefix("call", calls -> calls.all(this::call))
+        .post("admin/leaving", context -> admin(context, service::markLeaving))
+        .post("admin/crash", context -> admin(context, service::crash))
+        .post("admin/restart", context -> admin(context, service::restart));
+  }
+
+  private void call(Context context) {
+    Headers headers = context.getRequest().getHeaders();
+    String path = context.getPathBinding().getPastBinding();
+    context
+        .getRequest()
+        .getBody()
+        .then(
+            body -> {
+              ServiceRequest request =
+                  new ServiceRequest(
+                      value(headers, HttpPlainService.REQUEST_ID),
+                      value(headers, HttpPlainService.REQUEST_KEY),
+                      value(headers, HttpPlainService.WORKSPACE),
+                      path,
+                      Boolean.parseBoolean(value(headers, HttpPlainService.REPEATABLE)),
+                      body.getText());
+              await(context, service.call(request), response -> send(context, response));
+            });
+  }
+
+  private static void send(Context context, ServiceResponse response) {
+    context.getResponse().getHeaders().set(HttpPlainService.REQUEST_ID, response.requestId());
+    context.getResponse().status(response.status()).send(response.body());
+  }
+
+  private static String value(Headers headers, String name) {
+    String value = headers.get(name);
+    return value == null ? "" : value;
+  }
+
+  private static void admin(Context context, Runnable action) {
+    action.run();
+    context.getResponse().status(NO_CONTENT).send();
+  }
+}
--- /dev/null
+++ b/basilport-standin/src/main/java/org/basilport/standin/http/StandInServer.java
@@ -0,0 +1,122 @@
+package org.basilport.standin.http;
+
+import java.net.InetAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.basilport.error.BasilportException;
+import org.basilport.error.FailureCode;
+import org.basilport.error.Outcome;
+import org.basilport.error.Step;
+import org.basilport.http.FailureBody;
+import org.basilport.http.Json;
+import org.basilport.misc.Service;
+import ratpack.exec.Promise;
+import ratpack.handling.Chain;
+import ratpack.handling.Context;
+import ratpack.http.Headers;
+import ratpack.server.RatpackServer;
+
+/** A Ratpack server on a loopback address; a server that is started again keeps its port. */
+abstract class StandInServer implements Service {
+  private static final int MAX_BODY_BYTES = 4_000_000;
+  private static final int THREADS = 2;
+  private static final int PRECONDITION_FAILED = 412;
+
+  private int port;
+  private RatpackServer server;
+
+  /**
+   * Creates a server.
+   *
+   * @param port port to listen on, or 0 for any free port
+   */
+  StandInServer(int port) {
+    this.port = port;
+  }
+
+  abstract void addHandlers(Chain chain) throws Exception;
+
+  /** IP address and port; known once the server has started. */
+  public synchronized String address() {
+    return "127.0.0.1:" + port;
+  }
+
+  @Override
+  public CompletableFuture<Void> start() {
+    return CompletableFuture.runAsync(this::startNow);
+  }
+
+  @Override
+  public CompletableFuture<Void> stop() {
+    return CompletableFuture.runAsync(this::stopNow);
+  }
+
+  private synchronized void startNow() {
+    if (server != null) {
+      return;
+    }
+    try {
+      RatpackServer started =
+          RatpackServer.of(
+              spec ->
+                  spec.serverConfig(
+                          config ->
+                              config
+                                  .port(port)
+                                  .address(InetAddress.getByName("127.0.0.1"))
+                                  .threads(THREADS)
+                                  .development(false)
+                                  .registerShutdownHook(false)
+                                  .maxContentLength(MAX_BODY_BYTES))
+                      .handlers(this::addHandlers));
+      started.start();
+      server = started;
+      port = started.getBindPort();
+    } catch (Exception e) {
+      throw new IllegalStateException("the server could not start on port " + port, e);
+    }
+  }
+
+  private synchronized void stopNow() {
+    if (server == null) {
+      return;
+    }
+    try {
+      server.stop();
+      server = null;
+    } catch (Exception e) {
+      throw new IllegalStateException("the server could not stop", e);
+    }
+  }
+
+  /** Waits for a result and passes it on; a failure is sent to the caller. */
+  static <T> void await(Context context, CompletableFuture<T> result, Consumer<T> sender) {
+    Promise.<T>async(downstream -> downstream.accept(result))
+        .onError(failure -> sendFailure(context, failure))
+        .then(sender::accept);
+  }
+
+  static void sendJson(Context context, Object value) {
+    context.getResponse().contentType("application/json").send(Json.bytes(value));
+  }
+
+  /** Sends a failure, or closes the connection when the failure is a lost connection. */
+  static void sendFailure(Context context, Throwable cause) {
+    BasilportException failure = BasilportException.unwrap(cause, Outcome.MAY_HAVE_RUN, Step.SEND);
+    if (failure.code() == FailureCode.BACKEND_LOST) {
+      context.getDirectChannelAccess().getChannel().close();
+      return;
+    }
+    int status = statusOf(context, failure);
+    context.getResponse().status(status).contentType("application/json");
+    context.getResponse().send(Json.bytes(FailureBody.of(failure)));
+  }
+
+  private static int statusOf(Context context, BasilportException failure) {
+    Headers headers = context.getRequest().getHeaders();
+    boolean conditional = headers.contains("If-Match") || headers.contains("If-None-Match");
+    return conditional && failure.code() == FailureCode.CONFLICT
+        ? PRECONDITION_FAILED
+        : failure.code().httpStatus();
+  }
+}
--- /dev/null
+++ b/basilport-standin/src/main/java/org/basilport/standin/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP servers in front of the in-memory stand-ins. */
+package org.basilport.standin.http;
