Test the platform's interfaces in memory and over HTTP

One contract covers versions, conditions, names, the size limit, watches, lost answers, outages, partitions, the lag of the instance list and the weight store. HttpConnector.standalone makes a controller outside a server.

--- a/basilport-clients/src/main/java/org/basilport/http/HttpConnector.java
+++ b/basilport-clients/src/main/java/org/basilport/http/HttpConnector.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.basilport.error.Outcome;
 import ratpack.exec.ExecController;
+import ratpack.exec.internal.DefaultExecController;
 import ratpack.func.Action;
 import ratpack.http.client.HttpClient;
 import ratpack.http.client.ReceivedResponse;
@@ -22,18 +23,33 @@
   private static final int POOL_SIZE = 16;
 
   private final ExecController execController;
+  private final boolean ownsController;
   private final HttpTimeouts timeouts;
   private final HttpClient pooled;
   private final HttpClient unpooled;
 
   /** Creates a connector; the controller stays open when the connector is closed. */
   public HttpConnector(ExecController execController, HttpTimeouts timeouts) {
+    this(execController, timeouts, false);
+  }
+
+  private HttpConnector(
+      ExecController execController, HttpTimeouts timeouts, boolean ownsController) {
     this.execController = execController;
+    this.ownsController = ownsController;
     this.timeouts = timeouts;
     this.pooled = client(POOL_SIZE);
     this.unpooled = client(0);
   }
 
+  /**
+   * Creates a connector with a controller of its own, for processes without a Ratpack server.
+   * Ratpack 1.9 offers no public way to create a controller outside a server.
+   */
+  public static HttpConnector standalone(int threads, HttpTimeouts timeouts) {
+    return new HttpConnector(new DefaultExecController(threads), timeouts, true);
+  }
+
   private HttpClient client(int poolSize) {
     try {
       return HttpClient.of(
@@ -112,5 +128,8 @@
   public void close() {
     pooled.close();
     unpooled.close();
+    if (ownsController) {
+      execController.close();
+    }
   }
 }
--- /dev/null
+++ b/basilport-standin/src/test/java/org/basilport/standin/contract/HttpPlatformTest.java
@@ -0,0 +1,48 @@
+package org.basilport.standin.contract;
+
+import org.basilport.http.HttpConnector;
+import org.basilport.http.HttpTimeouts;
+import org.basilport.platform.InstanceDirectory;
+import org.basilport.platform.ObjectStore;
+import org.basilport.platform.WeightStore;
+import org.basilport.platform.http.HttpInstanceDirectory;
+import org.basilport.platform.http.HttpObjectStore;
+import org.basilport.platform.http.HttpWeightStore;
+import org.basilport.standin.http.PlatformHttpServer;
+import org.junit.jupiter.api.AfterEach;
+
+class HttpPlatformTest extends ObjectStoreContract {
+  private final HttpConnector connector = HttpConnector.standalone(1, HttpTimeouts.defaults());
+  private final PlatformHttpServer server = new PlatformHttpServer(platform, 0);
+
+  @Override
+  Timing timing() {
+    return Timing.real();
+  }
+
+  @Override
+  void open() {
+    server.start().join();
+  }
+
+  @AfterEach
+  void close() {
+    connector.close();
+    server.stop().join();
+  }
+
+  @Override
+  ObjectStore store() {
+    return new HttpObjectStore(connector, server.address(), CLIENT);
+  }
+
+  @Override
+  InstanceDirectory directory() {
+    return new HttpInstanceDirectory(connector, server.address(), CLIENT);
+  }
+
+  @Override
+  WeightStore weights() {
+    return new HttpWeightStore(connector, server.address(), CLIENT);
+  }
+}
--- /dev/null
+++ b/basilport-standin/src/test/java/org/basilport/standin/contract/ObjectStoreContract.java
@@ -0,0 +1,220 @@
+package org.basilport.standin.contract;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.basilport.error.BasilportException;
+import org.basilport.error.FailureCode;
+import org.basilport.error.Outcome;
+import org.basilport.platform.InstanceDirectory;
+import org.basilport.platform.InstanceKind;
+import org.basilport.platform.InstanceState;
+import org.basilport.platform.ListedInstance;
+import org.basilport.platform.ObjectStore;
+import org.basilport.platform.StoredObject;
+import org.basilport.platform.WeightStore;
+import org.basilport.standin.platform.CallKind;
+import org.basilport.standin.platform.MemoryPlatform;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What every implementation of the platform's interfaces has to do. */
+abstract class ObjectStoreContract {
+  static final String CLIENT = "client-1";
+  private static final byte[] VALUE = "value".getBytes(StandardCharsets.UTF_8);
+
+  final Timing timing = timing();
+  final MemoryPlatform platform = new MemoryPlatform(timing.scheduler(), new SplittableRandom(1));
+  private ObjectStore store;
+
+  abstract Timing timing();
+
+  abstract ObjectStore store();
+
+  abstract InstanceDirectory directory();
+
+  abstract WeightStore weights();
+
+  void open() {}
+
+  @BeforeEach
+  void start() {
+    open();
+    store = store();
+  }
+
+  @AfterEach
+  void stop() {
+    timing.close();
+  }
+
+  /** Guards against a lost update, and against versions that start again after a deletion. */
+  @Test
+  void versionsGrowAndConditionsHold() {
+    long first = timing.await(store.write("a/b", VALUE, ObjectStore.ABSENT));
+    long second = timing.await(store.write("a/b", VALUE, first));
+    assertThat(second).isGreaterThan(first);
+    assertThat(timing.await(store.read("a/b")))
+        .isEqualTo(Optional.of(new StoredObject("a/b", second, VALUE)));
+    assertThat(timing.failure(store.delete("a/b", first)).code()).isEqualTo(FailureCode.CONFLICT);
+
+    timing.await(store.delete("a/b", second));
+
+    assertThat(timing.await(store.read("a/b"))).isEqualTo(Optional.empty());
+    assertThat(timing.await(store.write("a/b", VALUE, ObjectStore.ABSENT))).isGreaterThan(second);
+  }
+
+  /** Guards against a conflict that is reported as something that may have taken effect. */
+  @ParameterizedTest
+  @CsvSource({"present, 0", "present, 99", "absent, 1"})
+  void writeWithAnotherVersionConflicts(String name, long expectedVersion) {
+    timing.await(store.write("present", VALUE, ObjectStore.ABSENT));
+
+    BasilportException failure = timing.failure(store.write(name, VALUE, expectedVersion));
+
+    assertThat(failure.code()).isEqualTo(FailureCode.CONFLICT);
+    assertThat(failure.outcome()).isEqualTo(Outcome.NOT_RUN);
+  }
+
+  /** Guards against names that change when they are encoded in a path. */
+  @ParameterizedTest
+  @ValueSource(strings = {"config/head", "a b+c", "50%25", "claims/17/é?x=1&y#z"})
+  void namesAreKept(String name) {
+    timing.await(store.write(name, VALUE, ObjectStore.ABSENT));
+
+    assertThat(timing.await(store.list(name.substring(0, 2)))).containsExactly(name);
+    assertThat(timing.await(store.read(name)).orElseThrow().name()).isEqualTo(name);
+  }
+
+  /** Guards against values that the platform would refuse later. */
+  @ParameterizedTest
+  @CsvSource({"1000000, true", "1000001, false"})
+  void valuesHaveALimit(int bytes, boolean accepted) {
+    CompletableFuture<Long> write = store.write("big", new byte[bytes], ObjectStore.ABSENT);
+
+    if (accepted) {
+      timing.await(write);
+      assertThat(timing.await(store.read("big")).orElseThrow().value()).hasLength(bytes);
+    } else {
+      assertThat(timing.failure(write).code()).isEqualTo(FailureCode.TOO_LARGE);
+    }
+  }
+
+  /** Guards against watches that miss a change, never end, or count more than one call. */
+  @Test
+  void watchAnswersOnceForAChangeOrAtItsEnd() {
+    CompletableFuture<Optional<StoredObject>> changed =
+        store.watch("w", ObjectStore.ABSENT, Duration.ofSeconds(5));
+    timing.until(() -> platform.counts().of(CLIENT, CallKind.WATCH) == 1);
+    timing.pass(Duration.ofMillis(50));
+    assertThat(changed.isDone()).isFalse();
+    long version = timing.await(store.write("w", VALUE, ObjectStore.ABSENT));
+
+    assertThat(timing.await(changed).orElseThrow().version()).isEqualTo(version);
+    assertThat(timing.await(store.watch("w", ObjectStore.ABSENT, Duration.ofSeconds(5))))
+        .isEqualTo(timing.await(changed));
+    assertThat(timing.await(store.watch("w", version, Duration.ofMillis(40))))
+        .isEqualTo(Optional.empty());
+    assertThat(platform.counts().of(CLIENT, CallKind.WATCH)).isEqualTo(3);
+  }
+
+  /** Guards against a write in doubt that is reported as not run, or that had no effect. */
+  @Test
+  void writeWithALostAnswerMayHaveRun() {
+    platform.faults().lostAnswerTimeout(Duration.ofMillis(20));
+    platform.faults().loseNextWriteAnswer();
+
+    BasilportException failure = timing.failure(store.write("x", VALUE, ObjectStore.ABSENT));
+
+    assertThat(failure.outcome()).isEqualTo(Outcome.MAY_HAVE_RUN);
+    assertThat(timing.await(store.read("x"))).isNotEqualTo(Optional.empty());
+  }
+
+  enum Cut {
+    OUTAGE,
+    PARTITION
+  }
+
+  /** Guards against calls that hang or succeed while the platform cannot be reached. */
+  @ParameterizedTest
+  @CsvSource({
+    "OUTAGE, read",
+    "OUTAGE, write",
+    "OUTAGE, watch",
+    "OUTAGE, list",
+    "OUTAGE, instances",
+    "PARTITION, read",
+    "PARTITION, write",
+    "PARTITION, watch",
+    "PARTITION, instances"
+  })
+  void callsFailWhileCutOff(Cut cut, String call) {
+    Function<Boolean, Runnable> cutter =
+        on ->
+            () -> {
+              if (cut == Cut.OUTAGE) {
+                platform.faults().outage(on);
+              } else {
+                platform.faults().partition(CLIENT, on);
+              }
+            };
+    cutter.apply(true).run();
+    assertThat(timing.failure(send(call)).code()).isEqualTo(FailureCode.PLATFORM_UNAVAILABLE);
+
+    cutter.apply(false).run();
+
+    timing.await(send(call));
+  }
+
+  private CompletableFuture<?> send(String call) {
+    switch (call) {
+      case "read":
+        return store.read("x");
+      case "write":
+        return store.write("x", VALUE, ObjectStore.ABSENT);
+      case "watch":
+        return store.watch("x", ObjectStore.ABSENT, Duration.ofMillis(10));
+      case "list":
+        return store.list("x");
+      default:
+        return directory().list();
+    }
+  }
+
+  /** Guards against a list without lag, which would hide faults in the handling of leaving. */
+  @Test
+  void instanceListLags() {
+    ListedInstance live =
+        new ListedInstance(
+            "e1", InstanceKind.BACKEND, "llm", "r", "dc", "a:1", "", InstanceState.LIVE, 3);
+    platform.putInstance(live);
+    platform.faults().instanceLag(Duration.ofMillis(300));
+    platform.markLeaving("e1");
+
+    assertThat(timing.await(directory().list())).containsExactly(live);
+    timing.pass(Duration.ofMillis(400));
+    assertThat(timing.await(directory().list()))
+        .containsExactly(live.withState(InstanceState.LEAVING));
+  }
+
+  /** Guards against loads that exceed the weight store's rate. */
+  @Test
+  void weightStoreLimitsFetches() {
+    platform.limitWeightFetches(1, Duration.ofSeconds(60));
+    timing.await(weights().reserveFetch("m", "1"));
+
+    BasilportException failure = timing.failure(weights().reserveFetch("m", "1"));
+
+    assertThat(failure.code()).isEqualTo(FailureCode.OVER_LIMIT);
+    assertThat(failure.retryAfter().orElseThrow()).isGreaterThan(Duration.ofSeconds(30));
+  }
+}
