Add the control plane: gossip, propagation, backend views, call budget

Cause: instances had no view of each other, of the configuration in force or of backend servers. Change: add GossipMembership, rendezvous hashing, ConfigurationPropagation, CommonBackendView, the platform gate with token buckets and circuit breaker, an in-process peer network and DefaultControlPlane, which wires them.

--- /dev/null
+++ b/basilport-router/src/main/java/org/basilport/membership/MemberRecord.java
@@ -0,0 +1,100 @@
+package org.basilport.membership;
+
+import org.basilport.protocol.MemberEntry;
+import org.basilport.protocol.MemberState;
+
+/** What gossip told of one member, and when its heartbeat last advanced here. */
+final class MemberRecord {
+  private MemberEntry entry;
+  private long advancedAt;
+  private MemberHealth health = MemberHealth.ALIVE;
+
+  MemberRecord(MemberEntry entry, long now) {
+    this.entry = entry;
+    this.advancedAt = now;
+  }
+
+  MemberEntry entry() {
+    return entry;
+  }
+
+  MemberHealth health() {
+    return health;
+  }
+
+  void health(MemberHealth newHealth) {
+    health = newHealth;
+  }
+
+  long silentNanos(long now) {
+    return now - advancedAt;
+  }
+
+  /** Does not count time during which this instance itself was paused. */
+  void excuse(long nanos) {
+    advancedAt += nanos;
+  }
+
+  /** Whether an entry is newer than another: by incarnation, then by heartbeat. */
+  static boolean newer(MemberEntry entry, MemberEntry than) {
+    int byIncarnation = Long.compare(entry.getIncarnation(), than.getIncarnation());
+    return byIncarnation != 0 ? byIncarnation > 0 : entry.getHeartbeat() > than.getHeartbeat();
+  }
+
+  /** Takes over a newer entry; one without addresses keeps those of the same incarnation. */
+  void advance(MemberEntry newer, long now) {
+    MemberEntry complete = newer;
+    if (newer.getPeerAddress().isEmpty()) {
+      complete =
+          newer.toBuilder()
+              .setRegion(entry.getRegion())
+              .setDataCentre(entry.getDataCentre())
+              .setAddress(entry.getAddress())
+              .setPeerAddress(entry.getPeerAddress())
+              .build();
+    }
+    entry = complete;
+    advancedAt = now;
+    health = MemberHealth.ALIVE;
+  }
+
+  Member member() {
+    return new Member(
+        entry.getInstanceId(),
+        entry.getIncarnation(),
+        status(entry.getState()),
+        health,
+        entry.getRegion(),
+        entry.getDataCentre(),
+        entry.getAddress(),
+        entry.getPeerAddress(),
+        entry.getConfigurationNumber(),
+        entry.getActiveStreams());
+  }
+
+  static MemberStatus status(MemberState state) {
+    switch (state) {
+      case MEMBER_STATE_SERVING:
+        return MemberStatus.SERVING;
+      case MEMBER_STATE_LEAVING:
+        return MemberStatus.LEAVING;
+      case MEMBER_STATE_LEFT:
+        return MemberStatus.LEFT;
+      default:
+        return MemberStatus.STARTING;
+    }
+  }
+
+  static MemberState state(MemberStatus status) {
+    switch (status) {
+      case SERVING:
+        return MemberState.MEMBER_STATE_SERVING;
+      case LEAVING:
+        return MemberState.MEMBER_STATE_LEAVING;
+      case LEFT:
+        return MemberState.MEMBER_STATE_LEFT;
+      default:
+        return MemberState.MEMBER_STATE_STARTING;
+    }
+  }
+}
--- /dev/null
+++ b/basilport-router/src/main/java/org/basilport/membership/RendezvousLocator.java
@@ -0,0 +1,54 @@
+package org.basilport.membership;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+
+/** Names serving instances by rendezvous hashing, those near the caller first. */
+public final class RendezvousLocator implements Locator {
+  private static final Duration LIFETIME = Duration.ofSeconds(30);
+  private static final int MAX_ADDRESSES = 8;
+  private static final int SAME_DATA_CENTRE = 0;
+  private static final int SAME_REGION = 1;
+  private static final int ELSEWHERE = 2;
+
+  private final MembershipView membership;
+
+  /** Creates a locator over the members that an instance sees. */
+  public RendezvousLocator(MembershipView membership) {
+    this.membership = membership;
+  }
+
+  @Override
+  public Location locate(String workspace, String route, String dataCentre) {
+    List<Member> members = membership.members();
+    String place = dataCentre.isEmpty() ? membership.self().dataCentre() : dataCentre;
+    String region = regionOf(place, members);
+    List<Member> serving = members.stream().filter(Member::serving).toList();
+    List<Member> ranked = RendezvousHash.rank(workspace + "/" + route, serving, Member::id);
+    List<String> addresses =
+        ranked.stream()
+            .sorted(
+                Comparator.<Member>comparingInt(member -> distance(member, place, region))
+                    .thenComparing(member -> member.health() != MemberHealth.ALIVE))
+            .limit(MAX_ADDRESSES)
+            .map(Member::address)
+            .toList();
+    return new Location(addresses, LIFETIME);
+  }
+
+  private String regionOf(String dataCentre, List<Member> members) {
+    return members.stream()
+        .filter(member -> member.dataCentre().equals(dataCentre))
+        .map(Member::region)
+        .findFirst()
+        .orElse(membership.self().region());
+  }
+
+  private static int distance(Member member, String dataCentre, String region) {
+    if (member.dataCentre().equals(dataCentre)) {
+      return SAME_DATA_CENTRE;
+    }
+    return member.region().equals(region) ? SAME_REGION : ELSEWHERE;
+  }
+}
--- /dev/null
+++ b/basilport-router/src/main/java/org/basilport/peer/PeerFailures.java
@@ -0,0 +1,32 @@
+package org.basilport.peer;
+
+import java.time.Duration;
+import org.basilport.error.FailureCode;
+import org.basilport.error.Outcome;
+import org.basilport.error.Step;
+import org.basilport.error.UnavailableException;
+
+/** Failures of calls between instances. */
+public final class PeerFailures {
+  private static final Duration RETRY_AFTER = Duration.ofMillis(500);
+
+  private PeerFailures() {}
+
+  /** A peer that could not be reached. */
+  public static UnavailableException unreachable(String peerAddress, Throwable cause) {
+    return failure(Outcome.NOT_RUN, peerAddress, "peer " + peerAddress + " is unreachable", cause);
+  }
+
+  /** A peer that did not answer in time. */
+  public static UnavailableException timedOut(String peerAddress) {
+    String message = "peer " + peerAddress + " did not answer in time";
+    return failure(Outcome.MAY_HAVE_RUN, peerAddress, message, null);
+  }
+
+  /** A failure of a call with a given outcome. */
+  public static UnavailableException failure(
+      Outcome outcome, String peerAddress, String message, Throwable cause) {
+    return new UnavailableException(
+        FailureCode.PEER_UNAVAILABLE, outcome, Step.PEER, peerAddress, RETRY_AFTER, message, cause);
+  }
+}
