--- a/basilport-router/src/main/java/org/basilport/backend/BackendRegistry.java
+++ b/basilport-router/src/main/java/org/basilport/backend/BackendRegistry.java
@@ -31,7 +31,7 @@
   private final Map<String, BackendRecord> records = new LinkedHashMap<>();
   private final Map<String, Mark> leaving = new HashMap<>();
   private final Map<String, Mark> refusals = new HashMap<>();
-  private final Map<String, Mark> removals = new HashMap<>();
+  private final Map<String, Removal> removals = new HashMap<>();
 
   BackendRegistry(Scheduler control, EventSink events) {
     this.control = control;
@@ -105,28 +105,25 @@
     refusals.remove(record.server().id());
   }
 
-  /** Removes a server that is not in the instance list any more. */
-  void removeListed(BackendRecord record) {
+  /** Removes a server that an instance list read at a time did not show any more. */
+  void removeListed(BackendRecord record, long listMillis) {
     BackendServer server = record.server();
-    removals.put(server.id(), new Mark(server.incarnation(), control.nanoTime()));
+    removals.put(server.id(), new Removal(server.incarnation(), listMillis, control.nanoTime()));
     remove(record);
   }
 
-  /** Whether an incarnation was removed, so that late gossip must not bring it back. */
-  boolean removed(String id, long incarnation) {
-    Mark mark = removals.get(id);
-    return mark != null && mark.incarnation >= incarnation;
-  }
-
-  /** The instance list shows a server again, which overrides an earlier removal. */
-  void relisted(String id) {
-    removals.remove(id);
+  /** Whether an incarnation was removed by a later list than the one that showed it. */
+  boolean removed(String id, long incarnation, long listedAtMillis) {
+    Removal removal = removals.get(id);
+    return removal != null
+        && removal.incarnation >= incarnation
+        && removal.listMillis >= listedAtMillis;
   }
 
   /** Forgets marks that are too old to matter. */
   void expire() {
     long now = control.nanoTime();
-    removals.values().removeIf(mark -> now - mark.at > MARK_KEPT.toNanos());
+    removals.values().removeIf(removal -> now - removal.at > MARK_KEPT.toNanos());
     refusals.values().removeIf(mark -> now - mark.at > REFUSAL_VALID.toNanos());
     leaving
         .entrySet()
@@ -175,5 +172,7 @@
     }
   }
 
+  private record Removal(long incarnation, long listMillis, long at) {}
+
   private record Mark(long incarnation, long at) {}
 }
--- a/basilport-router/src/main/java/org/basilport/backend/CommonBackendView.java
+++ b/basilport-router/src/main/java/org/basilport/backend/CommonBackendView.java
@@ -166,7 +166,8 @@
   public void receive(GossipMessage message) {
     for (BackendEntry entry : message.getBackendsList()) {
       newestListMillis = Math.max(newestListMillis, entry.getListedAtMillis());
-      if (!registry.removed(entry.getServerId(), entry.getIncarnation())) {
+      if (!registry.removed(
+          entry.getServerId(), entry.getIncarnation(), entry.getListedAtMillis())) {
         registry.learn(server(entry), entry.getListedAtMillis(), message.getSenderId());
       }
     }
@@ -201,14 +202,13 @@
     for (ListedInstance instance : list) {
       if (instance.kind() == InstanceKind.BACKEND) {
         present.add(instance.id());
-        registry.relisted(instance.id());
         registry.learn(server(instance), atMillis, "the instance list");
         registry.find(instance.id()).ifPresent(record -> record.listed(atMillis));
       }
     }
     for (BackendRecord record : List.copyOf(registry.records())) {
       if (!present.contains(record.server().id()) && record.missing() >= MISSING_READS_TO_REMOVE) {
-        registry.removeListed(record);
+        registry.removeListed(record, newestListMillis);
       }
     }
     publish();
@@ -217,7 +217,7 @@
   private void dropUnlisted() {
     for (BackendRecord record : List.copyOf(registry.records())) {
       if (newestListMillis - record.listedAtMillis() > UNLISTED_MILLIS) {
-        registry.removeListed(record);
+        registry.removeListed(record, newestListMillis);
       }
     }
   }
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of rendezvous hashing. */
+package org.basilport.membership;
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/router/ControlFleet.java
@@ -0,0 +1,237 @@
+package org.basilport.router;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.basilport.config.AcceptedConfiguration;
+import org.basilport.config.ApplicationService;
+import org.basilport.config.ConfigurationChange;
+import org.basilport.config.Deployment;
+import org.basilport.error.BackendException;
+import org.basilport.error.FailureCode;
+import org.basilport.error.Outcome;
+import org.basilport.error.Step;
+import org.basilport.error.UnavailableException;
+import org.basilport.event.Event;
+import org.basilport.event.EventType;
+import org.basilport.event.HybridClock;
+import org.basilport.event.Timeline;
+import org.basilport.misc.VirtualScheduler;
+import org.basilport.peer.InProcessPeerNetwork;
+import org.basilport.platform.InstanceDirectory;
+import org.basilport.platform.InstanceKind;
+import org.basilport.platform.InstanceState;
+import org.basilport.platform.ListedInstance;
+import org.basilport.protocol.IsolationReply;
+import org.basilport.protocol.IsolationRequest;
+import org.basilport.quarantine.IsolationHandler;
+import org.basilport.service.PlainService;
+import org.basilport.service.ServiceReport;
+import org.basilport.service.ServiceRequest;
+import org.basilport.service.ServiceResponse;
+import org.basilport.store.FakeObjectStore;
+
+/** Control planes of one site over an in-process network, with backend servers to report. */
+final class ControlFleet {
+  final VirtualScheduler scheduler = new VirtualScheduler(Instant.parse("2026-03-02T08:00:00Z"));
+  final FakeObjectStore platform = new FakeObjectStore(scheduler);
+  final InProcessPeerNetwork network;
+  final Map<String, DefaultControlPlane> planes = new TreeMap<>();
+  final Map<String, ListedInstance> list = new TreeMap<>();
+  final Map<String, ServiceReport> reports = new TreeMap<>();
+  private final Map<String, Timeline> timelines = new TreeMap<>();
+  private final SplittableRandom random;
+  boolean listDown;
+  boolean reportsStall;
+
+  ControlFleet(long seed, int instances) {
+    random = new SplittableRandom(seed);
+    network = new InProcessPeerNetwork(scheduler, random.split());
+    for (int i = 0; i < instances; i++) {
+      String id = "instance-" + i;
+      list.put(id, entry(id, 1, i));
+    }
+    for (int i = 0; i < instances; i++) {
+      start("instance-" + i, 1, List.of());
+    }
+  }
+
+  static String address(String id) {
+    return id + ":7400";
+  }
+
+  private static ListedInstance entry(String id, long incarnation, int index) {
+    return new ListedInstance(
+        id,
+        InstanceKind.ENTRY,
+        "",
+        "co-centro",
+        List.of("bogota-a", "bogota-b", "tunja-c").get(index % 3),
+        id + ":8080",
+        address(id),
+        InstanceState.LIVE,
+        incarnation);
+  }
+
+  DefaultControlPlane start(String id, long incarnation, List<String> seeds) {
+    int index = Integer.parseInt(id.substring(id.indexOf('-') + 1));
+    ListedInstance entry = entry(id, incarnation, index);
+    InstanceSettings settings =
+        new InstanceSettings(
+            id,
+            incarnation,
+            "co-centro",
+            entry.dataCentre(),
+            entry.address(),
+            entry.peerAddress(),
+            "cluster-key",
+            25_000,
+            30_000,
+            300,
+            1_500);
+    HybridClock clock = new HybridClock(() -> scheduler.now().toEpochMilli());
+    Timeline timeline = new Timeline(id, clock, 5_000);
+    InstanceDirectory directory = this::readList;
+    DefaultControlPlane plane =
+        new DefaultControlPlane(
+            settings,
+            platform,
+            directory,
+            network.connector(address(id)),
+            serverAddress -> {
+              throw new IllegalStateException("no model service is configured");
+            },
+            FleetService::new,
+            network.scheduler(address(id)),
+            timeline,
+            random.split(),
+            seeds);
+    network.register(address(id), plane.endpoint(new GrantingIsolation(), reason -> {}));
+    planes.put(id, plane);
+    timelines.put(id, timeline);
+    plane.start();
+    return plane;
+  }
+
+  void kill(String id) {
+    network.unregister(address(id));
+    network.pause(address(id));
+    planes.remove(id);
+  }
+
+  void addServer(String id, long incarnation) {
+    list.put(
+        id,
+        new ListedInstance(
+            id,
+            InstanceKind.BACKEND,
+            "shelf-app",
+            "co-centro",
+            "bogota-a",
+            id,
+            "",
+            InstanceState.LIVE,
+            incarnation));
+    reports.put(id, new ServiceReport(incarnation, false, 0));
+  }
+
+  CompletableFuture<AcceptedConfiguration> apply(String at, String applyId) {
+    Deployment deployment =
+        new Deployment(
+            "andino",
+            List.of(),
+            List.of(new ApplicationService("shelf-app", 3, 5_000)),
+            List.of(),
+            List.of());
+    return planes.get(at).apply(new ConfigurationChange(applyId, "ana", -1, deployment));
+  }
+
+  long number(String id) {
+    return planes.get(id).configuration().inForce().map(AcceptedConfiguration::number).orElse(0L);
+  }
+
+  /** Runs until every instance but the excepted ones has a number; returns how long it took. */
+  Duration runUntilInForce(long number, List<String> except) {
+    long start = scheduler.nanoTime();
+    while (planes.keySet().stream().anyMatch(id -> !except.contains(id) && number(id) < number)) {
+      scheduler.runFor(Duration.ofMillis(10));
+      if (scheduler.nanoTime() - start > Duration.ofSeconds(30).toNanos()) {
+        break;
+      }
+    }
+    return Duration.ofNanos(scheduler.nanoTime() - start);
+  }
+
+  void run(double seconds) {
+    scheduler.runFor(Duration.ofMillis((long) (seconds * 1_000)));
+  }
+
+  List<Event> events(EventType type) {
+    List<Event> events = new ArrayList<>();
+    timelines.values().forEach(t -> events.addAll(t.events(e -> e.type() == type, 5_000)));
+    return events;
+  }
+
+  private CompletableFuture<List<ListedInstance>> readList() {
+    return listDown
+        ? CompletableFuture.failedFuture(
+            new UnavailableException(
+                FailureCode.PLATFORM_UNAVAILABLE,
+                Outcome.NOT_RUN,
+                Step.STORE,
+                "platform",
+                null,
+                "the instance list does not answer",
+                null))
+        : CompletableFuture.completedFuture(List.copyOf(list.values()));
+  }
+
+  private static final class GrantingIsolation implements IsolationHandler {
+    @Override
+    public IsolationReply acquire(IsolationRequest request) {
+      return IsolationReply.newBuilder().setGranted(true).build();
+    }
+
+    @Override
+    public IsolationReply release(IsolationRequest request) {
+      return IsolationReply.getDefaultInstance();
+    }
+  }
+
+  /** A replica that reports what the test says, and refuses connections without a report. */
+  private final class FleetService implements PlainService {
+    private final String id;
+
+    FleetService(String id) {
+      this.id = id;
+    }
+
+    @Override
+    public CompletableFuture<ServiceResponse> call(ServiceRequest request) {
+      throw new UnsupportedOperationException("the control plane sends no requests");
+    }
+
+    @Override
+    public CompletableFuture<ServiceReport> report() {
+      ServiceReport report = reports.get(id);
+      if (reportsStall) {
+        return new CompletableFuture<>();
+      }
+      return report != null
+          ? CompletableFuture.completedFuture(report)
+          : CompletableFuture.failedFuture(
+              new BackendException(
+                  FailureCode.BACKEND_FAILED,
+                  Outcome.NOT_RUN,
+                  Step.CONNECT,
+                  id,
+                  "connection refused",
+                  null));
+    }
+  }
+}
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/router/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of several control planes in one process with a virtual clock. */
+package org.basilport.router;
