--- /dev/null
+++ b/basilport-daemon/src/main/java/org/basilport/daemon/peer/GrpcPeerClient.java
@@ -0,0 +1,103 @@
+package org.basilport.daemon.peer;
+
+import com.google.common.util.concurrent.FutureCallback;
+import com.google.common.util.concurrent.Futures;
+import com.google.common.util.concurrent.ListenableFuture;
+import com.google.common.util.concurrent.MoreExecutors;
+import io.grpc.ManagedChannel;
+import io.grpc.Status;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.basilport.error.Outcome;
+import org.basilport.error.UnavailableException;
+import org.basilport.peer.PeerClient;
+import org.basilport.peer.PeerFailures;
+import org.basilport.protocol.ConfigurationMessage;
+import org.basilport.protocol.DrainReply;
+import org.basilport.protocol.DrainRequest;
+import org.basilport.protocol.FetchConfigurationRequest;
+import org.basilport.protocol.GossipMessage;
+import org.basilport.protocol.IsolationReply;
+import org.basilport.protocol.IsolationRequest;
+import org.basilport.protocol.PeerGrpc;
+import org.basilport.protocol.TimelineMessage;
+import org.basilport.protocol.TimelineQuery;
+
+/** Calls to one instance; each has a deadline. */
+final class GrpcPeerClient implements PeerClient {
+  private static final Duration SHORT = Duration.ofSeconds(1);
+  private static final Duration LONG = Duration.ofSeconds(5);
+
+  private final String peerAddress;
+  private final PeerGrpc.PeerFutureStub stub;
+
+  GrpcPeerClient(String peerAddress, ManagedChannel channel) {
+    this.peerAddress = peerAddress;
+    this.stub = PeerGrpc.newFutureStub(channel);
+  }
+
+  @Override
+  public CompletableFuture<GossipMessage> exchange(GossipMessage message) {
+    return result(within(SHORT).exchange(message));
+  }
+
+  @Override
+  public CompletableFuture<ConfigurationMessage> fetchConfiguration(
+      FetchConfigurationRequest request) {
+    return result(within(SHORT).fetchConfiguration(request));
+  }
+
+  @Override
+  public CompletableFuture<TimelineMessage> fetchTimeline(TimelineQuery query) {
+    return result(within(LONG).fetchTimeline(query));
+  }
+
+  @Override
+  public CompletableFuture<IsolationReply> acquireIsolation(IsolationRequest request) {
+    return result(within(SHORT).acquireIsolation(request));
+  }
+
+  @Override
+  public CompletableFuture<IsolationReply> releaseIsolation(IsolationRequest request) {
+    return result(within(SHORT).releaseIsolation(request));
+  }
+
+  @Override
+  public CompletableFuture<DrainReply> drain(DrainRequest request) {
+    return result(within(SHORT).drain(request));
+  }
+
+  private PeerGrpc.PeerFutureStub within(Duration limit) {
+    return stub.withDeadlineAfter(limit.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private <T> CompletableFuture<T> result(ListenableFuture<T> call) {
+    CompletableFuture<T> result = new CompletableFuture<>();
+    Futures.addCallback(
+        call,
+        new FutureCallback<>() {
+          @Override
+          public void onSuccess(T value) {
+            result.complete(value);
+          }
+
+          @Override
+          public void onFailure(Throwable failure) {
+            result.completeExceptionally(failure(failure));
+          }
+        },
+        MoreExecutors.directExecutor());
+    return result;
+  }
+
+  private UnavailableException failure(Throwable cause) {
+    Status status = Status.fromThrowable(cause);
+    // Only a refused key shows that the call was not run; a lost connection may hide an effect.
+    Outcome outcome =
+        status.getCode() == Status.Code.UNAUTHENTICATED ? Outcome.NOT_RUN : Outcome.MAY_HAVE_RUN;
+    String message =
+        "peer " + peerAddress + ": " + status.getCode() + " " + status.getDescription();
+    return PeerFailures.failure(outcome, peerAddress, message, cause);
+  }
+}
--- /dev/null
+++ b/basilport-daemon/src/main/java/org/basilport/daemon/peer/GrpcPeerServer.java
@@ -0,0 +1,145 @@
+package org.basilport.daemon.peer;
+
+import com.google.common.net.HostAndPort;
+import io.grpc.Server;
+import io.grpc.Status;
+import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
+import io.grpc.stub.StreamObserver;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.basilport.error.BasilportException;
+import org.basilport.error.Outcome;
+import org.basilport.error.Step;
+import org.basilport.misc.Service;
+import org.basilport.peer.PeerClient;
+import org.basilport.peer.PeerFailures;
+import org.basilport.protocol.ConfigurationMessage;
+import org.basilport.protocol.DrainReply;
+import org.basilport.protocol.DrainRequest;
+import org.basilport.protocol.FetchConfigurationRequest;
+import org.basilport.protocol.GossipMessage;
+import org.basilport.protocol.IsolationReply;
+import org.basilport.protocol.IsolationRequest;
+import org.basilport.protocol.PeerGrpc;
+import org.basilport.protocol.TimelineMessage;
+import org.basilport.protocol.TimelineQuery;
+
+/** Serves the calls of other instances. */
+public final class GrpcPeerServer implements Service {
+  static final int MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
+
+  private static final long STOP_SECONDS = 1;
+  private static final long MIN_KEEP_ALIVE_SECONDS = 5;
+
+  private final Server server;
+  private final String address;
+
+  /**
+   * Creates a server.
+   *
+   * @param address IP address and port to listen at; port 0 takes a free one
+   * @param clusterKey secret that each call must carry
+   * @param endpoint answers the calls; it must not block
+   */
+  public GrpcPeerServer(String address, String clusterKey, PeerClient endpoint) {
+    HostAndPort parsed = HostAndPort.fromString(address);
+    this.address = address;
+    this.server =
+        NettyServerBuilder.forAddress(new InetSocketAddress(parsed.getHost(), parsed.getPort()))
+            .intercept(new ClusterKey(clusterKey))
+            .addService(new PeerService(endpoint))
+            .maxInboundMessageSize(MAX_MESSAGE_BYTES)
+            .permitKeepAliveTime(MIN_KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
+            .directExecutor()
+            .build();
+  }
+
+  @Override
+  public CompletableFuture<Void> start() {
+    try {
+      server.start();
+      return CompletableFuture.completedFuture(null);
+    } catch (IOException e) {
+      return CompletableFuture.failedFuture(
+          PeerFailures.failure(Outcome.NOT_RUN, address, "cannot listen at " + address, e));
+    }
+  }
+
+  /** The port that the server listens at, after the start. */
+  public int port() {
+    return server.getPort();
+  }
+
+  @Override
+  public CompletableFuture<Void> stop() {
+    server.shutdown();
+    return CompletableFuture.runAsync(
+        () -> {
+          try {
+            if (!server.awaitTermination(STOP_SECONDS, TimeUnit.SECONDS)) {
+              server.shutdownNow();
+            }
+          } catch (InterruptedException e) {
+            server.shutdownNow();
+            Thread.currentThread().interrupt();
+          }
+        });
+  }
+
+  /** Passes calls on to the endpoint. */
+  private static final class PeerService extends PeerGrpc.PeerImplBase {
+    private final PeerClient endpoint;
+
+    PeerService(PeerClient endpoint) {
+      this.endpoint = endpoint;
+    }
+
+    @Override
+    public void exchange(GossipMessage request, StreamObserver<GossipMessage> reply) {
+      answer(endpoint.exchange(request), reply);
+    }
+
+    @Override
+    public void fetchConfiguration(
+        FetchConfigurationRequest request, StreamObserver<ConfigurationMessage> reply) {
+      answer(endpoint.fetchConfiguration(request), reply);
+    }
+
+    @Override
+    public void fetchTimeline(TimelineQuery request, StreamObserver<TimelineMessage> reply) {
+      answer(endpoint.fetchTimeline(request), reply);
+    }
+
+    @Override
+    public void acquireIsolation(IsolationRequest request, StreamObserver<IsolationReply> reply) {
+      answer(endpoint.acquireIsolation(request), reply);
+    }
+
+    @Override
+    public void releaseIsolation(IsolationRequest request, StreamObserver<IsolationReply> reply) {
+      answer(endpoint.releaseIsolation(request), reply);
+    }
+
+    @Override
+    public void drain(DrainRequest request, StreamObserver<DrainReply> reply) {
+      answer(endpoint.drain(request), reply);
+    }
+
+    private static <T> void answer(CompletableFuture<T> result, StreamObserver<T> reply) {
+      result.whenComplete(
+          (value, failure) -> {
+            if (failure == null) {
+              reply.onNext(value);
+              reply.onCompleted();
+            } else {
+              BasilportException cause =
+                  BasilportException.unwrap(failure, Outcome.MAY_HAVE_RUN, Step.PEER);
+              reply.onError(
+                  Status.INTERNAL.withDescription(cause.getMessage()).asRuntimeException());
+            }
+          });
+    }
+  }
+}
--- /dev/null
+++ b/basilport-daemon/src/main/java/org/basilport/daemon/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Calls between instances over gRPC. */
+package org.basilport.daemon.peer;
