Add the router, deferred jobs and the drain

Callers need one entry that authenticates, limits and routes their requests, jobs that survive the death of their owner, and a shutdown that cuts off no stream.

--- a/basilport-router/src/main/java/org/basilport/claim/ClaimRegistry.java
+++ b/basilport-router/src/main/java/org/basilport/claim/ClaimRegistry.java
@@ -6,8 +6,10 @@
 import java.util.concurrent.CompletableFuture;
 import org.basilport.error.ConflictException;
 import org.basilport.error.FailureCode;
+import org.basilport.error.Outcome;
 import org.basilport.error.RejectedException;
 import org.basilport.error.Step;
+import org.basilport.error.UnavailableException;
 import org.basilport.event.EventSink;
 import org.basilport.event.EventSubject;
 import org.basilport.event.EventType;
@@ -40,7 +42,7 @@
   CompletableFuture<ClaimDecision> claim(RequestKey key, String attemptId) {
     CompletableFuture<ClaimDecision> decision =
         commits.apply(key.objectName(), object -> decide(object, key.hash(), attemptId));
-    return decision.whenComplete(
+    return decision.handle(
         (decided, failure) -> {
           if (failure != null) {
             releaseInBackground(key, attemptId);
@@ -49,6 +51,10 @@
           } else {
             record(EventType.CLAIM_REFUSED, key, decided.kind());
           }
+          if (failure != null) {
+            throw unavailable(key);
+          }
+          return decided;
         });
   }
 
@@ -77,6 +83,18 @@
         "this attempt was not run; an earlier attempt with the same key may have run");
   }
 
+  /** The outcome is NOT_RUN also when the claim is in doubt, since nothing is sent under it. */
+  private static UnavailableException unavailable(RequestKey key) {
+    return new UnavailableException(
+        FailureCode.PLATFORM_UNAVAILABLE,
+        Outcome.NOT_RUN,
+        Step.CLAIM,
+        key.objectName(),
+        Duration.ofSeconds(1),
+        "the claim of the request key could not be recorded",
+        null);
+  }
+
   private static GroupCommit.Applied<ClaimDecision> decide(
       ClaimObject object, String hash, String attemptId) {
     if (object.closed()) {
--- a/basilport-router/src/main/java/org/basilport/claim/GroupCommit.java
+++ b/basilport-router/src/main/java/org/basilport/claim/GroupCommit.java
@@ -100,7 +100,8 @@
 
   /**
    * Applies a change. Fails with {@code UnavailableException} when the object was not known to be
-   * stored in time; the change may then take effect later.
+   * stored in time. With the outcome NOT_RUN the change was never sent; with MAY_HAVE_RUN it may
+   * have taken effect or may do so later.
    */
   public <R> CompletableFuture<R> apply(String object, Change<S, R> change) {
     return submit(object, change, false);
@@ -137,6 +138,9 @@
     private final Change<S, R> change;
     private final CompletableFuture<R> result = new CompletableFuture<>();
     private Applied<R> applied;
+    // Whether a write that carries the change may have taken effect.
+    private boolean exposed;
+    private boolean exposedBefore;
 
     Pending(Change<S, R> change) {
       this.change = change;
@@ -147,6 +151,15 @@
       return applied.changed();
     }
 
+    void writeStarted() {
+      exposedBefore = exposed;
+      exposed = true;
+    }
+
+    void writeConflicted() {
+      exposed = exposedBefore;
+    }
+
     void settle() {
       result.complete(applied.result());
     }
@@ -155,8 +168,8 @@
       fail(
           new UnavailableException(
               FailureCode.PLATFORM_UNAVAILABLE,
-              Outcome.NOT_RUN,
-              Step.CLAIM,
+              exposed ? Outcome.MAY_HAVE_RUN : Outcome.NOT_RUN,
+              Step.STORE,
               object,
               Duration.ofSeconds(1),
               "the platform did not confirm the change of " + object + " in time",
@@ -244,6 +257,7 @@
         return;
       }
       long expected = version;
+      batch.forEach(Pending::writeStarted);
       store
           .write(name, next, expected)
           .whenComplete(
@@ -260,13 +274,11 @@
         return;
       }
       known = false;
-      BasilportException cause = BasilportException.unwrap(failure, Outcome.NOT_RUN, Step.CLAIM);
-      if (cause instanceof ConflictException && failures == 0) {
-        failures++;
-        control.schedule(delays.delay(1), this::read);
-      } else {
-        retry();
+      BasilportException cause = BasilportException.unwrap(failure, Outcome.NOT_RUN, Step.STORE);
+      if (cause instanceof ConflictException) {
+        batch.forEach(Pending::writeConflicted);
       }
+      retry();
     }
 
     private void retry() {
@@ -299,7 +311,7 @@
             new UnavailableException(
                 FailureCode.OVER_LIMIT,
                 Outcome.NOT_RUN,
-                Step.CLAIM,
+                Step.STORE,
                 name,
                 Duration.ofMinutes(1),
                 "the object " + name + " is full",
--- /dev/null
+++ b/basilport-router/src/main/java/org/basilport/router/DefaultRouter.java
@@ -0,0 +1,351 @@
+package org.basilport.router;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.basilport.backend.BackendView;
+import org.basilport.claim.PlainCallWork;
+import org.basilport.claim.RequestKey;
+import org.basilport.config.AcceptedConfiguration;
+import org.basilport.config.ApplicationService;
+import org.basilport.config.ConfigurationChange;
+import org.basilport.config.ConfigurationStore;
+import org.basilport.config.ConfigurationView;
+import org.basilport.config.Deployment;
+import org.basilport.config.ModelService;
+import org.basilport.config.Route;
+import org.basilport.config.Workspace;
+import org.basilport.deferred.DeferredJob;
+import org.basilport.delivery.GenerationHandle;
+import org.basilport.delivery.GenerationListener;
+import org.basilport.delivery.GenerationRequest;
+import org.basilport.delivery.ResumeToken;
+import org.basilport.delivery.SessionWork;
+import org.basilport.engine.ModelEngineConnector;
+import org.basilport.error.BasilportException;
+import org.basilport.error.FailureCode;
+import org.basilport.error.LeavingException;
+import org.basilport.error.RejectedException;
+import org.basilport.error.Step;
+import org.basilport.event.EventSubject;
+import org.basilport.event.EventType;
+import org.basilport.event.Timeline;
+import org.basilport.membership.Location;
+import org.basilport.membership.MembershipView;
+import org.basilport.misc.Scheduler;
+import org.basilport.peer.PeerClient;
+import org.basilport.platform.ObjectStore;
+import org.basilport.policy.GenerationClass;
+import org.basilport.policy.GenerationPolicyFactory;
+import org.basilport.quarantine.RequestFingerprint;
+import org.basilport.service.PlainServiceConnector;
+
+/** The router of one instance; safe to use from any thread. */
+public final class DefaultRouter implements Router {
+  private static final Duration CONFIRMATION = Duration.ofSeconds(30);
+
+  private final InstanceSettings settings;
+  private final ControlPlane controlPlane;
+  private final Scheduler traffic;
+  private final Timeline timeline;
+  private final RequestGate gate;
+  private final RequestIds ids;
+  private final RouterComponents components;
+  private final PeerClient endpoint;
+  private final DrainCoordinator drains;
+  private volatile boolean stopped;
+
+  /**
+   * Creates a router that has not started.
+   *
+   * @param control runs all control work
+   * @param traffic runs all callbacks of requests
+   */
+  public DefaultRouter(
+      InstanceSettings settings,
+      ControlPlane controlPlane,
+      ObjectStore store,
+      ModelEngineConnector engines,
+      PlainServiceConnector services,
+      GenerationPolicyFactory policies,
+      Scheduler control,
+      Scheduler traffic,
+      Timeline timeline,
+      SplittableRandom random,
+      MetricRegistry metrics) {
+    this.settings = settings;
+    this.controlPlane = controlPlane;
+    this.traffic = traffic;
+    this.timeline = timeline;
+    this.gate = new RequestGate(settings, controlPlane, control);
+    this.ids = new RequestIds(settings);
+    RouterResources resources =
+        new RouterResources(
+            settings,
+            controlPlane,
+            store,
+            engines,
+            services,
+            policies,
+            control,
+            traffic,
+            timeline,
+            random,
+            metrics);
+    this.components = new RouterComponents(resources, gate, ids);
+    this.drains = new DrainCoordinator(resources, gate, components);
+    this.endpoint = controlPlane.endpoint(components.slots(), this::drain);
+  }
+
+  @Override
+  public CompletableFuture<Void> start() {
+    return controlPlane.start().thenRun(components::start);
+  }
+
+  @Override
+  public CompletableFuture<Void> stop() {
+    stopped = true;
+    components.stop();
+    return controlPlane.stop();
+  }
+
+  @Override
+  public Location locate(Credentials credentials, String route, String dataCentre) {
+    Workspace workspace = gate.authenticate(credentials);
+    RequestGate.route(deployment(), route, Route.Delivery.values());
+    return controlPlane.locator().locate(workspace.name(), route, dataCentre);
+  }
+
+  @Override
+  public GenerationHandle generate(
+      Credentials credentials, GenerationRequest request, GenerationListener listener) {
+    try {
+      Workspace workspace = gate.authenticate(credentials);
+      gate.checkServing(workspace, request.route());
+      AcceptedConfiguration configuration = gate.configuration();
+      ModelService service = modelService(configuration, request, Route.Delivery.STREAMED);
+      RequestGate.checkGeneration(request, service.maxTokens());
+      Runnable leave = gate.enter(workspace);
+      return components.generate(
+          configuration,
+          work(ids.next(), workspace.name(), service, request, GenerationClass.STREAMED),
+          listener,
+          leave);
+    } catch (BasilportException e) {
+      return refuse(e, listener);
+    }
+  }
+
+  @Override
+  public GenerationHandle resume(
+      Credentials credentials, String resumeToken, GenerationListener listener) {
+    try {
+      Workspace workspace = gate.authenticate(credentials);
+      ResumeToken token = components.tokens().decode(resumeToken, workspace.name(), traffic.now());
+      gate.checkServing(workspace, "");
+      return components.resume(gate.configuration(), token, listener, gate.enter(workspace));
+    } catch (BasilportException e) {
+      return refuse(e, listener);
+    }
+  }
+
+  @Override
+  public CompletableFuture<Boolean> cancel(Credentials credentials, String resumeToken) {
+    try {
+      Workspace workspace = gate.authenticate(credentials);
+      ResumeToken token = components.tokens().decode(resumeToken, workspace.name(), traffic.now());
+      return components.generations().cancel(token);
+    } catch (BasilportException e) {
+      return CompletableFuture.failedFuture(e);
+    }
+  }
+
+  @Override
+  public CompletableFuture<CallResult> call(Credentials credentials, CallRequest request) {
+    try {
+      Workspace workspace = gate.authenticate(credentials);
+      gate.checkServing(workspace, request.route());
+      RequestGate.checkBody(request.body());
+      ApplicationService service = applicationService(request);
+      if (!request.repeatable()) {
+        RequestKey.parse(workspace.name(), request.requestKey(), traffic.now());
+      }
+      Runnable leave = gate.enter(workspace);
+      return components
+          .calls()
+          .call(callWork(workspace, service, request))
+          .thenApply(
+              answer ->
+                  new CallResult(
+                      answer.attemptId(), answer.status(), answer.body(), answer.duplicate()))
+          .whenComplete((result, failure) -> leave.run());
+    } catch (BasilportException e) {
+      return CompletableFuture.failedFuture(e);
+    }
+  }
+
+  @Override
+  public CompletableFuture<String> submitDeferred(
+      Credentials credentials, GenerationRequest request) {
+    try {
+      Workspace workspace = gate.authenticate(credentials);
+      gate.checkServing(workspace, request.route());
+      ModelService service = modelService(gate.configuration(), request, Route.Delivery.DEFERRED);
+      RequestGate.checkGeneration(request, service.maxTokens());
+      Runnable leave = gate.enter(workspace);
+      return components
+          .jobs()
+          .submit(workspace.name(), request.route(), request.prompt(), request.maxTokens())
+          .whenComplete((id, failure) -> leave.run());
+    } catch (BasilportException e) {
+      return CompletableFuture.failedFuture(e);
+    }
+  }
+
+  @Override
+  public CompletableFuture<DeferredJob> collectDeferred(Credentials credentials, String jobId) {
+    try {
+      Workspace workspace = gate.authenticate(credentials);
+      return components.jobs().collect(workspace.name(), jobId);
+    } catch (BasilportException e) {
+      return CompletableFuture.failedFuture(e);
+    }
+  }
+
+  @Override
+  public CompletableFuture<AcceptedConfiguration> applyConfiguration(ConfigurationChange change) {
+    return controlPlane.apply(change);
+  }
+
+  @Override
+  public ConfigurationStore configurations() {
+    return controlPlane.configurations();
+  }
+
+  @Override
+  public ConfigurationView configuration() {
+    return controlPlane.configuration();
+  }
+
+  @Override
+  public MembershipView membership() {
+    return controlPlane.membership();
+  }
+
+  @Override
+  public BackendView backends() {
+    return controlPlane.backends();
+  }
+
+  @Override
+  public PeerClient peerEndpoint() {
+    return endpoint;
+  }
+
+  @Override
+  public Timeline timeline() {
+    return timeline;
+  }
+
+  @Override
+  public Readiness readiness() {
+    if (stopped) {
+      return Readiness.STOPPED;
+    }
+    if (gate.leaving()) {
+      return Readiness.DRAINING;
+    }
+    if (controlPlane.configuration().inForce().isEmpty() || !controlPlane.fresh()) {
+      return Readiness.STARTING;
+    }
+    return controlPlane.configurationConfirmed(CONFIRMATION)
+        ? Readiness.SERVING
+        : Readiness.STALE_CONFIGURATION;
+  }
+
+  @Override
+  public List<String> activeRequests() {
+    List<String> active = new ArrayList<>(components.generations().active());
+    active.addAll(components.calls().active());
+    return active;
+  }
+
+  @Override
+  public CompletableFuture<Void> drain(String reason) {
+    return drains.drain(reason);
+  }
+
+  private Deployment deployment() {
+    return gate.configuration().deployment();
+  }
+
+  private static ModelService modelService(
+      AcceptedConfiguration configuration, GenerationRequest request, Route.Delivery delivery) {
+    Deployment deployment = configuration.deployment();
+    Route route = RequestGate.route(deployment, request.route(), delivery);
+    return deployment
+        .modelService(route.service())
+        .orElseThrow(() -> unknownService(route.service()));
+  }
+
+  private ApplicationService applicationService(CallRequest request) {
+    Route route = RequestGate.route(deployment(), request.route(), Route.Delivery.CALL);
+    return deployment()
+        .applicationService(route.service())
+        .orElseThrow(() -> unknownService(route.service()));
+  }
+
+  private static RejectedException unknownService(String name) {
+    return new RejectedException(
+        FailureCode.UNKNOWN_ROUTE, Step.ADMIT, "the route's service " + name + " is not known");
+  }
+
+  static SessionWork work(
+      String requestId,
+      String workspace,
+      ModelService service,
+      GenerationRequest request,
+      GenerationClass generationClass) {
+    return new SessionWork(
+        requestId,
+        workspace,
+        service.name(),
+        service.model(),
+        request,
+        generationClass,
+        RequestFingerprint.of(workspace, request.route(), request.prompt()));
+  }
+
+  private PlainCallWork callWork(
+      Workspace workspace, ApplicationService service, CallRequest request) {
+    String content = request.path() + "\n" + request.body();
+    return new PlainCallWork(
+        ids.next(),
+        workspace.name(),
+        service.name(),
+        Duration.ofMillis(service.timeoutMillis()),
+        request.path(),
+        request.requestKey(),
+        request.repeatable(),
+        request.body(),
+        RequestFingerprint.of(workspace.name(), request.route(), content));
+  }
+
+  private GenerationHandle refuse(BasilportException failure, GenerationListener listener) {
+    traffic.execute(
+        () -> {
+          if (failure instanceof LeavingException) {
+            timeline.record(
+                EventType.GENERATION_REFUSED,
+                EventSubject.NONE,
+                settings.instanceId(),
+                failure.getMessage());
+          }
+          listener.onFailure(failure);
+        });
+    return RefusedGeneration.HANDLE;
+  }
+}
--- /dev/null
+++ b/basilport-router/src/main/java/org/basilport/router/RouterComponents.java
@@ -0,0 +1,203 @@
+package org.basilport.router;
+
+import java.time.Duration;
+import java.util.SplittableRandom;
+import org.basilport.claim.ClaimRegistry;
+import org.basilport.claim.PlainCallEnvironment;
+import org.basilport.claim.PlainCallExecutor;
+import org.basilport.config.AcceptedConfiguration;
+import org.basilport.config.Deployment;
+import org.basilport.config.ModelService;
+import org.basilport.config.Route;
+import org.basilport.deferred.DeferredJobs;
+import org.basilport.delivery.DeliveryEnvironment;
+import org.basilport.delivery.FullJitter;
+import org.basilport.delivery.GenerationHandle;
+import org.basilport.delivery.GenerationListener;
+import org.basilport.delivery.GenerationRequest;
+import org.basilport.delivery.GenerationService;
+import org.basilport.delivery.ResumeToken;
+import org.basilport.delivery.ResumeTokenCodec;
+import org.basilport.delivery.RetryBudget;
+import org.basilport.delivery.SessionWork;
+import org.basilport.delivery.TrafficMetrics;
+import org.basilport.error.FailureCode;
+import org.basilport.error.RejectedException;
+import org.basilport.error.Step;
+import org.basilport.misc.Cancellable;
+import org.basilport.policy.GenerationClass;
+import org.basilport.policy.PolicySettings;
+import org.basilport.quarantine.CrashTracker;
+import org.basilport.quarantine.IsolationGate;
+import org.basilport.quarantine.IsolationSlots;
+
+/** Creates the components of a router and connects them. */
+final class RouterComponents {
+  private static final Duration SHORTEST_BOUND = Duration.ofMillis(50);
+  private static final Duration LONGEST_BOUND = Duration.ofSeconds(2);
+  private static final Duration LOAD_REPORT = Duration.ofSeconds(1);
+
+  private final RouterResources resources;
+  private final PolicySettingsCache policySettings = new PolicySettingsCache();
+  private final RequestGate gate;
+  private final IsolationSlots slots;
+  private final ResumeTokenCodec tokens;
+  private final GenerationService generations;
+  private final PlainCallExecutor calls;
+  private final DeferredJobs jobs;
+  private Cancellable loadReports = () -> {};
+
+  RouterComponents(RouterResources resources, RequestGate gate, RequestIds ids) {
+    this.resources = resources;
+    this.gate = gate;
+    InstanceSettings settings = resources.settings();
+    ControlPlane controlPlane = resources.controlPlane();
+    SplittableRandom random = resources.random();
+    TrafficMetrics metrics = new TrafficMetrics(resources.metrics());
+    RetryBudget budget = new RetryBudget();
+    FullJitter delays = new FullJitter(SHORTEST_BOUND, LONGEST_BOUND, random.split());
+    CrashTracker crashes =
+        new CrashTracker(resources.control(), resources.timeline(), controlPlane::gossipSoon);
+    this.slots = new IsolationSlots(resources.control());
+    IsolationGate isolation =
+        new IsolationGate(
+            settings.instanceId(),
+            controlPlane.membership(),
+            controlPlane.peers(),
+            slots,
+            resources.control());
+    this.tokens = new ResumeTokenCodec(settings.clusterKey());
+    DeliveryEnvironment delivery =
+        new DeliveryEnvironment(
+            resources.traffic(),
+            resources.timeline(),
+            metrics,
+            tokens,
+            resources.engines(),
+            controlPlane.backends(),
+            budget,
+            delays,
+            crashes,
+            isolation,
+            Duration.ofMillis(settings.resumeWindowMillis()));
+    this.generations =
+        new GenerationService(
+            delivery, controlPlane.membership(), resources.policies(), random.split());
+    ClaimRegistry claims =
+        new ClaimRegistry(
+            resources.store(), resources.control(), resources.timeline(), random.split());
+    this.calls =
+        new PlainCallExecutor(
+            new PlainCallEnvironment(
+                resources.traffic(),
+                resources.timeline(),
+                metrics,
+                resources.services(),
+                controlPlane.backends(),
+                claims,
+                budget,
+                delays,
+                crashes,
+                isolation));
+    this.jobs = newJobs(ids);
+    // Suspicion is recorded before the sessions of a dead backend server look for another one.
+    controlPlane.backends().addListener(crashes);
+    controlPlane.backends().addListener(generations);
+    controlPlane.addParticipant(crashes);
+  }
+
+  void start() {
+    jobs.start();
+    loadReports =
+        resources
+            .control()
+            .scheduleRepeating(
+                LOAD_REPORT,
+                () -> resources.controlPlane().reportActiveStreams(generations.active().size()));
+  }
+
+  void stop() {
+    jobs.stop();
+    loadReports.cancel();
+  }
+
+  IsolationSlots slots() {
+    return slots;
+  }
+
+  ResumeTokenCodec tokens() {
+    return tokens;
+  }
+
+  GenerationService generations() {
+    return generations;
+  }
+
+  PlainCallExecutor calls() {
+    return calls;
+  }
+
+  DeferredJobs jobs() {
+    return jobs;
+  }
+
+  GenerationHandle generate(
+      AcceptedConfiguration configuration,
+      SessionWork work,
+      GenerationListener listener,
+      Runnable onDone) {
+    PolicySettings settings = policySettings.settings(configuration, work.service());
+    return generations.generate(work, settings, listener, onDone);
+  }
+
+  GenerationHandle resume(
+      AcceptedConfiguration configuration,
+      ResumeToken token,
+      GenerationListener listener,
+      Runnable onDone) {
+    PolicySettings settings = policySettings.settings(configuration, token.service());
+    if (settings == null) {
+      onDone.run();
+      throw new RejectedException(
+          FailureCode.UNKNOWN_ROUTE, Step.ADMIT, "the generation's service is not known");
+    }
+    return generations.resume(token, settings, listener, onDone);
+  }
+
+  private DeferredJobs newJobs(RequestIds ids) {
+    InstanceSettings settings = resources.settings();
+    return new DeferredJobs(
+        resources.store(),
+        resources.control(),
+        resources.timeline(),
+        resources.controlPlane().membership(),
+        this::startJob,
+        settings.instanceId() + "@" + settings.incarnation(),
+        settings.clusterKey(),
+        ids::next,
+        resources.random().split());
+  }
+
+  private GenerationHandle startJob(
+      String requestId,
+      String workspace,
+      String route,
+      String prompt,
+      int maxTokens,
+      GenerationListener listener) {
+    AcceptedConfiguration configuration = gate.configuration();
+    Deployment deployment = configuration.deployment();
+    Route found = RequestGate.route(deployment, route, Route.Delivery.DEFERRED);
+    ModelService service =
+        deployment
+            .modelService(found.service())
+            .orElseThrow(
+                () ->
+                    new RejectedException(
+                        FailureCode.UNKNOWN_ROUTE, Step.ADMIT, "the service is not known"));
+    GenerationRequest request = new GenerationRequest(route, prompt, maxTokens);
+    SessionWork work =
+        DefaultRouter.work(requestId, workspace, service, request, GenerationClass.DEFERRED);
+    return generate(configuration, work, listener, () -> {});
+  }
+}
--- /dev/null
+++ b/basilport-router/src/main/java/org/basilport/router/RouterResources.java
@@ -0,0 +1,24 @@
+package org.basilport.router;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.SplittableRandom;
+import org.basilport.engine.ModelEngineConnector;
+import org.basilport.event.Timeline;
+import org.basilport.misc.Scheduler;
+import org.basilport.platform.ObjectStore;
+import org.basilport.policy.GenerationPolicyFactory;
+import org.basilport.service.PlainServiceConnector;
+
+/** What a router is made of; the components are those of the constructor of the router. */
+record RouterResources(
+    InstanceSettings settings,
+    ControlPlane controlPlane,
+    ObjectStore store,
+    ModelEngineConnector engines,
+    PlainServiceConnector services,
+    GenerationPolicyFactory policies,
+    Scheduler control,
+    Scheduler traffic,
+    Timeline timeline,
+    SplittableRandom random,
+    MetricRegistry metrics) {}
