Wire the daemon and add the router and standin commands

The daemon had no router behind it. DaemonAssembly builds the control plane, the router, the gRPC peer server and the HTTP server; the HTTP server stops only when the answers of open requests are written, since the router ends a stream before its last events are in the socket.

--- a/basilport-cli/src/main/java/org/basilport/cli/BasilportCommand.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/BasilportCommand.java
@@ -18,6 +18,7 @@
       "4 may have run, 5 lost part way, 6 unavailable (not run), 7 conflict (not run)."
     },
     subcommands = {
+      RouterCommand.class,
       ConfigCommand.class,
       LocateCommand.class,
       GenerateCommand.class,
@@ -28,7 +29,8 @@
       EnginesCommand.class,
       TimelineCommand.class,
       MetricsCommand.class,
-      BenchCommand.class
+      BenchCommand.class,
+      StandinCommand.class
     })
 public final class BasilportCommand {
   private BasilportCommand() {}
--- /dev/null
+++ b/basilport-cli/src/main/java/org/basilport/cli/RouterCommand.java
@@ -0,0 +1,56 @@
+package org.basilport.cli;
+
+import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.apache.logging.log4j.LogManager;
+import org.basilport.daemon.Daemon;
+import org.basilport.daemon.DaemonAssembly;
+import org.basilport.daemon.DaemonOptions;
+import org.basilport.daemon.DaemonSettings;
+import org.basilport.daemon.LogSettings;
+import org.basilport.error.RejectedException;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+
+/** Runs an entry instance until SIGTERM or a drain. */
+@Command(
+    name = "router",
+    description = "Run an entry instance until SIGTERM or a drain; both finish what runs first.")
+final class RouterCommand extends BaseCommand {
+  private static final Duration STOP_TIME = Duration.ofSeconds(15);
+
+  @Mixin private DaemonOptions options;
+
+  @Override
+  ExitCode execute() throws Exception {
+    DaemonSettings settings;
+    try {
+      settings = DaemonSettings.from(options);
+    } catch (RejectedException e) {
+      throw new IllegalArgumentException(e.getMessage(), e);
+    }
+    LogSettings.apply(settings.logFormat(), settings.logLevel());
+    Daemon daemon = DaemonAssembly.create(settings);
+    Thread onSignal = new Thread(() -> drain(daemon, settings), "shutdown");
+    Runtime.getRuntime().addShutdownHook(onSignal);
+    daemon.start().get();
+    daemon.terminated().get();
+    return ExitCode.DONE;
+  }
+
+  private static void drain(Daemon daemon, DaemonSettings settings) {
+    long limit = settings.instance().drainLimitMillis() + STOP_TIME.toMillis();
+    int code = ExitCode.DONE.number();
+    try {
+      daemon.shutDown("SIGTERM").get(limit, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException | ExecutionException | TimeoutException e) {
+      LogManager.getLogger(RouterCommand.class).error("the drain did not finish", e);
+      code = ExitCode.CHECK_FAILED.number();
+    }
+    LogManager.shutdown();
+    // Without this the exit code after SIGTERM is 143, which does not tell whether the drain ended.
+    Runtime.getRuntime().halt(code);
+  }
+}
--- a/basilport-daemon/src/main/java/org/basilport/daemon/http/CallerHandlers.java
+++ b/basilport-daemon/src/main/java/org/basilport/daemon/http/CallerHandlers.java
@@ -80,7 +80,9 @@
       Function<GenerationListener, GenerationHandle> start,
       Downstream<? super Boolean> first) {
     GenerationHandle handle = start.apply(stream);
-    context.header(Responder.REQUEST_ID, handle.requestId());
+    if (!handle.requestId().isEmpty()) {
+      context.header(Responder.REQUEST_ID, handle.requestId());
+    }
     stream.open(handle, first);
     Channel channel = context.getDirectChannelAccess().getChannel();
     ChannelFutureListener onClose = closed -> stream.disconnect();
--- a/basilport-daemon/src/main/java/org/basilport/daemon/http/HttpInterface.java
+++ b/basilport-daemon/src/main/java/org/basilport/daemon/http/HttpInterface.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.net.HostAndPort;
 import java.net.InetAddress;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.basilport.daemon.DaemonSettings;
 import org.basilport.daemon.TimelineCollector;
@@ -20,11 +21,14 @@
 
 /** The HTTP server of an instance. */
 public final class HttpInterface implements Service {
+  private static final Duration FLUSH_LIMIT = Duration.ofSeconds(10);
+
   private final DaemonSettings settings;
   private final Responder responder;
   private final CallerHandlers callers;
   private final OperatorHandlers operators;
   private final HealthHandlers health;
+  private final OpenRequests requests = new OpenRequests();
   private RatpackServer server;
 
   /** Creates a server over a router; it listens after its start. */
@@ -63,16 +67,21 @@
     }
   }
 
+  /** Stops when the answers of all open requests are written, at the latest after 10 s. */
   @Override
   public CompletableFuture<Void> stop() {
-    if (server != null) {
-      try {
-        server.stop();
-      } catch (Exception e) {
-        return CompletableFuture.failedFuture(failure("cannot stop", e));
-      }
+    return requests.finished(FLUSH_LIMIT).thenRunAsync(this::stopNow);
+  }
+
+  private void stopNow() {
+    if (server == null) {
+      return;
+    }
+    try {
+      server.stop();
+    } catch (Exception e) {
+      throw failure("cannot stop", e);
     }
-    return CompletableFuture.completedFuture(null);
   }
 
   private void configure(ServerConfigBuilder config) throws Exception {
@@ -86,6 +95,7 @@
   }
 
   private void addCalls(Chain chain) throws Exception {
+    chain.all(requests);
     callers.addTo(chain);
     operators.addTo(chain);
     health.addTo(chain);
--- /dev/null
+++ b/basilport-daemon/src/main/java/org/basilport/daemon/http/OpenRequests.java
@@ -0,0 +1,42 @@
+package org.basilport.daemon.http;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import ratpack.handling.Context;
+import ratpack.handling.Handler;
+
+/**
+ * Counts requests whose answer is not yet written, so that a shutdown cuts off none: the router has
+ * finished a stream before its last events are in the socket.
+ */
+final class OpenRequests implements Handler {
+  private int open;
+  private CompletableFuture<Void> idle = CompletableFuture.completedFuture(null);
+
+  @Override
+  public void handle(Context context) {
+    begin();
+    context.onClose(outcome -> end());
+    context.next();
+  }
+
+  /** Completes when no request is open, or after a limit. */
+  synchronized CompletableFuture<Void> finished(Duration limit) {
+    return idle.copy().completeOnTimeout(null, limit.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private synchronized void begin() {
+    if (open == 0) {
+      idle = new CompletableFuture<>();
+    }
+    open++;
+  }
+
+  private synchronized void end() {
+    open--;
+    if (open == 0) {
+      idle.complete(null);
+    }
+  }
+}
--- a/basilport-daemon/src/main/java/org/basilport/daemon/http/Responder.java
+++ b/basilport-daemon/src/main/java/org/basilport/daemon/http/Responder.java
@@ -7,6 +7,7 @@
 import org.apache.logging.log4j.Logger;
 import org.basilport.error.BasilportException;
 import org.basilport.error.FailureCode;
+import org.basilport.error.LeavingException;
 import org.basilport.error.Outcome;
 import org.basilport.error.RejectedException;
 import org.basilport.error.Step;
@@ -65,6 +66,9 @@
 
   /** Describes a failure; a caller of an instance that cannot serve learns of others. */
   FailureBody describe(BasilportException failure) {
+    if (failure instanceof LeavingException) {
+      return FailureBody.of(failure, ((LeavingException) failure).addresses());
+    }
     boolean elsewhere =
         failure.code() == FailureCode.LEAVING || failure.code() == FailureCode.NOT_READY;
     return FailureBody.of(failure, elsewhere ? otherAddresses() : List.of());
