--- a/basilport-cli/src/main/java/org/basilport/cli/BasilportCommand.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/BasilportCommand.java
@@ -1,5 +1,6 @@
 package org.basilport.cli;
 
+import java.io.PrintWriter;
 import org.basilport.daemon.EnvironmentDefaults;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -30,14 +31,20 @@
       TimelineCommand.class,
       MetricsCommand.class,
       BenchCommand.class,
-      StandinCommand.class
+      StandinCommand.class,
+      DemoCommand.class
     })
 public final class BasilportCommand {
   private BasilportCommand() {}
 
   /** Runs the command and exits the process with its code. */
   public static void main(String[] arguments) {
-    System.exit(commandLine().execute(arguments));
+    CommandLine commandLine = commandLine();
+    commandLine.setOut(new PrintWriter(System.out, true));
+    // Ratpack 1.9 does not recognise SLF4J 2 and prints its start messages to standard output,
+    // where a script reads answers.
+    System.setOut(System.err);
+    System.exit(commandLine.execute(arguments));
   }
 
   /** Creates the command line with its defaults from the environment and its failure handling. */
--- a/basilport-cli/src/main/java/org/basilport/cli/StandinCommand.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/StandinCommand.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import org.basilport.cli.demo.StandInSite;
 import org.basilport.platform.ListedInstance;
+import org.basilport.standin.engine.EngineSettings;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
@@ -56,7 +57,8 @@
 
   @Override
   ExitCode execute() throws Exception {
-    StandInSite standIns = new StandInSite(site.load(), dataCentres, firstPort, seed);
+    StandInSite standIns =
+        new StandInSite(site.load(), dataCentres, firstPort, EngineSettings.defaults(), seed);
     standIns.start().get();
     out().println("platform and backend servers run; start the entry instances with");
     for (int i = 0; i < entries; i++) {
--- a/basilport-cli/src/main/java/org/basilport/cli/demo/StandInSite.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/demo/StandInSite.java
@@ -29,6 +29,7 @@
   private final Deployment deployment;
   private final List<String> dataCentres;
   private final int firstPort;
+  private final EngineSettings engineSettings;
   private final SplittableRandom random;
   private final ThreadScheduler scheduler = new ThreadScheduler("stand-ins");
   private final MemoryPlatform platform;
@@ -43,10 +44,16 @@
    *
    * @param firstPort port of the platform, followed by those of the backend servers; 0 for any
    */
-  public StandInSite(Deployment deployment, List<String> dataCentres, int firstPort, long seed) {
+  public StandInSite(
+      Deployment deployment,
+      List<String> dataCentres,
+      int firstPort,
+      EngineSettings engineSettings,
+      long seed) {
     this.deployment = deployment;
     this.dataCentres = List.copyOf(dataCentres);
     this.firstPort = firstPort;
+    this.engineSettings = engineSettings;
     this.random = new SplittableRandom(seed);
     this.platform = new MemoryPlatform(scheduler, random.split());
     this.platformServer = new PlatformHttpServer(platform, nextPort());
@@ -107,8 +114,7 @@
   }
 
   private void startEngines(ModelService service) {
-    EngineSettings settings =
-        EngineSettings.defaults().withFencing(service.fencing() == FencingMode.ENFORCED);
+    EngineSettings settings = engineSettings.withFencing(service.fencing() == FencingMode.ENFORCED);
     for (int i = 0; i < service.replicas(); i++) {
       String id = service.name() + "-" + (i + 1);
       SimulatedEngine engine = new SimulatedEngine(id, settings, scheduler, random.split());
--- /dev/null
+++ b/basilport-cli/src/main/java/org/basilport/cli/demo/TokenCheck.java
@@ -0,0 +1,30 @@
+package org.basilport.cli.demo;
+
+import java.util.List;
+import org.basilport.cli.client.TokenReader;
+
+/** Checks that each token arrives once and in order. */
+final class TokenCheck implements TokenReader {
+  private final Runnable onFirstToken;
+  private long nextOffset;
+  private boolean inOrder = true;
+
+  /** Creates a check that runs an action once, after the first tokens. */
+  TokenCheck(Runnable onFirstToken) {
+    this.onFirstToken = onFirstToken;
+  }
+
+  @Override
+  public void onTokens(long offset, List<String> tokens) {
+    boolean first = nextOffset == 0;
+    inOrder &= offset == nextOffset;
+    nextOffset = offset + tokens.size();
+    if (first) {
+      onFirstToken.run();
+    }
+  }
+
+  boolean complete(long totalTokens) {
+    return inOrder && nextOffset == totalTokens;
+  }
+}
--- a/basilport-daemon/src/main/java/org/basilport/daemon/DaemonAssembly.java
+++ b/basilport-daemon/src/main/java/org/basilport/daemon/DaemonAssembly.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.basilport.config.ConfigurationProblem;
 import org.basilport.config.Deployment;
@@ -33,6 +35,9 @@
 public final class DaemonAssembly {
   private static final int CLIENT_THREADS = 4;
 
+  /** Time for the message that tells peers that this instance has left; without it they suspect. */
+  private static final long LAST_GOSSIP_MILLIS = 200;
+
   private final DaemonSettings settings;
   private final MetricRegistry metrics = new MetricRegistry();
   private final ThreadScheduler control;
@@ -124,13 +129,17 @@
 
     @Override
     public CompletableFuture<Void> stop() {
+      Executor afterLastGossip =
+          CompletableFuture.delayedExecutor(LAST_GOSSIP_MILLIS, TimeUnit.MILLISECONDS);
       return CompletableFuture.runAsync(
           () -> {
-            peers.close();
-            http.close();
+            // The schedulers close first, so that closed connections are not handled as failures.
             traffic.close();
             control.close();
-          });
+            peers.close();
+            http.close();
+          },
+          afterLastGossip);
     }
   }
 }
--- a/basilport-daemon/src/main/java/org/basilport/daemon/http/OperatorHandlers.java
+++ b/basilport-daemon/src/main/java/org/basilport/daemon/http/OperatorHandlers.java
@@ -55,8 +55,7 @@
   private void addOperatorCalls(Chain chain) {
     chain
         .all(this::requireKey)
-        .get("config", this::configuration)
-        .post("config", this::apply)
+        .path("config", this::configurationOrChange)
         .post("config/validate", this::validate)
         .get("config/status", this::status)
         .get("config/history", this::history)
@@ -84,6 +83,11 @@
     context.next();
   }
 
+  private void configurationOrChange(Context context) throws Exception {
+    context.byMethod(
+        methods -> methods.get(() -> configuration(context)).post(() -> apply(context)));
+  }
+
   private void configuration(Context context) {
     AcceptedConfiguration inForce =
         router
--- a/basilport-daemon/src/test/java/org/basilport/daemon/http/HttpInterfaceTest.java
+++ b/basilport-daemon/src/test/java/org/basilport/daemon/http/HttpInterfaceTest.java
@@ -305,6 +305,25 @@
       assertThat(response.body()).doesNotContain("operator-key-of");
     }
 
+    /** Guards against a change that cannot be sent, or whose deployment is read wrongly. */
+    @Test
+    void appliesAChange() throws Exception {
+      String deployment =
+          "{\"site\":\"s\",\"modelServices\":[],\"applicationServices\":[],"
+              + "\"workspaces\":[],\"routes\":[]}";
+      String change =
+          "{\"applyId\":\"a-1\",\"author\":\"me\",\"expectedNumber\":0,\"deployment\":"
+              + deployment
+              + "}";
+      HttpResponse<String> response =
+          post("/v1/operator/config", change, "Basilport-Operator-Key", OPERATOR_KEY);
+      assertThat(response.statusCode()).isEqualTo(200);
+      assertThat(response.body()).contains("\"deployment\":" + deployment);
+      HttpResponse<String> checked =
+          post("/v1/operator/config/validate", deployment, "Basilport-Operator-Key", OPERATOR_KEY);
+      assertThat(checked.body()).isEqualTo("{\"valid\":true,\"problems\":[]}");
+    }
+
     /** Guards against an instance that cannot serve but is called ready. */
     @ParameterizedTest
     @EnumSource(Readiness.class)
--- a/tools/run-tests.sh
+++ b/tools/run-tests.sh
@@ -30,7 +30,7 @@
   fi
 done
 
-demo=basilport-cli/src/main/java/org/basilport/cli/demo/DemoCommand.java
+demo=basilport-cli/src/main/java/org/basilport/cli/demo/Demo.java
 if [ -x ./basilport ] && [ -f "$demo" ]; then
   ./basilport demo --site examples/nucleo-andino || exit 1
 fi
