Run the routers under random faults with the guarantees asserted

The guarantees had only tests of single parts. The randomised run drives seven real routers over in-process stand-ins with a virtual clock: generations, calls that may not be repeated, deferred jobs, racing configuration changes and requests that crash engines, under thirteen kinds of faults, alone and two at a time. The same seed gives the same trace.

--- /dev/null
+++ b/basilport-bench/src/main/java/org/basilport/bench/soak/PoisonCaller.java
@@ -0,0 +1,81 @@
+package org.basilport.bench.soak;
+
+import java.time.Duration;
+import java.util.List;
+import org.basilport.delivery.GenerationListener;
+import org.basilport.delivery.GenerationRequest;
+import org.basilport.error.BasilportException;
+import org.basilport.error.FailureCode;
+import org.basilport.router.Credentials;
+
+/** Sends a request that crashes its engine again and again, and counts the engines it kills. */
+final class PoisonCaller extends SoakCaller implements GenerationListener {
+  private static final int MAX_DEATHS = 2;
+  private static final int SENDS = 7;
+  private static final Duration PAUSE = Duration.ofSeconds(6);
+
+  private final String prompt;
+  private final Credentials credentials;
+  private final long deathsBefore;
+  private int sends;
+
+  PoisonCaller(SoakWorld world, long number) {
+    super(world);
+    this.prompt = SoakWorld.CRASH_MARKER + " poison-" + number + " length=50";
+    this.credentials = SoakConfiguration.credentials((int) number);
+    this.deathsBefore = world.counts.of("backend.poisoned");
+  }
+
+  void start() {
+    check();
+    if (sends++ >= SENDS) {
+      world.counts.add("poison.finished");
+      return;
+    }
+    SimulatedInstance instance = pickInstance();
+    GenerationRequest request = new GenerationRequest(SoakConfiguration.STREAM_ROUTE, prompt, 50);
+    later(
+        () ->
+            instance.request(
+                router -> {
+                  try {
+                    router.generate(credentials, request, this).request(100);
+                  } catch (BasilportException e) {
+                    onFailure(e);
+                  }
+                }));
+    startTimer(PAUSE, this::start);
+  }
+
+  private void check() {
+    long deaths = world.counts.of("backend.poisoned") - deathsBefore;
+    require(deaths <= MAX_DEATHS, "quarantine", prompt + " killed " + deaths + " backend servers");
+  }
+
+  boolean finished() {
+    return sends > SENDS;
+  }
+
+  @Override
+  public void onTokens(long offset, List<String> tokens, String resumeToken) {
+    world.counts.add("poison.tokens");
+  }
+
+  @Override
+  public void onEnd(long totalTokens, String reason) {
+    world.counts.add("poison.complete");
+  }
+
+  @Override
+  public void onHandover(String resumeToken, List<String> addresses) {
+    world.counts.add("poison.handover");
+  }
+
+  @Override
+  public void onFailure(BasilportException failure) {
+    if (failure.code() == FailureCode.QUARANTINED) {
+      world.counts.add("poison.quarantined");
+    }
+    world.counts.add("poison.failure." + failure.code());
+  }
+}
--- /dev/null
+++ b/basilport-bench/src/main/java/org/basilport/bench/soak/SoakWorld.java
@@ -0,0 +1,101 @@
+package org.basilport.bench.soak;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+import org.basilport.event.Event;
+import org.basilport.misc.VirtualScheduler;
+import org.basilport.peer.InProcessPeerNetwork;
+import org.basilport.standin.engine.EngineSettings;
+import org.basilport.standin.engine.SimulatedEngine;
+import org.basilport.standin.platform.MemoryPlatform;
+import org.basilport.standin.service.CountingService;
+import org.basilport.standin.service.ExecutionCounts;
+
+/** All simulated processes of one run: platform, backend servers and entry instances. */
+final class SoakWorld {
+  static final String CRASH_MARKER = "CRASH";
+  private static final int TIMELINE_EVENTS = 200;
+  private static final long ENGINE_CAPACITY_TOKENS = 20_000;
+
+  final SoakSettings settings;
+  final SplittableRandom random;
+  final VirtualScheduler scheduler = new VirtualScheduler(Instant.parse("2026-01-05T08:00:00Z"));
+  final MemoryPlatform platform;
+  final InProcessPeerNetwork network;
+  final ExecutionCounts executions = new ExecutionCounts();
+  final SoakCounts counts = new SoakCounts();
+  final List<SimulatedBackend> backends = new ArrayList<>();
+  final List<SimulatedInstance> instances = new ArrayList<>();
+  private long trace = 17;
+
+  SoakWorld(SoakSettings settings) {
+    this.settings = settings;
+    this.random = new SplittableRandom(settings.seed());
+    this.platform = new MemoryPlatform(scheduler, random.split());
+    this.network = new InProcessPeerNetwork(scheduler, random.split());
+    platform.faults().instanceLag(Duration.ofSeconds(1));
+    addBackends();
+    for (int i = 0; i < settings.instances(); i++) {
+      instances.add(new SimulatedInstance(this, i));
+    }
+  }
+
+  private void addBackends() {
+    for (int i = 0; i < settings.engines(); i++) {
+      EngineSettings engineSettings =
+          EngineSettings.defaults().withCapacityTokens(ENGINE_CAPACITY_TOKENS);
+      SimulatedEngine engine =
+          new SimulatedEngine("engine-" + i, engineSettings, scheduler, random.split());
+      engine.faults().crashMarker(CRASH_MARKER);
+      backends.add(SimulatedBackend.engine(this, i, engine));
+    }
+    for (int i = 0; i < settings.services(); i++) {
+      CountingService service =
+          new CountingService("shelf-" + i, scheduler, random.split(), executions);
+      backends.add(SimulatedBackend.service(this, i, service));
+    }
+  }
+
+  List<SimulatedBackend> engines() {
+    return backends.stream().filter(b -> b.engine().isPresent()).collect(Collectors.toList());
+  }
+
+  /** Instances that run and that callers may be sent to. */
+  List<SimulatedInstance> running() {
+    return instances.stream().filter(SimulatedInstance::running).collect(Collectors.toList());
+  }
+
+  /** Adds what a caller saw to the hash of the run. */
+  void trace(String entry) {
+    trace = trace * 31 + entry.hashCode();
+    trace = trace * 31 + scheduler.nanoTime();
+  }
+
+  long traceHash() {
+    return trace;
+  }
+
+  double virtualSeconds() {
+    return scheduler.nanoTime() / 1e9;
+  }
+
+  /** The latest events of all instances, merged by their hybrid time. */
+  String timeline() {
+    return instances.stream()
+        .flatMap(instance -> instance.events().stream())
+        .sorted(Comparator.comparingLong(Event::hybridTime))
+        .map(event -> event.hybridTime() + " " + event.instanceId() + " " + event.text())
+        .collect(
+            Collectors.collectingAndThen(
+                Collectors.toList(),
+                lines ->
+                    String.join(
+                        "\n",
+                        lines.subList(Math.max(0, lines.size() - TIMELINE_EVENTS), lines.size()))));
+  }
+}
--- /dev/null
+++ b/basilport-bench/src/test/java/org/basilport/bench/soak/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the randomised runs. */
+package org.basilport.bench.soak;
--- a/basilport-router/src/main/java/org/basilport/peer/InProcessPeerNetwork.java
+++ b/basilport-router/src/main/java/org/basilport/peer/InProcessPeerNetwork.java
@@ -84,6 +84,11 @@
         .forEach(other -> cut(address, other));
   }
 
+  /** Ends all partitions of one address. */
+  public void heal(String address) {
+    cuts.removeIf(cut -> cut.startsWith(address + ">") || cut.endsWith(">" + address));
+  }
+
   /** Ends all partitions. */
   public void heal() {
     cuts.clear();
