--- /dev/null
+++ b/basilport-standin/src/test/java/org/basilport/standin/contract/PlainServiceContract.java
@@ -0,0 +1,114 @@
+package org.basilport.standin.contract;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.SplittableRandom;
+import org.basilport.error.BasilportException;
+import org.basilport.error.FailureCode;
+import org.basilport.error.Outcome;
+import org.basilport.service.PlainService;
+import org.basilport.service.ServiceReport;
+import org.basilport.service.ServiceRequest;
+import org.basilport.service.ServiceResponse;
+import org.basilport.standin.service.CountingService;
+import org.basilport.standin.service.ExecutionCounts;
+import org.basilport.standin.service.ServiceFault;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What every implementation of {@link PlainService} has to do. */
+abstract class PlainServiceContract {
+  final Timing timing = timing();
+  final CountingService counting =
+      new CountingService("s1", timing.scheduler(), new SplittableRandom(1), new ExecutionCounts());
+  private PlainService service;
+
+  abstract Timing timing();
+
+  abstract PlainService service();
+
+  /** Lets the next connect be refused. */
+  abstract void refuseConnections();
+
+  void open() {}
+
+  @BeforeEach
+  void start() {
+    open();
+    service = service();
+  }
+
+  @AfterEach
+  void stop() {
+    timing.close();
+  }
+
+  private static ServiceRequest request(String id, boolean repeatable) {
+    String key = repeatable ? "" : "key-" + id;
+    return new ServiceRequest(id, key, "ws", "moves/7", repeatable, "{\"é\":1}");
+  }
+
+  /** Guards against an answer that belongs to another request, and against a second execution. */
+  @ParameterizedTest
+  @CsvSource({"true, 0", "false, 1"})
+  void answerRepeatsTheRequestId(boolean repeatable, int executionsOfKey) {
+    ServiceRequest request = request("r-1", repeatable);
+
+    ServiceResponse response = timing.await(service.call(request));
+
+    assertThat(response)
+        .isEqualTo(new ServiceResponse("r-1", 200, CountingService.answerTo(request)));
+    assertThat(counting.counts().ofId("r-1")).isEqualTo(1);
+    assertThat(counting.counts().ofKey("key-r-1")).isEqualTo(executionsOfKey);
+  }
+
+  /** Guards against a failure whose outcome contradicts the number of executions. */
+  @ParameterizedTest
+  @CsvSource({
+    "REFUSED_CONNECT, false, NOT_RUN, 0",
+    "REFUSED_CONNECT, true, NOT_RUN, 0",
+    "LOST_BEFORE_EXECUTION, false, MAY_HAVE_RUN, 0",
+    "LOST_BEFORE_EXECUTION, true, MAY_HAVE_RUN, 0",
+    "LOST_AFTER_EXECUTION, false, MAY_HAVE_RUN, 1",
+    "LOST_AFTER_EXECUTION, true, MAY_HAVE_RUN, 1"
+  })
+  void faultsHaveAnOutcome(
+      ServiceFault fault, boolean repeatable, Outcome outcome, int executions) {
+    timing.await(service.call(request("r-0", repeatable)));
+    if (fault == ServiceFault.REFUSED_CONNECT) {
+      refuseConnections();
+    } else {
+      counting.faults().failNext(fault);
+    }
+
+    BasilportException failure = timing.failure(service.call(request("r-1", repeatable)));
+
+    assertThat(failure.outcome()).isEqualTo(outcome);
+    assertThat(failure.code()).isEqualTo(FailureCode.BACKEND_LOST);
+    assertThat(counting.counts().ofId("r-1")).isEqualTo(executions);
+  }
+
+  /** Guards against an answer of another request that looks like the right one. */
+  @Test
+  void misroutedAnswerShowsItsRequestId() {
+    timing.await(service.call(request("r-0", true)));
+    counting.faults().failNext(ServiceFault.MISROUTED_ANSWER);
+
+    assertThat(timing.await(service.call(request("r-1", true))).requestId()).isEqualTo("r-0");
+  }
+
+  /** Guards against a crash that is taken for a refusal, and an incarnation that stays. */
+  @Test
+  void crashLosesTheCallAndRestartIsVisible() {
+    counting.faults().crashMarker("é");
+    assertThat(timing.failure(service.call(request("r-1", false))).outcome())
+        .isEqualTo(Outcome.MAY_HAVE_RUN);
+    counting.restart();
+    counting.markLeaving();
+
+    assertThat(timing.await(service.report())).isEqualTo(new ServiceReport(2, true, 0));
+  }
+}
