--- a/basilport-clients/src/main/java/org/basilport/engine/http/SseParser.java
+++ b/basilport-clients/src/main/java/org/basilport/engine/http/SseParser.java
@@ -9,6 +9,7 @@
 /** Parses the data fields of server-sent events from chunks that may end anywhere. */
 final class SseParser {
   private static final String DATA = "data:";
+  private static final byte LINE_FEED = '\n';
 
   private final ByteArrayOutputStream line = new ByteArrayOutputStream();
   private final StringBuilder data = new StringBuilder();
@@ -16,19 +17,25 @@
   /** Adds a chunk and returns the data of all events that it completes. */
   List<String> add(ByteBuf chunk) {
     List<String> events = new ArrayList<>();
-    while (chunk.isReadable()) {
-      byte next = chunk.readByte();
-      if (next == '\n') {
-        endLine(events);
-      } else if (next != '\r') {
-        line.write(next);
-      }
+    int length = chunk.bytesBefore(LINE_FEED);
+    while (length >= 0) {
+      addToLine(chunk, length);
+      chunk.skipBytes(1);
+      endLine(events);
+      length = chunk.bytesBefore(LINE_FEED);
     }
+    addToLine(chunk, chunk.readableBytes());
     return events;
   }
 
+  private void addToLine(ByteBuf chunk, int length) {
+    byte[] bytes = new byte[length];
+    chunk.readBytes(bytes);
+    line.writeBytes(bytes);
+  }
+
   private void endLine(List<String> events) {
-    String text = line.toString(StandardCharsets.UTF_8);
+    String text = line.toString(StandardCharsets.UTF_8).stripTrailing();
     line.reset();
     if (text.isEmpty()) {
       if (data.length() > 0) {
--- /dev/null
+++ b/basilport-clients/src/test/java/org/basilport/engine/http/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the HTTP client of engines. */
+package org.basilport.engine.http;
--- /dev/null
+++ b/basilport-standin/src/main/java/org/basilport/standin/site/package-info.java
@@ -0,0 +1,2 @@
+/** Starts the stand-ins of a whole site. */
+package org.basilport.standin.site;
--- /dev/null
+++ b/basilport-standin/src/test/java/org/basilport/standin/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the simulated engine. */
+package org.basilport.standin.engine;
