--- a/basilport-router/src/main/java/org/basilport/backend/CommonBackendView.java
+++ b/basilport-router/src/main/java/org/basilport/backend/CommonBackendView.java
@@ -2,10 +2,8 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -13,7 +11,6 @@
 import org.basilport.engine.EngineReport;
 import org.basilport.engine.ModelEngineConnector;
 import org.basilport.event.EventSink;
-import org.basilport.event.Invariant;
 import org.basilport.membership.GossipMembership;
 import org.basilport.misc.Scheduler;
 import org.basilport.peer.GossipParticipant;
@@ -53,7 +50,7 @@
   private boolean everRead;
   private long lastRead;
   private long newestListMillis;
-  private volatile Snapshot snapshot = new Snapshot(Map.of(), Map.of(), Map.of());
+  private volatile BackendSnapshot snapshot = BackendSnapshot.empty();
 
   /** Creates a view without backend servers. */
   public CommonBackendView(
@@ -92,22 +89,22 @@
 
   @Override
   public List<BackendServer> candidates(String service) {
-    return snapshot.candidates.getOrDefault(service, List.of());
+    return snapshot.candidates().getOrDefault(service, List.of());
   }
 
   @Override
   public Optional<BackendServer> find(String serverId) {
-    return Optional.ofNullable(snapshot.servers.get(serverId));
+    return Optional.ofNullable(snapshot.servers().get(serverId));
   }
 
   @Override
   public List<BackendServer> servers() {
-    return List.copyOf(snapshot.servers.values());
+    return List.copyOf(snapshot.servers().values());
   }
 
   @Override
   public Optional<EngineReport> latestReport(String serverId) {
-    return Optional.ofNullable(snapshot.reports.get(serverId));
+    return Optional.ofNullable(snapshot.reports().get(serverId));
   }
 
   @Override
@@ -234,24 +231,7 @@
   }
 
   private void publish() {
-    Map<String, BackendServer> servers = new HashMap<>();
-    Map<String, List<BackendServer>> candidates = new HashMap<>();
-    Map<String, EngineReport> reports = new HashMap<>();
-    for (BackendRecord record : registry.records()) {
-      BackendServer server = record.server();
-      servers.put(server.id(), server);
-      record.report().ifPresent(report -> reports.put(server.id(), report));
-      if (!server.leaving() && !record.refused()) {
-        Invariant.check(
-            !registry.markedLeaving(server),
-            events,
-            "leaving-server-is-no-candidate",
-            server.id() + "@" + server.incarnation());
-        candidates.computeIfAbsent(server.service(), s -> new ArrayList<>()).add(server);
-      }
-    }
-    candidates.replaceAll((service, list) -> List.copyOf(list));
-    snapshot = new Snapshot(Map.copyOf(servers), Map.copyOf(candidates), Map.copyOf(reports));
+    snapshot = BackendSnapshot.of(registry.records(), registry::markedLeaving, events);
   }
 
   private static BackendServer server(BackendEntry entry) {
@@ -275,9 +255,4 @@
         instance.address(),
         instance.state() == InstanceState.LEAVING);
   }
-
-  private record Snapshot(
-      Map<String, BackendServer> servers,
-      Map<String, List<BackendServer>> candidates,
-      Map<String, EngineReport> reports) {}
 }
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/backend/BackendSnapshotTest.java
@@ -0,0 +1,20 @@
+package org.basilport.backend;
+
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import org.basilport.event.EventSink;
+import org.basilport.event.InvariantViolation;
+import org.junit.jupiter.api.Test;
+
+class BackendSnapshotTest {
+  // Leaves the mark out of the record and checks that the assertion notices.
+  @Test
+  void assertionFailsWhenAMarkedServerWouldBeACandidate() {
+    BackendServer server = new BackendServer("e", 1, "geo-llm", "r", "d", "a", false);
+    List<BackendRecord> records = List.of(new BackendRecord(server, 0));
+    assertThrows(
+        InvariantViolation.class,
+        () -> BackendSnapshot.of(records, marked -> true, EventSink.none()));
+  }
+}
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/backend/package-info.java
@@ -0,0 +1,2 @@
+/** Tests that break the rules for backend servers. */
+package org.basilport.backend;
