--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/claim/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of claims and calls of plain services. */
+package org.basilport.claim;
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/deferred/DeferredJobsTest.java
@@ -0,0 +1,177 @@
+package org.basilport.deferred;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.basilport.delivery.GenerationRequest;
+import org.basilport.error.BasilportException;
+import org.basilport.error.FailureCode;
+import org.basilport.error.Outcome;
+import org.basilport.error.Step;
+import org.basilport.event.InvariantViolation;
+import org.basilport.fake.FakeEngine;
+import org.basilport.fake.FakeFleet;
+import org.basilport.membership.MemberStatus;
+import org.basilport.router.Credentials;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class DeferredJobsTest {
+  private static final int LENGTH = 300;
+
+  private final FakeFleet fleet = new FakeFleet(2, 3);
+
+  private CompletableFuture<String> submit(int maxTokens) {
+    return fleet
+        .routers
+        .get(0)
+        .submitDeferred(FakeFleet.CALLER, new GenerationRequest("late", "note", maxTokens));
+  }
+
+  private String submitted() {
+    CompletableFuture<String> id = submit(LENGTH);
+    fleet.run(100);
+    return id.join();
+  }
+
+  private CompletableFuture<DeferredJob> collect(int router, Credentials caller, String id) {
+    CompletableFuture<DeferredJob> job = fleet.routers.get(router).collectDeferred(caller, id);
+    fleet.run(100);
+    return job;
+  }
+
+  private DeferredJob collect(String id) {
+    return collect(1, FakeFleet.CALLER, id).join();
+  }
+
+  private long runs() {
+    return fleet.engines.values().stream().mapToLong(engine -> engine.started.size()).sum();
+  }
+
+  private int ownerOf(String id) {
+    String shard = JobShard.PREFIX + id.substring(0, id.indexOf('.'));
+    String owner = fleet.controlPlanes.get(0).owner(shard).orElseThrow().id();
+    return owner.equals("i0") ? 0 : 1;
+  }
+
+  private static BasilportException failureOf(CompletableFuture<?> result) {
+    assertThat(result.isCompletedExceptionally()).isTrue();
+    Throwable failure = result.handle((value, thrown) -> thrown).join();
+    return BasilportException.unwrap(failure, Outcome.NOT_RUN, Step.COLLECT);
+  }
+
+  @Nested
+  class Running {
+    /** Guards against jobs that are lost or run more than once without a fault. */
+    @Test
+    void aJobRunsOnceAndItsWholeResultStays() {
+      String id = submitted();
+      assertThat(collect(id).state()).isEqualTo(DeferredJob.State.QUEUED);
+      fleet.run(20_000);
+
+      DeferredJob job = collect(id);
+      assertThat(job.state()).isEqualTo(DeferredJob.State.FINISHED);
+      assertThat(job.result().get()).contains(":" + (LENGTH - 1));
+      assertThat(collect(0, FakeFleet.CALLER, id).join()).isEqualTo(job);
+      assertThat(runs()).isEqualTo(1);
+    }
+
+    /** Guards against a job that fails with its engine although nothing was delivered. */
+    @Test
+    void aJobWhoseEngineDiesIsRunAgain() {
+      String id = submitted();
+      fleet.run(2_500);
+      fleet.engines.values().stream()
+          .filter(engine -> !engine.started.isEmpty())
+          .findFirst()
+          .ifPresent(FakeEngine::die);
+      fleet.run(40_000);
+
+      assertThat(collect(id).state()).isEqualTo(DeferredJob.State.FINISHED);
+      assertThat(runs()).isEqualTo(2);
+    }
+
+    /** Guards against jobs that nobody runs after their owner died. */
+    @Test
+    void aJobOfADeadOwnerIsTakenOver() {
+      String id = submitted();
+      int owner = ownerOf(id);
+      fleet.controlPlanes.get(owner).status = MemberStatus.LEFT;
+      fleet.run(60_000);
+
+      assertThat(collect(id).state()).isEqualTo(DeferredJob.State.FINISHED);
+    }
+
+    /** Guards against a result that changes when a paused owner comes back. */
+    @Test
+    void withTwoOwnersTheFirstCompleteGenerationWins() {
+      String id = submitted();
+      fleet.run(2_500);
+      fleet.store.writeDelay = Duration.ofSeconds(16);
+      fleet.run(5_000);
+      fleet.controlPlanes.get(ownerOf(id)).status = MemberStatus.LEFT;
+      fleet.run(40_000);
+      fleet.store.writeDelay = Duration.ZERO;
+      fleet.run(60_000);
+
+      DeferredJob first = collect(id);
+      fleet.run(60_000);
+      assertThat(first.state()).isEqualTo(DeferredJob.State.FINISHED);
+      assertThat(collect(id)).isEqualTo(first);
+    }
+  }
+
+  @Nested
+  class Refusals {
+    /** Guards against results that other workspaces can read. */
+    @Test
+    void aForeignJobIsNotFound() {
+      String id = submitted();
+      BasilportException failure = failureOf(collect(0, FakeFleet.STRANGER, id));
+      assertThat(failure.code()).isEqualTo(FailureCode.NOT_FOUND);
+      assertThat(failureOf(collect(0, FakeFleet.CALLER, "3.x.y")).code())
+          .isEqualTo(FailureCode.NOT_FOUND);
+    }
+
+    /** Guards against results that no object can hold. */
+    @Test
+    void aJobThatIsTooLongIsRefused() {
+      assertThat(failureOf(submit(90_000)).code()).isEqualTo(FailureCode.TOO_LARGE);
+    }
+
+    /** Guards against a job that is accepted without a record of it. */
+    @Test
+    void inAnOutageAJobIsRefusedAsNotRun() {
+      fleet.store.down = true;
+      CompletableFuture<String> id = submit(LENGTH);
+      fleet.run(10_000);
+      assertThat(failureOf(id).outcome()).isEqualTo(Outcome.NOT_RUN);
+      assertThat(failureOf(id).code()).isEqualTo(FailureCode.PLATFORM_UNAVAILABLE);
+    }
+  }
+
+  /** Guards against an assertion that does not see a result that was replaced. */
+  @Test
+  void aReplacedResultIsNoticed() {
+    String id = submitted();
+    fleet.run(20_000);
+    collect(id);
+    fleet.store.ignoresVersions = true;
+    byte[] other = new JobResult(true, "other").encode();
+    fleet.store.write(JobResult.PREFIX + id, other, 0);
+
+    CompletableFuture<DeferredJob> job = collect(1, FakeFleet.CALLER, id);
+    assertThrows(InvariantViolation.class, () -> rethrow(job));
+  }
+
+  private static void rethrow(CompletableFuture<?> result) throws Exception {
+    try {
+      result.join();
+    } catch (CompletionException e) {
+      throw (Exception) e.getCause();
+    }
+  }
+}
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/deferred/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of deferred jobs. */
+package org.basilport.deferred;
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/delivery/GenerationDeliveryTest.java
@@ -0,0 +1,290 @@
+package org.basilport.delivery;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.basilport.engine.EngineRequest;
+import org.basilport.engine.TokenFrame;
+import org.basilport.error.FailureCode;
+import org.basilport.error.Outcome;
+import org.basilport.error.RejectedException;
+import org.basilport.event.EventType;
+import org.basilport.event.InvariantViolation;
+import org.basilport.fake.FakeEngine;
+import org.basilport.fake.FakeFleet;
+import org.basilport.fake.RecordingListener;
+import org.basilport.router.Credentials;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class GenerationDeliveryTest {
+  private static final int LENGTH = 30;
+
+  private final FakeFleet fleet = new FakeFleet(2, 3);
+  private final RecordingListener caller = new RecordingListener();
+
+  private GenerationHandle generate(int length) {
+    return fleet
+        .routers
+        .get(0)
+        .generate(FakeFleet.CALLER, new GenerationRequest("chat", "prompt", length), caller);
+  }
+
+  private FakeEngine busyEngine() {
+    return fleet.engines.values().stream()
+        .filter(engine -> !engine.started.isEmpty())
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private static void assertOneWholeGeneration(List<String> tokens, int length) {
+    String generation = tokens.get(0).substring(0, tokens.get(0).indexOf(':'));
+    List<String> expected = IntStream.range(0, length).mapToObj(i -> generation + ":" + i).toList();
+    assertThat(tokens).containsExactlyElementsIn(expected).inOrder();
+  }
+
+  @Nested
+  class FrameFaults {
+    private static TokenFrame frame(String id, long offset) {
+      return new TokenFrame(id, offset, List.of(id + ":" + offset));
+    }
+
+    private static Function<TokenFrame, List<TokenFrame>> once(
+        long offset, Function<TokenFrame, List<TokenFrame>> fault) {
+      Set<Long> done = new HashSet<>();
+      return sent ->
+          sent.offset() == offset && done.add(offset) ? fault.apply(sent) : List.of(sent);
+    }
+
+    static Stream<Arguments> faults() {
+      return Stream.of(
+          Arguments.of("duplicated", once(4, f -> List.of(f, f))),
+          Arguments.of("late", once(9, f -> List.of(f, frame(f.generationId(), 2)))),
+          Arguments.of("crossed", once(5, f -> List.of(frame("other-1", f.offset()), f))),
+          Arguments.of("gap", once(7, f -> List.of())),
+          Arguments.of("gap at the end", once(LENGTH - 1, f -> List.of())),
+          Arguments.of("gap at the start", once(0, f -> List.of())),
+          Arguments.of("swapped", once(3, f -> List.of(frame(f.generationId(), 4), f))));
+    }
+
+    /** Guards against tokens that are lost, doubled, reordered or of another request. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("faults")
+    void eachTokenArrivesOnce(String name, Function<TokenFrame, List<TokenFrame>> fault) {
+      fleet.engines.values().forEach(engine -> engine.frameFault = fault);
+
+      generate(LENGTH).request(1_000);
+      fleet.run(10_000);
+
+      assertOneWholeGeneration(caller.tokens, LENGTH);
+      assertThat(caller.ended).isTrue();
+    }
+  }
+
+  @Nested
+  class EngineFaults {
+    /** Guards against a retry that splices two generations or against a lost request. */
+    @Test
+    void beforeTheFirstTokenAnotherEngineTakesOver() {
+      generate(LENGTH).request(1_000);
+      fleet.run(5);
+      busyEngine().die();
+      fleet.run(20_000);
+
+      assertOneWholeGeneration(caller.tokens, LENGTH);
+      assertThat(caller.tokens.get(0)).contains("-2:");
+    }
+
+    /** Guards against a second generation in a stream that has begun. */
+    @Test
+    void afterTheFirstTokenTheCallerIsTold() {
+      generate(LENGTH).request(1_000);
+      fleet.run(100);
+      int before = caller.tokens.size();
+      busyEngine().die();
+      fleet.run(20_000);
+
+      assertThat(before).isGreaterThan(0);
+      assertThat(caller.tokens).hasSize(before);
+      assertThat(caller.failure.outcome()).isEqualTo(Outcome.LOST_PART_WAY);
+      assertThat(caller.failure.code()).isEqualTo(FailureCode.BACKEND_LOST);
+    }
+
+    /** Guards against a lost or doubled token when only the connection breaks. */
+    @Test
+    void aBrokenConnectionIsResumed() {
+      generate(LENGTH).request(1_000);
+      fleet.run(100);
+      busyEngine().breakConnections();
+      fleet.run(5_000);
+
+      assertOneWholeGeneration(caller.tokens, LENGTH);
+      assertThat(busyEngine().started).hasSize(1);
+    }
+
+    /** Guards against a refusal that says the request may have run although nothing was sent. */
+    @Test
+    void refusedConnectionsAreNotRun() {
+      fleet.engines.values().forEach(engine -> engine.refusesConnections = true);
+      generate(LENGTH).request(1_000);
+      fleet.run(60_000);
+
+      assertThat(caller.failure.outcome()).isEqualTo(Outcome.NOT_RUN);
+    }
+  }
+
+  @Nested
+  class Resuming {
+    private final RecordingListener second = new RecordingListener();
+
+    /** Guards against resumption that needs the memory of the first instance. */
+    @Test
+    void anotherInstanceGoesOnWithTheTokenAlone() {
+      GenerationHandle first = generate(LENGTH);
+      first.request(10);
+      fleet.run(200);
+      first.detach();
+      fleet.routers.get(1).resume(FakeFleet.CALLER, caller.resumeToken, second).request(1_000);
+      fleet.run(60_000);
+
+      caller.tokens.addAll(second.tokens);
+      assertThat(second.ended).isTrue();
+      assertOneWholeGeneration(caller.tokens, LENGTH);
+      assertThat(busyEngine().cancelled).isEmpty();
+    }
+
+    static Stream<Arguments> badTokens() {
+      Function<String, String> flipped =
+          token -> (token.charAt(0) == 'A' ? "B" : "A") + token.substring(1);
+      return Stream.of(
+          Arguments.of("forged", flipped, FakeFleet.CALLER, FailureCode.FORBIDDEN),
+          Arguments.of("foreign", Function.identity(), FakeFleet.STRANGER, FailureCode.FORBIDDEN),
+          Arguments.of(
+              "short",
+              (Function<String, String>) t -> "AAAA",
+              FakeFleet.CALLER,
+              FailureCode.MALFORMED));
+    }
+
+    /** Guards against readers of other workspaces' generations. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("badTokens")
+    void aBadTokenIsRefused(
+        String name, Function<String, String> change, Credentials reader, FailureCode code) {
+      generate(LENGTH).request(1_000);
+      fleet.run(100);
+      String token = change.apply(caller.resumeToken);
+
+      fleet.routers.get(1).resume(reader, token, second).request(1_000);
+      fleet.run(100);
+
+      assertThat(second.tokens).isEmpty();
+      assertThat(second.failure.code()).isEqualTo(code);
+      assertThat(second.failure.outcome()).isEqualTo(Outcome.NOT_RUN);
+    }
+
+    /** Guards against a token that is valid for ever. */
+    @Test
+    void anOldTokenHasExpired() {
+      generate(LENGTH).request(1_000);
+      fleet.run(2 * 3_600_000);
+
+      fleet.routers.get(1).resume(FakeFleet.CALLER, caller.resumeToken, second);
+      fleet.run(10);
+
+      assertThat(second.failure.code()).isEqualTo(FailureCode.EXPIRED);
+    }
+  }
+
+  @Nested
+  class Abandonment {
+    /** Guards against engines that generate for callers who went away. */
+    @Test
+    void theInstanceThatStartedItCancelsAfterTheResumeWindow() {
+      GenerationHandle handle = generate(50_000);
+      handle.request(5);
+      fleet.run(200);
+      handle.detach();
+      fleet.run(29_000);
+      assertThat(busyEngine().cancelled).isEmpty();
+      fleet.run(2_000);
+
+      assertThat(busyEngine().cancelled).hasSize(1);
+    }
+
+    /** Guards against generations that nobody cancels because their instance died. */
+    @Test
+    void theOwnerOfTheEngineCancelsWhatItsReportsShow() {
+      FakeEngine engine = fleet.engines.get("engine-0");
+      String owner = fleet.controlPlanes.get(0).owner("engine-0").orElseThrow().id();
+      int ownerIndex = owner.equals("i0") ? 0 : 1;
+      EngineRequest request = new EngineRequest("gone-1", "w", "prompt", 50_000, 1);
+      engine.generate(request, new EngineLink(fleet.scheduler, null, false)).close();
+
+      fleet.run(29_000);
+      fleet.controlPlanes.get(ownerIndex).reportEngines();
+      assertThat(engine.cancelled).isEmpty();
+      fleet.run(2_000);
+      fleet.controlPlanes.get(1 - ownerIndex).reportEngines();
+      assertThat(engine.cancelled).isEmpty();
+      fleet.controlPlanes.get(ownerIndex).reportEngines();
+      assertThat(engine.cancelled).containsExactly("gone-1");
+    }
+  }
+
+  @Nested
+  class BackPressure {
+    /** Guards against an engine that runs ahead of a slow caller without bound. */
+    @Test
+    void theEngineIsAskedForAtMostOneBuffer() {
+      GenerationHandle handle = generate(1_000);
+      handle.request(3);
+      fleet.run(5_000);
+      assertThat(caller.tokens).hasSize(3);
+      assertThat(busyEngine().largestCredit).isAtMost(FrameBuffer.CAPACITY);
+      assertThat(fleet.metrics.getCounters()).doesNotContainKey("generation.framesDropped.w");
+
+      handle.request(2_000);
+      fleet.run(20_000);
+      assertOneWholeGeneration(caller.tokens, 1_000);
+    }
+  }
+
+  @Nested
+  class BrokenMechanisms {
+    private final FrameBuffer buffer = new FrameBuffer(fleet.timelines.get(0), "a-1", 0);
+
+    /** Guards against an assertion that does not see two generations in one stream. */
+    @Test
+    void aSecondGenerationAfterTheFirstTokenIsNoticed() {
+      buffer.offer(new TokenFrame("a-1", 0, List.of("x")));
+      buffer.take();
+      buffer.restart("a-2");
+      buffer.offer(new TokenFrame("a-2", 1, List.of("y")));
+
+      assertThrows(InvariantViolation.class, buffer::take);
+      assertThat(fleet.timelines.get(0).events(e -> true, 1).get(0).type())
+          .isEqualTo(EventType.INVARIANT_VIOLATED);
+    }
+
+    /** Guards against a change of the token format that lets a signature cover less. */
+    @Test
+    void eachPartOfTheTokenIsSigned() {
+      ResumeTokenCodec codec = new ResumeTokenCodec("key");
+      ResumeToken token = new ResumeToken("w", "s", "e", 1, "g-1", 5, Long.MAX_VALUE);
+      String text = codec.encode(token);
+      assertThat(codec.decode(text, "w", fleet.scheduler.now())).isEqualTo(token);
+      String other = new ResumeTokenCodec("key2").encode(token);
+      assertThrows(RejectedException.class, () -> codec.decode(other, "w", fleet.scheduler.now()));
+    }
+  }
+}
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/delivery/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the delivery of generations. */
+package org.basilport.delivery;
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/fake/FakeFleet.java
@@ -0,0 +1,144 @@
+package org.basilport.fake;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.basilport.backend.BackendServer;
+import org.basilport.config.AcceptedConfiguration;
+import org.basilport.config.ApplicationService;
+import org.basilport.config.Deployment;
+import org.basilport.config.FencingMode;
+import org.basilport.config.ModelService;
+import org.basilport.config.Objective;
+import org.basilport.config.Route;
+import org.basilport.config.Workspace;
+import org.basilport.delivery.LeastOutstandingPolicy;
+import org.basilport.event.HybridClock;
+import org.basilport.event.Timeline;
+import org.basilport.membership.MemberStatus;
+import org.basilport.misc.VirtualScheduler;
+import org.basilport.router.Credentials;
+import org.basilport.router.DefaultRouter;
+import org.basilport.router.InstanceSettings;
+import org.basilport.service.PlainService;
+
+/** Routers over one virtual clock that share a store, engines and replicas. */
+public final class FakeFleet {
+  /** A workspace of every fleet. */
+  public static final Credentials CALLER = new Credentials("w", "secret");
+
+  /** Another workspace of every fleet. */
+  public static final Credentials STRANGER = new Credentials("other", "secret");
+
+  public final VirtualScheduler scheduler =
+      new VirtualScheduler(Instant.parse("2026-01-05T08:00:00Z"));
+  public final FakeObjectStore store = new FakeObjectStore(scheduler);
+  public final MetricRegistry metrics = new MetricRegistry();
+  public final List<FakeControlPlane> controlPlanes = new ArrayList<>();
+  public final List<DefaultRouter> routers = new ArrayList<>();
+  public final List<Timeline> timelines = new ArrayList<>();
+  public final Map<String, FakeEngine> engines = new LinkedHashMap<>();
+  public final Map<String, FakePlainService> replicas = new LinkedHashMap<>();
+  final List<BackendServer> backends = new ArrayList<>();
+  final AcceptedConfiguration configuration;
+  int deaths;
+
+  /** Creates a fleet that has started. */
+  public FakeFleet(int instances, int engineCount) {
+    configuration =
+        new AcceptedConfiguration(1, "apply", "test", scheduler.now(), deployment(50, 1_000));
+    for (int i = 0; i < engineCount; i++) {
+      String id = "engine-" + i;
+      FakeEngine engine = new FakeEngine(scheduler);
+      engines.put(id, engine);
+      BackendServer server = new BackendServer(id, 1, "llm", "r", "dc", id, false);
+      backends.add(server);
+      engine.onDeath = () -> noticeDeath(server);
+    }
+    for (int i = 0; i < 3; i++) {
+      String id = "replica-" + i;
+      replicas.put(id, new FakePlainService(scheduler));
+      backends.add(new BackendServer(id, 1, "app", "r", "dc", id, false));
+    }
+    for (int i = 0; i < instances; i++) {
+      addInstance("i" + i);
+    }
+    controlPlanes.forEach(FakeControlPlane::start);
+    routers.forEach(DefaultRouter::start);
+    run(100);
+  }
+
+  /** Lets virtual time pass, in milliseconds. */
+  public void run(long millis) {
+    scheduler.runFor(Duration.ofMillis(millis));
+  }
+
+  /** Number of engines that died. */
+  public int deaths() {
+    return deaths;
+  }
+
+  /** Marks an instance as dead, as its peers would; its own work stops being owned. */
+  public void declareDead(int instance) {
+    controlPlanes.get(instance).status = MemberStatus.LEFT;
+  }
+
+  private void addInstance(String id) {
+    InstanceSettings settings =
+        new InstanceSettings(id, 1, "r", "dc", id, id, "cluster-key", 25_000, 30_000, 300, 1_500);
+    Timeline timeline =
+        new Timeline(id, new HybridClock(() -> scheduler.now().toEpochMilli()), 2_000);
+    FakeControlPlane controlPlane = new FakeControlPlane(this, settings);
+    controlPlanes.add(controlPlane);
+    timelines.add(timeline);
+    routers.add(
+        new DefaultRouter(
+            settings,
+            controlPlane,
+            store,
+            engines::get,
+            address -> (PlainService) replicas.get(address),
+            (policy, random) -> new LeastOutstandingPolicy(policy),
+            scheduler,
+            scheduler,
+            timeline,
+            new SplittableRandom(7 + id.hashCode()),
+            metrics));
+  }
+
+  /** Peers learn of a death a second after it happened. */
+  private void noticeDeath(BackendServer server) {
+    deaths++;
+    scheduler.schedule(
+        Duration.ofSeconds(1),
+        () -> {
+          backends.remove(server);
+          controlPlanes.forEach(plane -> plane.tellDeath(server));
+        });
+  }
+
+  private static Deployment deployment(int concurrent, double rate) {
+    String hash = Hashing.sha256().hashString("secret", StandardCharsets.UTF_8).toString();
+    Objective objective = new Objective(1, 1, 1);
+    return new Deployment(
+        "site",
+        List.of(
+            new ModelService("llm", "model", 3, FencingMode.ENFORCED, objective, 20, 0.1, 100_000)),
+        List.of(new ApplicationService("app", 3, 5_000)),
+        List.of(
+            new Workspace("w", hash, 1, concurrent, rate),
+            new Workspace("other", hash, 1, concurrent, rate),
+            new Workspace("small", hash, 1, 1, rate)),
+        List.of(
+            new Route("chat", "llm", Route.Delivery.STREAMED),
+            new Route("late", "llm", Route.Delivery.DEFERRED),
+            new Route("move", "app", Route.Delivery.CALL)));
+  }
+}
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/fake/FakeObjectStore.java
@@ -0,0 +1,133 @@
+package org.basilport.fake;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.basilport.error.ConflictException;
+import org.basilport.error.FailureCode;
+import org.basilport.error.Outcome;
+import org.basilport.error.Step;
+import org.basilport.error.UnavailableException;
+import org.basilport.misc.VirtualScheduler;
+import org.basilport.platform.ObjectStore;
+import org.basilport.platform.StoredObject;
+
+/** An object store in memory with faults that tests switch on. */
+public final class FakeObjectStore implements ObjectStore {
+  /** Time from a call to its effect, and from the effect to the answer. */
+  public static final Duration LATENCY = Duration.ofMillis(2);
+
+  /** Whether calls fail without an effect. */
+  public boolean down;
+
+  /** Number of writes that take effect while their answer is lost. */
+  public int lostAnswers;
+
+  /** Whether writes replace objects whatever their version, which breaks every claim. */
+  public boolean ignoresVersions;
+
+  /** Number of writes that took effect. */
+  public int writes;
+
+  /** Extra time before a write takes effect. */
+  public Duration writeDelay = Duration.ZERO;
+
+  private final VirtualScheduler scheduler;
+  private final TreeMap<String, StoredObject> objects = new TreeMap<>();
+
+  /** Creates an empty store. */
+  public FakeObjectStore(VirtualScheduler scheduler) {
+    this.scheduler = scheduler;
+  }
+
+  /** Returns an object at once. */
+  public Optional<StoredObject> peek(String name) {
+    return Optional.ofNullable(objects.get(name));
+  }
+
+  @Override
+  public CompletableFuture<Optional<StoredObject>> read(String name) {
+    CompletableFuture<Optional<StoredObject>> answer = new CompletableFuture<>();
+    scheduler.schedule(
+        LATENCY,
+        () -> {
+          Optional<StoredObject> found = peek(name);
+          boolean failed = down;
+          scheduler.schedule(
+              LATENCY,
+              () -> {
+                if (failed) {
+                  answer.completeExceptionally(outage());
+                } else {
+                  answer.complete(found);
+                }
+              });
+        });
+    return answer;
+  }
+
+  @Override
+  public CompletableFuture<Long> write(String name, byte[] value, long expectedVersion) {
+    CompletableFuture<Long> answer = new CompletableFuture<>();
+    scheduler.schedule(
+        LATENCY.plus(writeDelay), () -> takeEffect(name, value, expectedVersion, answer));
+    return answer;
+  }
+
+  private void takeEffect(
+      String name, byte[] value, long expectedVersion, CompletableFuture<Long> answer) {
+    long version = peek(name).map(StoredObject::version).orElse(ABSENT);
+    if (down) {
+      scheduler.schedule(LATENCY, () -> answer.completeExceptionally(outage()));
+    } else if (version != expectedVersion && !ignoresVersions) {
+      scheduler.schedule(
+          LATENCY,
+          () -> answer.completeExceptionally(new ConflictException(Step.STORE, name, "version")));
+    } else {
+      objects.put(name, new StoredObject(name, version + 1, value));
+      writes++;
+      boolean lost = lostAnswers > 0;
+      lostAnswers = Math.max(0, lostAnswers - 1);
+      scheduler.schedule(
+          LATENCY,
+          () -> {
+            if (lost) {
+              answer.completeExceptionally(outage());
+            } else {
+              answer.complete(version + 1);
+            }
+          });
+    }
+  }
+
+  @Override
+  public CompletableFuture<Void> delete(String name, long expectedVersion) {
+    objects.remove(name);
+    return CompletableFuture.completedFuture(null);
+  }
+
+  @Override
+  public CompletableFuture<List<String>> list(String prefix) {
+    List<String> names = objects.keySet().stream().filter(n -> n.startsWith(prefix)).toList();
+    return CompletableFuture.completedFuture(names);
+  }
+
+  @Override
+  public CompletableFuture<Optional<StoredObject>> watch(
+      String name, long afterVersion, Duration wait) {
+    return read(name);
+  }
+
+  private static UnavailableException outage() {
+    return new UnavailableException(
+        FailureCode.PLATFORM_UNAVAILABLE,
+        Outcome.MAY_HAVE_RUN,
+        Step.STORE,
+        "platform",
+        null,
+        "no answer",
+        null);
+  }
+}
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/fake/FakePlainService.java
@@ -0,0 +1,73 @@
+package org.basilport.fake;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.basilport.error.BackendException;
+import org.basilport.error.FailureCode;
+import org.basilport.error.Outcome;
+import org.basilport.error.Step;
+import org.basilport.misc.VirtualScheduler;
+import org.basilport.service.PlainService;
+import org.basilport.service.ServiceReport;
+import org.basilport.service.ServiceRequest;
+import org.basilport.service.ServiceResponse;
+
+/** A replica that records what it runs; each call follows the next entry of a script. */
+public final class FakePlainService implements PlainService {
+  /** What happens to a call. */
+  public enum Behaviour {
+    ANSWER,
+    REFUSE_CONNECTION,
+    LOSE_ANSWER,
+    CROSS_ANSWER
+  }
+
+  /** What happens to the next calls; calls after these are answered. */
+  public final Deque<Behaviour> script = new ArrayDeque<>();
+
+  /** Bodies of the calls that ran. */
+  public final List<String> ran = new ArrayList<>();
+
+  private final VirtualScheduler scheduler;
+
+  /** Creates a replica that ran nothing. */
+  public FakePlainService(VirtualScheduler scheduler) {
+    this.scheduler = scheduler;
+  }
+
+  @Override
+  public CompletableFuture<ServiceResponse> call(ServiceRequest request) {
+    CompletableFuture<ServiceResponse> answer = new CompletableFuture<>();
+    Behaviour behaviour = script.isEmpty() ? Behaviour.ANSWER : script.remove();
+    scheduler.schedule(Duration.ofMillis(20), () -> run(request, behaviour, answer));
+    return answer;
+  }
+
+  private void run(
+      ServiceRequest request, Behaviour behaviour, CompletableFuture<ServiceResponse> answer) {
+    if (behaviour == Behaviour.REFUSE_CONNECTION) {
+      answer.completeExceptionally(failure(FailureCode.NO_BACKEND, Outcome.NOT_RUN));
+      return;
+    }
+    ran.add(request.body());
+    switch (behaviour) {
+      case LOSE_ANSWER ->
+          answer.completeExceptionally(failure(FailureCode.BACKEND_LOST, Outcome.MAY_HAVE_RUN));
+      case CROSS_ANSWER -> answer.complete(new ServiceResponse("another", 200, "crossed"));
+      default -> answer.complete(new ServiceResponse(request.requestId(), 200, "done"));
+    }
+  }
+
+  @Override
+  public CompletableFuture<ServiceReport> report() {
+    return CompletableFuture.completedFuture(new ServiceReport(1, false, 0));
+  }
+
+  private static BackendException failure(FailureCode code, Outcome outcome) {
+    return new BackendException(code, outcome, Step.SEND, "replica", "fault of the test", null);
+  }
+}
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/quarantine/CrashingRequestTest.java
@@ -0,0 +1,133 @@
+package org.basilport.quarantine;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.basilport.backend.BackendServer;
+import org.basilport.delivery.GenerationRequest;
+import org.basilport.error.FailureCode;
+import org.basilport.error.Outcome;
+import org.basilport.fake.FakeFleet;
+import org.basilport.fake.RecordingListener;
+import org.basilport.protocol.IsolationRequest;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class CrashingRequestTest {
+  private final FakeFleet fleet = new FakeFleet(2, 5);
+
+  private RecordingListener send(int router, String prompt) {
+    RecordingListener caller = new RecordingListener();
+    fleet
+        .routers
+        .get(router)
+        .generate(FakeFleet.CALLER, new GenerationRequest("chat", prompt, 40), caller)
+        .request(1_000);
+    return caller;
+  }
+
+  @Nested
+  class WholePath {
+    /** Guards against a request that takes down one backend server after the other. */
+    @Test
+    void atMostTwoEnginesDieAndInnocentRequestsComplete() {
+      List<RecordingListener> innocents = new ArrayList<>();
+      for (int i = 0; i < 10; i++) {
+        innocents.add(send(i % 2, "innocent " + i));
+      }
+      RecordingListener marked = send(0, "crash");
+      for (int round = 0; round < 30; round++) {
+        fleet.run(3_000);
+        if (marked.failure != null) {
+          marked = send(round % 2, "crash");
+        }
+        resendFailed(innocents);
+      }
+      fleet.run(3_000);
+
+      assertThat(fleet.deaths()).isAtMost(2);
+      innocents.forEach(innocent -> assertThat(innocent.ended).isTrue());
+      RecordingListener last = send(1, "crash");
+      fleet.run(1_000);
+      assertThat(last.failure.code()).isEqualTo(FailureCode.QUARANTINED);
+      assertThat(last.failure.outcome()).isEqualTo(Outcome.NOT_RUN);
+      assertThat(last.failure.retryAfter().isPresent()).isFalse();
+    }
+
+    private void resendFailed(List<RecordingListener> innocents) {
+      for (int i = 0; i < innocents.size(); i++) {
+        if (innocents.get(i).failure != null) {
+          innocents.set(i, send(i % 2, "innocent " + i));
+        }
+      }
+    }
+
+    /** Guards against innocent requests that stay under suspicion after they completed. */
+    @Test
+    void aSuspectThatCompletesIsCleared() {
+      send(0, "crash");
+      RecordingListener innocent = send(0, "innocent");
+      fleet.run(20_000);
+      for (int i = 0; i < 5 && !innocent.ended; i++) {
+        innocent = send(0, "innocent");
+        fleet.run(5_000);
+      }
+
+      assertThat(innocent.ended).isTrue();
+      RecordingListener again = send(0, "innocent");
+      fleet.run(2_000);
+      assertThat(again.ended).isTrue();
+    }
+
+    /** Guards against a quarantine that lasts for ever. */
+    @Test
+    void aQuarantineExpires() {
+      CrashTracker tracker = new CrashTracker(fleet.scheduler, fleet.timelines.get(0), () -> {});
+      BackendServer server = fleet.controlPlanes.get(0).find("engine-0").orElseThrow();
+      tracker.begin("f", server, false);
+      tracker.onDeath(server);
+      assertThat(tracker.verdict("f")).isEqualTo(Verdict.SUSPECT);
+      BackendServer second = fleet.controlPlanes.get(0).find("engine-1").orElseThrow();
+      tracker.begin("f", second, true);
+      tracker.onDeath(second);
+      assertThat(tracker.verdict("f")).isEqualTo(Verdict.QUARANTINED);
+
+      fleet.run(CrashTracker.QUARANTINE.toMillis() + 1);
+      assertThat(tracker.verdict("f")).isEqualTo(Verdict.CLEAR);
+    }
+  }
+
+  @Nested
+  class Slots {
+    private final IsolationSlots slots = new IsolationSlots(fleet.scheduler);
+
+    private boolean acquire(String server, String fingerprint, String holder) {
+      return slots
+          .acquire(
+              IsolationRequest.newBuilder()
+                  .setServerId(server)
+                  .setFingerprint(fingerprint)
+                  .setHolderId(holder)
+                  .build())
+          .getGranted();
+    }
+
+    /** Guards against two suspects on one server and one suspect on two servers. */
+    @Test
+    void aSlotHasOneHolderAndAFingerprintRunsOnce() {
+      assertThat(acquire("a", "f1", "h1")).isTrue();
+      assertThat(acquire("a", "f1", "h1")).isTrue();
+      assertThat(acquire("a", "f2", "h2")).isFalse();
+      assertThat(acquire("b", "f1", "h3")).isFalse();
+    }
+
+    /** Guards against a server that stays blocked by a holder that died. */
+    @Test
+    void aSlotThatIsNotRenewedExpires() {
+      acquire("a", "f1", "h1");
+      fleet.run(IsolationSlots.LIFETIME.toMillis() + 1);
+      assertThat(acquire("a", "f2", "h2")).isTrue();
+    }
+  }
+}
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/quarantine/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of requests that crash backend servers. */
+package org.basilport.quarantine;
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/router/DefaultRouterTest.java
@@ -0,0 +1,152 @@
+package org.basilport.router;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+import org.basilport.delivery.GenerationRequest;
+import org.basilport.error.FailureCode;
+import org.basilport.error.LeavingException;
+import org.basilport.error.Outcome;
+import org.basilport.error.Step;
+import org.basilport.fake.FakeFleet;
+import org.basilport.fake.RecordingListener;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class DefaultRouterTest {
+  private final FakeFleet fleet = new FakeFleet(2, 2);
+
+  private RecordingListener send(int router, Credentials credentials, GenerationRequest request) {
+    RecordingListener caller = new RecordingListener();
+    fleet.routers.get(router).generate(credentials, request, caller).request(100_000);
+    return caller;
+  }
+
+  private RecordingListener send(int router, int length) {
+    return send(router, FakeFleet.CALLER, new GenerationRequest("chat", "prompt", length));
+  }
+
+  @Nested
+  class Admission {
+    static Stream<Arguments> refusals() {
+      GenerationRequest good = new GenerationRequest("chat", "prompt", 10);
+      String huge = "x".repeat(RequestGate.MAX_BODY_BYTES + 1);
+      return Stream.of(
+          Arguments.of(new Credentials("w", "wrong"), good, FailureCode.UNAUTHENTICATED),
+          Arguments.of(new Credentials("nobody", "x"), good, FailureCode.UNKNOWN_WORKSPACE),
+          Arguments.of(
+              FakeFleet.CALLER,
+              new GenerationRequest("none", "prompt", 10),
+              FailureCode.UNKNOWN_ROUTE),
+          Arguments.of(
+              FakeFleet.CALLER, new GenerationRequest("move", "prompt", 10), FailureCode.MALFORMED),
+          Arguments.of(
+              FakeFleet.CALLER, new GenerationRequest("chat", "", 10), FailureCode.MALFORMED),
+          Arguments.of(
+              FakeFleet.CALLER, new GenerationRequest("chat", "prompt", 0), FailureCode.MALFORMED),
+          Arguments.of(
+              FakeFleet.CALLER,
+              new GenerationRequest("chat", "prompt", 100_001),
+              FailureCode.TOO_LARGE),
+          Arguments.of(
+              FakeFleet.CALLER, new GenerationRequest("chat", huge, 10), FailureCode.TOO_LARGE));
+    }
+
+    /** Guards against requests that enter without a right to, and against unclear refusals. */
+    @ParameterizedTest
+    @MethodSource("refusals")
+    void aBadRequestIsRefused(Credentials caller, GenerationRequest request, FailureCode code) {
+      RecordingListener refused = send(0, caller, request);
+      fleet.run(100);
+
+      assertThat(refused.failure.code()).isEqualTo(code);
+      assertThat(refused.failure.outcome()).isEqualTo(Outcome.NOT_RUN);
+      boolean unknownCaller = code.httpStatus() == 401;
+      Step expected = unknownCaller ? Step.AUTHENTICATE : Step.ADMIT;
+      assertThat(refused.failure.step()).isEqualTo(expected);
+    }
+
+    /** Guards against a workspace that takes more than its share, and a share that leaks. */
+    @Test
+    void concurrencyIsLimitedUntilARequestEnds() {
+      Credentials small = new Credentials("small", "secret");
+      GenerationRequest request = new GenerationRequest("chat", "prompt", 10);
+      RecordingListener first = send(0, small, request);
+      RecordingListener second = send(0, small, request);
+      fleet.run(1_000);
+      RecordingListener third = send(0, small, request);
+      fleet.run(1_000);
+
+      assertThat(first.ended).isTrue();
+      assertThat(second.failure.code()).isEqualTo(FailureCode.OVER_LIMIT);
+      assertThat(second.failure.retryAfter().isPresent()).isTrue();
+      assertThat(third.ended).isTrue();
+    }
+  }
+
+  @Nested
+  class Drain {
+    /** Guards against a shutdown that cuts off streams or takes new requests. */
+    @Test
+    void liveStreamsFinishOrAreHandedOver() {
+      RecordingListener shortStream = send(0, 200);
+      RecordingListener longStream = send(0, 5_000);
+      fleet.run(500);
+      CompletableFuture<Void> drained = fleet.routers.get(0).drain("test");
+      RecordingListener late = send(0, 10);
+      fleet.run(10);
+      assertThat(late.failure.code()).isEqualTo(FailureCode.LEAVING);
+      assertThat(((LeavingException) late.failure).addresses()).containsExactly("i1");
+      assertThat(fleet.routers.get(0).readiness()).isEqualTo(Readiness.DRAINING);
+
+      fleet.run(20_000);
+      assertThat(shortStream.ended).isTrue();
+      assertThat(drained.isDone()).isFalse();
+      fleet.run(6_000);
+      assertThat(drained.isDone()).isTrue();
+      assertThat(longStream.handoverAddresses).containsExactly("i1");
+
+      RecordingListener rest = new RecordingListener();
+      fleet.routers.get(1).resume(FakeFleet.CALLER, longStream.resumeToken, rest).request(100_000);
+      fleet.run(60_000);
+      assertThat(rest.ended).isTrue();
+      assertThat(longStream.tokens.size() + rest.tokens.size()).isEqualTo(5_000);
+      assertThat(fleet.engines.values().stream().mapToInt(e -> e.started.size()).sum())
+          .isEqualTo(2);
+    }
+
+    /** Guards against a queued request that is left without an answer. */
+    @Test
+    void queuedRequestsAreNotRun() {
+      fleet.engines.values().forEach(engine -> engine.refusesConnections = true);
+      RecordingListener queued = send(0, 10);
+      fleet.run(30);
+      fleet.routers.get(0).drain("test");
+      fleet.run(100);
+
+      assertThat(queued.failure.code()).isEqualTo(FailureCode.LEAVING);
+      assertThat(queued.failure.outcome()).isEqualTo(Outcome.NOT_RUN);
+    }
+
+    /** Guards against a drain that ends while a call is in progress. */
+    @Test
+    void callsAreWaitedFor() {
+      CompletableFuture<CallResult> call =
+          fleet
+              .routers
+              .get(0)
+              .call(FakeFleet.CALLER, new CallRequest("move", "/", "", true, "body"));
+      CompletableFuture<Void> drained = fleet.routers.get(0).drain("test");
+      fleet.run(10);
+      assertThat(drained.isDone()).isFalse();
+      fleet.run(200);
+
+      assertThat(call.join().status()).isEqualTo(200);
+      assertThat(drained.isDone()).isTrue();
+    }
+  }
+}
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/router/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of admission and drain. */
+package org.basilport.router;
