Keep the quarantine in the platform, close old claims, count failures

A quarantine must survive a restart of all instances, and claim objects must not pile up. Adds the durable copy, the sweeper of claim objects, counters of preemptions and platform failures, and a queue deadline for each wait. Streams that have begun get 20 reconnections instead of 5.

--- a/basilport-router/src/main/java/org/basilport/claim/PlainCall.java
+++ b/basilport-router/src/main/java/org/basilport/claim/PlainCall.java
@@ -138,14 +138,19 @@
                     () -> {
                       if (granted.isEmpty()) {
                         traffic.schedule(ISOLATION_RETRY, this::tryReplica);
-                      } else if (over) {
+                      } else if (over || !isCandidate(replica)) {
                         granted.get().cancel();
+                        tryReplica();
                       } else {
                         send(replica, granted);
                       }
                     }));
   }
 
+  private boolean isCandidate(BackendServer replica) {
+    return environment.backends().candidates(work.service()).contains(replica);
+  }
+
   private void send(BackendServer replica, Optional<Cancellable> isolation) {
     Invariant.check(
         work.repeatable() || ticket.isPresent() && !mayHaveRun,
--- a/basilport-router/src/main/java/org/basilport/delivery/GenerationAttempt.java
+++ b/basilport-router/src/main/java/org/basilport/delivery/GenerationAttempt.java
@@ -21,6 +21,8 @@
 final class GenerationAttempt implements EngineLink.Owner {
   private static final Duration STALL_CHECK = Duration.ofSeconds(5);
   private static final int MAX_RECONNECTS = 5;
+  // A stream cannot start again elsewhere, so a stalled link is given longer to come back.
+  private static final int MAX_RECONNECTS_OF_STREAM = 20;
 
   /** Learns how the attempt goes; after an end, nothing follows. */
   interface Owner {
@@ -183,7 +185,8 @@
   private void retry(String reason) {
     link.close();
     reconnects++;
-    if (reconnects > MAX_RECONNECTS) {
+    boolean begun = buffer.deliveredOffset() > 0;
+    if (reconnects > (begun ? MAX_RECONNECTS_OF_STREAM : MAX_RECONNECTS)) {
       lose(reason);
       return;
     }
--- a/basilport-router/src/main/java/org/basilport/delivery/GenerationService.java
+++ b/basilport-router/src/main/java/org/basilport/delivery/GenerationService.java
@@ -31,6 +31,8 @@
   private final Map<String, ServiceDispatcher> dispatchers = new HashMap<>();
   private final Map<String, PolicySettings> settingsInUse = new HashMap<>();
   private final Map<String, GenerationSession> sessions = new ConcurrentHashMap<>();
+  // Confined to the control scheduler, unlike the other state.
+  private final Map<String, Long> preemptions = new HashMap<>();
   private Optional<List<String>> leavingTo = Optional.empty();
 
   /** Creates a service without sessions; add it as a listener of the backend servers. */
@@ -139,6 +141,7 @@
   @Override
   public void onReport(BackendServer server, EngineReport report) {
     abandoned.onReport(server, report);
+    countPreemptions(server, report);
     environment
         .traffic()
         .execute(
@@ -151,6 +154,14 @@
             });
   }
 
+  private void countPreemptions(BackendServer server, EngineReport report) {
+    Long earlier = preemptions.put(server.id(), report.preemptions());
+    // The count starts again with each incarnation of an engine.
+    if (earlier != null && report.preemptions() > earlier) {
+      environment.metrics().preempted(server.service(), report.preemptions() - earlier);
+    }
+  }
+
   private List<GenerationSession> snapshot() {
     return new ArrayList<>(sessions.values());
   }
--- a/basilport-router/src/main/java/org/basilport/delivery/GenerationSession.java
+++ b/basilport-router/src/main/java/org/basilport/delivery/GenerationSession.java
@@ -90,9 +90,7 @@
   /** Starts a session of new work. */
   void begin() {
     environment.retryBudget().firstTry();
-    if (work.generationClass() == GenerationClass.STREAMED) {
-      queueDeadline = traffic.schedule(QUEUE_DEADLINE, this::queueDeadlinePassed);
-    }
+    startQueueDeadline();
     submit();
   }
 
@@ -232,6 +230,7 @@
     mayHaveRun = attempt > 1;
     flight.withdrawn();
     flight = null;
+    startQueueDeadline();
     dispatcher.avoid(current.server().id());
     placeAgain();
   }
@@ -257,6 +256,7 @@
     attempt++;
     environment.metrics().count("generation.retried", work.workspace());
     record(EventType.GENERATION_RETRIED, work.requestId(), attempt, reason);
+    startQueueDeadline();
     submit();
   }
 
@@ -284,8 +284,12 @@
   private void isolationAnswered(BackendServer server, Optional<Cancellable> granted) {
     if (state != State.ISOLATING) {
       granted.ifPresent(Cancellable::cancel);
-    } else if (granted.isPresent()) {
-      isolation = granted.get();
+      return;
+    }
+    isolation = granted.orElse(isolation);
+    boolean usable =
+        environment.backends().find(server.id()).filter(now -> !now.leaving()).isPresent();
+    if (granted.isPresent() && usable) {
       open(server, true);
     } else {
       giveBackPlacement();
@@ -393,6 +397,13 @@
     dispatcher.finished(work.requestId(), 0, false);
   }
 
+  private void startQueueDeadline() {
+    queueDeadline.cancel();
+    if (work.generationClass() == GenerationClass.STREAMED) {
+      queueDeadline = traffic.schedule(QUEUE_DEADLINE, this::queueDeadlinePassed);
+    }
+  }
+
   private void queueDeadlinePassed() {
     if (state == State.WAITING || state == State.ISOLATING) {
       dispatcher.withdraw(work.requestId());
--- a/basilport-router/src/main/java/org/basilport/delivery/TrafficMetrics.java
+++ b/basilport-router/src/main/java/org/basilport/delivery/TrafficMetrics.java
@@ -46,6 +46,16 @@
     registry.counter("generation.queueLength." + service).inc(difference);
   }
 
+  /** Counts preemptions that the engines of a service reported. */
+  public void preempted(String service, long number) {
+    registry.counter("generation.preempted." + service).inc(number);
+  }
+
+  /** Counts a call of the platform that failed for another reason than a conflict. */
+  public void platformFailure(String operation) {
+    registry.counter("platform.failed." + operation).inc();
+  }
+
   private String series(String name, String workspace) {
     return name + "." + label(workspace);
   }
--- a/basilport-router/src/main/java/org/basilport/router/RouterComponents.java
+++ b/basilport-router/src/main/java/org/basilport/router/RouterComponents.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.SplittableRandom;
 import org.basilport.claim.ClaimRegistry;
+import org.basilport.claim.ClaimSweeper;
 import org.basilport.claim.PlainCallEnvironment;
 import org.basilport.claim.PlainCallExecutor;
 import org.basilport.config.AcceptedConfiguration;
@@ -25,11 +26,13 @@
 import org.basilport.error.RejectedException;
 import org.basilport.error.Step;
 import org.basilport.misc.Cancellable;
+import org.basilport.platform.ObjectStore;
 import org.basilport.policy.GenerationClass;
 import org.basilport.policy.PolicySettings;
 import org.basilport.quarantine.CrashTracker;
 import org.basilport.quarantine.IsolationGate;
 import org.basilport.quarantine.IsolationSlots;
+import org.basilport.quarantine.QuarantineArchive;
 
 /** Creates the components of a router and connects them. */
 final class RouterComponents {
@@ -45,6 +48,9 @@
   private final GenerationService generations;
   private final PlainCallExecutor calls;
   private final DeferredJobs jobs;
+  private final QuarantineArchive archive;
+  private final ClaimSweeper sweeper;
+  private final ObjectStore store;
   private Cancellable loadReports = () -> {};
 
   RouterComponents(RouterResources resources, RequestGate gate, RequestIds ids) {
@@ -54,6 +60,7 @@
     ControlPlane controlPlane = resources.controlPlane();
     SplittableRandom random = resources.random();
     TrafficMetrics metrics = new TrafficMetrics(resources.metrics());
+    this.store = new MeteredObjectStore(resources.store(), metrics);
     RetryBudget budget = new RetryBudget();
     FullJitter delays = new FullJitter(SHORTEST_BOUND, LONGEST_BOUND, random.split());
     CrashTracker crashes =
@@ -84,8 +91,7 @@
         new GenerationService(
             delivery, controlPlane.membership(), resources.policies(), random.split());
     ClaimRegistry claims =
-        new ClaimRegistry(
-            resources.store(), resources.control(), resources.timeline(), random.split());
+        new ClaimRegistry(store, resources.control(), resources.timeline(), random.split());
     this.calls =
         new PlainCallExecutor(
             new PlainCallEnvironment(
@@ -100,6 +106,8 @@
                 crashes,
                 isolation));
     this.jobs = newJobs(ids);
+    this.archive = new QuarantineArchive(store, resources.control(), crashes);
+    this.sweeper = new ClaimSweeper(store, resources.control(), controlPlane.membership());
     // Suspicion is recorded before the sessions of a dead backend server look for another one.
     controlPlane.backends().addListener(crashes);
     controlPlane.backends().addListener(generations);
@@ -108,6 +116,8 @@
 
   void start() {
     jobs.start();
+    archive.start();
+    sweeper.start();
     loadReports =
         resources
             .control()
@@ -118,6 +128,8 @@
 
   void stop() {
     jobs.stop();
+    archive.stop();
+    sweeper.stop();
     loadReports.cancel();
   }
 
@@ -167,7 +179,7 @@
   private DeferredJobs newJobs(RequestIds ids) {
     InstanceSettings settings = resources.settings();
     return new DeferredJobs(
-        resources.store(),
+        store,
         resources.control(),
         resources.timeline(),
         resources.controlPlane().membership(),
