--- a/basilport-router/src/main/java/org/basilport/deferred/DeferredJobs.java
+++ b/basilport-router/src/main/java/org/basilport/deferred/DeferredJobs.java
@@ -10,10 +10,13 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import java.util.stream.IntStream;
 import org.basilport.claim.GroupCommit;
+import org.basilport.claim.SlotSweeper;
 import org.basilport.delivery.GenerationHandle;
 import org.basilport.error.BasilportException;
 import org.basilport.error.FailureCode;
+import org.basilport.error.Outcome;
 import org.basilport.error.RejectedException;
 import org.basilport.error.Step;
 import org.basilport.event.EventSink;
@@ -42,6 +45,7 @@
   private static final Duration PATIENCE = Duration.ofSeconds(3);
   private static final Duration TICK = Duration.ofSeconds(2);
   private static final Duration LEASE = Duration.ofSeconds(15);
+  private static final Duration RESULTS_KEPT = Duration.ofDays(7);
   private static final int MAX_RUNNING_PER_SHARD = 8;
   private static final int MAX_RUNS = 5;
   private static final int REMEMBERED_RESULTS = 1_000;
@@ -65,6 +69,7 @@
           return size() > REMEMBERED_RESULTS;
         }
       };
+  private final SlotSweeper resultSweeper;
   private Cancellable ticks = () -> {};
   private boolean stopped;
 
@@ -96,11 +101,22 @@
     this.commits =
         new GroupCommit<>(store, control, JobShard.CODEC, events, PATIENCE, random.split());
     this.results = new ResultWriter(store, control, random.split());
+    this.resultSweeper =
+        new SlotSweeper(
+            store,
+            control,
+            membership,
+            "results",
+            JobIds.SLOT,
+            RESULTS_KEPT,
+            DeferredJobs::resultPrefixes,
+            object -> store.delete(object.name(), object.version()));
   }
 
   /** Starts to look for jobs. */
   public void start() {
     ticks = control.scheduleRepeating(TICK, this::tick);
+    resultSweeper.start();
   }
 
   /** Starts no more jobs; those that run end with their sessions. */
@@ -109,6 +125,7 @@
         () -> {
           stopped = true;
           ticks.cancel();
+          resultSweeper.stop();
         });
   }
 
@@ -122,7 +139,7 @@
               Step.ADMIT,
               "a deferred result has at most " + MAX_RESULT_BYTES / BYTES_PER_TOKEN + " tokens"));
     }
-    String id = ids.create(requestIds.get(), workspace);
+    String id = ids.create(requestIds.get(), workspace, control.now());
     JobRecord job = new JobRecord(id, workspace, route, prompt, maxTokens);
     return commits
         .apply(shardName(ids.shard(id, workspace).getAsInt()), shard -> accept(shard, job))
@@ -161,7 +178,9 @@
 
   @Override
   public void failed(JobRecord job, BasilportException failure) {
-    int runs = failedRuns.merge(job.id(), 1, Integer::sum);
+    // Runs that were refused before an engine had them do not count against the job.
+    int counted = failure.outcome() == Outcome.NOT_RUN ? 0 : 1;
+    int runs = failedRuns.merge(job.id(), counted, Integer::sum);
     boolean permanent = isPermanent(failure) || runs >= MAX_RUNS;
     if (permanent) {
       store(job, new JobResult(false, failure.getMessage()));
@@ -337,6 +356,12 @@
     return jobId.startsWith(shard + ".");
   }
 
+  private static List<String> resultPrefixes(long slot) {
+    return IntStream.range(0, JobIds.SHARDS)
+        .mapToObj(shard -> JobResult.PREFIX + JobIds.slotPrefix(shard, slot))
+        .toList();
+  }
+
   private static String shardName(int shard) {
     return JobShard.PREFIX + shard;
   }
--- a/basilport-router/src/main/java/org/basilport/deferred/JobIds.java
+++ b/basilport-router/src/main/java/org/basilport/deferred/JobIds.java
@@ -3,6 +3,8 @@
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.Optional;
 import java.util.OptionalInt;
 
@@ -13,6 +15,9 @@
 final class JobIds {
   static final int SHARDS = 16;
 
+  /** Length of the time slots by which old results are removed. */
+  static final Duration SLOT = Duration.ofHours(1);
+
   private static final int SIGNATURE_DIGITS = 32;
 
   private final byte[] key;
@@ -22,9 +27,10 @@
     this.key = ("job-id:" + clusterKey).getBytes(StandardCharsets.UTF_8);
   }
 
-  String create(String uniquePart, String workspace) {
+  /** Returns the id of a new job; its time lets old results be found by their names. */
+  String create(String uniquePart, String workspace, Instant now) {
     int shard = Math.floorMod(uniquePart.hashCode(), SHARDS);
-    String name = shard + "." + uniquePart;
+    String name = slotPrefix(shard, now.getEpochSecond() / SLOT.toSeconds()) + uniquePart;
     return name + "." + signature(name, workspace);
   }
 
@@ -37,6 +43,11 @@
         .orElse(OptionalInt.empty());
   }
 
+  /** The leading part of the ids of a shard's jobs of one time slot. */
+  static String slotPrefix(int shard, long slot) {
+    return shard + "." + slot + ".";
+  }
+
   private boolean isSigned(String[] parts, String workspace) {
     byte[] expected = signature(parts[0], workspace).getBytes(StandardCharsets.UTF_8);
     return MessageDigest.isEqual(expected, parts[1].getBytes(StandardCharsets.UTF_8));
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/claim/ClaimRegistryTest.java
@@ -0,0 +1,91 @@
+package org.basilport.claim;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.basilport.event.EventSink;
+import org.basilport.event.InvariantViolation;
+import org.basilport.fake.FakeFleet;
+import org.basilport.fake.FakeObjectStore;
+import org.basilport.misc.VirtualScheduler;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ClaimRegistryTest {
+  private static final Instant START = Instant.parse("2026-01-05T08:00:00Z");
+
+  private final VirtualScheduler scheduler = new VirtualScheduler(START);
+  private final FakeObjectStore store = new FakeObjectStore(scheduler);
+  private final RequestKey key =
+      RequestKey.parse("w", START.getEpochSecond() + "-0123456789", START);
+
+  private ClaimRegistry registry(int seed) {
+    return new ClaimRegistry(store, scheduler, EventSink.none(), new SplittableRandom(seed));
+  }
+
+  private ClaimDecision.Kind claim(ClaimRegistry registry, String attemptId) {
+    CompletableFuture<ClaimDecision> decision = registry.claim(key, attemptId);
+    scheduler.runFor(Duration.ofSeconds(1));
+    return decision.join().kind();
+  }
+
+  /** Guards against a second run while the first holder is paused, however long the pause is. */
+  @Test
+  void aPausedHolderKeepsItsClaimAndSendsLater() {
+    ClaimRegistry holder = registry(1);
+    assertThat(claim(holder, "a")).isEqualTo(ClaimDecision.Kind.HELD);
+    ClaimTicket ticket = new ClaimTicket(key, "a", EventSink.none());
+    scheduler.runFor(Duration.ofMinutes(50));
+
+    assertThat(claim(registry(2), "b")).isEqualTo(ClaimDecision.Kind.IN_PROGRESS);
+    ticket.send();
+    holder.finish(ticket, 200, 1);
+    scheduler.runFor(Duration.ofSeconds(5));
+    assertThat(claim(registry(3), "c")).isEqualTo(ClaimDecision.Kind.FINISHED);
+  }
+
+  /** Guards against a key that can be claimed again after its claims were dropped. */
+  @Test
+  void aClosedObjectRefusesEveryClaimAndIsRemovedLater() {
+    claim(registry(1), "a");
+    FakeFleet fleet = new FakeFleet(1, 0);
+    ClaimSweeper sweeper = new ClaimSweeper(store, scheduler, fleet.controlPlanes.get(0));
+    sweeper.start();
+    scheduler.runFor(Duration.ofHours(25));
+    assertThat(claim(registry(2), "b")).isEqualTo(ClaimDecision.Kind.CLOSED);
+
+    scheduler.runFor(Duration.ofDays(30));
+    assertThat(store.peek(key.objectName())).isEmpty();
+  }
+
+  @Nested
+  class BrokenMechanisms {
+    private final ClaimTicket ticket = new ClaimTicket(key, "a", EventSink.none());
+
+    /** Guards against an assertion that does not see a request sent after its release. */
+    @Test
+    void sendingAfterTheReleaseIsNoticed() {
+      ticket.release();
+      assertThrows(InvariantViolation.class, ticket::send);
+    }
+
+    /** Guards against an assertion that does not see a release of a sent request. */
+    @Test
+    void aReleaseAfterSendingIsNoticed() {
+      ticket.send();
+      assertThrows(InvariantViolation.class, ticket::release);
+    }
+
+    /** Guards against an assertion that does not see a store without growing versions. */
+    @Test
+    void aVersionThatDoesNotGrowIsNoticed() {
+      store.repeatsVersions = true;
+      registry(1).claim(key, "a");
+      assertThrows(InvariantViolation.class, () -> scheduler.runFor(Duration.ofSeconds(1)));
+    }
+  }
+}
--- a/basilport-router/src/test/java/org/basilport/deferred/DeferredJobsTest.java
+++ b/basilport-router/src/test/java/org/basilport/deferred/DeferredJobsTest.java
@@ -94,6 +94,22 @@
       assertThat(runs()).isEqualTo(2);
     }
 
+    /** Guards against a job that crashes one engine after the other while nobody watches. */
+    @Test
+    void aJobThatCrashesEnginesFailsAfterTwo() {
+      CompletableFuture<String> id =
+          fleet
+              .routers
+              .get(0)
+              .submitDeferred(FakeFleet.CALLER, new GenerationRequest("late", "crash", LENGTH));
+      fleet.run(120_000);
+
+      DeferredJob job = collect(id.join());
+      assertThat(job.state()).isEqualTo(DeferredJob.State.FAILED);
+      assertThat(job.failure().get()).contains("quarantined");
+      assertThat(fleet.deaths()).isEqualTo(2);
+    }
+
     /** Guards against jobs that nobody runs after their owner died. */
     @Test
     void aJobOfADeadOwnerIsTakenOver() {
--- a/basilport-router/src/test/java/org/basilport/delivery/GenerationDeliveryTest.java
+++ b/basilport-router/src/test/java/org/basilport/delivery/GenerationDeliveryTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -131,6 +132,19 @@
       assertThat(busyEngine().started).hasSize(1);
     }
 
+    /** Guards against a stream that hangs because its link lost frames without an error. */
+    @Test
+    void aSilentLinkIsReplaced() {
+      generate(LENGTH).request(1_000);
+      fleet.run(100);
+      busyEngine().frameFault = frame -> List.of();
+      fleet.run(1_000);
+      busyEngine().frameFault = List::of;
+      fleet.run(15_000);
+
+      assertOneWholeGeneration(caller.tokens, LENGTH);
+    }
+
     /** Guards against a refusal that says the request may have run although nothing was sent. */
     @Test
     void refusedConnectionsAreNotRun() {
@@ -276,6 +290,18 @@
           .isEqualTo(EventType.INVARIANT_VIOLATED);
     }
 
+    /** Guards against an assertion that does not see a token that was skipped. */
+    @Test
+    void aSkippedTokenIsNoticed() {
+      List<String> tokens = new ArrayList<>(List.of("x", "y"));
+      buffer.offer(new TokenFrame("a-1", 0, tokens));
+      tokens.remove("y");
+      buffer.take();
+      buffer.offer(new TokenFrame("a-1", 2, List.of("z")));
+
+      assertThrows(InvariantViolation.class, buffer::take);
+    }
+
     /** Guards against a change of the token format that lets a signature cover less. */
     @Test
     void eachPartOfTheTokenIsSigned() {
--- a/basilport-router/src/test/java/org/basilport/fake/FakeObjectStore.java
+++ b/basilport-router/src/test/java/org/basilport/fake/FakeObjectStore.java
@@ -28,6 +28,9 @@
   /** Whether writes replace objects whatever their version, which breaks every claim. */
   public boolean ignoresVersions;
 
+  /** Whether the answer to a write names the version that was replaced. */
+  public boolean repeatsVersions;
+
   /** Number of writes that took effect. */
   public int writes;
 
@@ -96,7 +99,7 @@
             if (lost) {
               answer.completeExceptionally(outage());
             } else {
-              answer.complete(version + 1);
+              answer.complete(repeatsVersions ? version : version + 1);
             }
           });
     }
--- a/basilport-router/src/test/java/org/basilport/quarantine/CrashingRequestTest.java
+++ b/basilport-router/src/test/java/org/basilport/quarantine/CrashingRequestTest.java
@@ -98,6 +98,23 @@
     }
   }
 
+  /** Guards against a quarantine that ends when all instances are restarted. */
+  @Test
+  void aQuarantineIsReadFromThePlatformAtStart() {
+    RecordingListener marked = send(0, "crash");
+    for (int round = 0; round < 20 && fleet.deaths() < 2; round++) {
+      fleet.run(3_000);
+      marked = marked.failure == null ? marked : send(0, "crash");
+    }
+    fleet.run(5_000);
+
+    CrashTracker restarted = new CrashTracker(fleet.scheduler, fleet.timelines.get(0), () -> {});
+    new QuarantineArchive(fleet.store, fleet.scheduler, restarted).start();
+    fleet.run(1_000);
+    String fingerprint = RequestFingerprint.of("w", "chat", "crash");
+    assertThat(restarted.verdict(fingerprint)).isEqualTo(Verdict.QUARANTINED);
+  }
+
   @Nested
   class Slots {
     private final IsolationSlots slots = new IsolationSlots(fleet.scheduler);
