Refuse connections over HTTP while a stand-in is down

A crashed engine accepted connections and closed them, so that its clients could not tell a dead server from a lost answer. The servers now stop listening on a crash and listen again on the same port after the restart; the admin call for a crash states when. Ratpack answers 405 when two methods of one path are bound one by one, so the instance calls share a handler. The back pressure test measured a fixed 500 ms and failed once on a busy machine (80 against 101 events sent); it now waits for a second without progress, with the same bound on unread events.

--- a/basilport-clients/src/test/java/org/basilport/engine/http/HttpTokenStreamTest.java
+++ b/basilport-clients/src/test/java/org/basilport/engine/http/HttpTokenStreamTest.java
@@ -86,9 +86,11 @@
                             r -> Unpooled.copiedBuffer(nextEvent(), StandardCharsets.UTF_8))));
     stream.request(3);
     until(() -> received.get() == 3);
-    TimeUnit.MILLISECONDS.sleep(500);
-    long stopped = sent.get();
-    TimeUnit.MILLISECONDS.sleep(300);
+    long stopped = -1;
+    while (stopped != sent.get() && sent.get() < MAX_UNREAD_FRAMES) {
+      stopped = sent.get();
+      TimeUnit.MILLISECONDS.sleep(1_000);
+    }
 
     assertThat(received.get()).isEqualTo(3);
     assertThat(sent.get()).isEqualTo(stopped);
--- a/basilport-standin/src/main/java/org/basilport/standin/engine/SimulatedEngine.java
+++ b/basilport-standin/src/main/java/org/basilport/standin/engine/SimulatedEngine.java
@@ -26,6 +26,7 @@
 import org.basilport.error.Step;
 import org.basilport.misc.Cancellable;
 import org.basilport.misc.Scheduler;
+import org.basilport.standin.AvailabilityListener;
 
 /**
  * A model engine in memory with continuous batching. Its methods may be called from any thread;
@@ -47,6 +48,7 @@
   private final LaggingReports reports;
   private final Map<String, SimulatedGeneration> generations = new HashMap<>();
   private final Deque<Duration> recentSteps = new ArrayDeque<>();
+  private AvailabilityListener availability = up -> {};
   private List<String> loadedModels;
   private Cancellable step = () -> {};
   private boolean stepPlanned;
@@ -91,6 +93,11 @@
     return history;
   }
 
+  /** Sets the listener that is told of crashes and restarts. */
+  public synchronized void onAvailability(AvailabilityListener listener) {
+    availability = listener;
+  }
+
   /** Number that grows with each restart. */
   public synchronized long incarnation() {
     return incarnation;
@@ -162,6 +169,7 @@
     cutAllReaders();
     generations.clear();
     batch.clear();
+    availability.availabilityChanged(false);
     if (mayRestart) {
       faults.automaticRestart().ifPresent(delay -> scheduler.schedule(delay, this::restart));
     }
@@ -178,6 +186,7 @@
     cache.clear();
     recentSteps.clear();
     reports.clear();
+    availability.availabilityChanged(true);
   }
 
   /** Lets all streams stand still for a while; generations continue. */
--- a/basilport-standin/src/main/java/org/basilport/standin/http/EngineHttpServer.java
+++ b/basilport-standin/src/main/java/org/basilport/standin/http/EngineHttpServer.java
@@ -16,9 +16,9 @@
 import ratpack.handling.Context;
 
 /**
- * A simulated engine over HTTP, with admin calls {@code POST /admin/leaving}, {@code /admin/crash}
- * and {@code /admin/restart}. While the engine is down, connections are accepted and closed without
- * an answer; stop the server to have them refused.
+ * A simulated engine over HTTP, with admin calls {@code POST /admin/leaving} and {@code POST
+ * /admin/crash?restartAfterMillis=}. While it is down, the server does not listen, so that
+ * connections are refused.
  */
 public final class EngineHttpServer extends StandInServer {
   private static final int NO_CONTENT = 204;
@@ -29,6 +29,7 @@
   public EngineHttpServer(SimulatedEngine engine, int port) {
     super(port);
     this.engine = engine;
+    engine.onAvailability(this::availabilityChanged);
   }
 
   @Override
@@ -40,8 +41,7 @@
         .get("v1/load", context -> await(context, engine.report(), r -> sendJson(context, r)))
         .post("v1/orders", this::order)
         .post("admin/leaving", context -> admin(context, engine::markLeaving))
-        .post("admin/crash", context -> admin(context, engine::crash))
-        .post("admin/restart", context -> admin(context, engine::restart));
+        .post("admin/crash", this::crash);
   }
 
   private void generate(Context context) {
@@ -94,9 +94,14 @@
                     done -> context.getResponse().status(NO_CONTENT).send()));
   }
 
+  private void crash(Context context) {
+    engine.faults().automaticRestart(restartDelay(context));
+    admin(context, engine::crash);
+  }
+
   private static void admin(Context context, Runnable action) {
-    action.run();
     context.getResponse().status(NO_CONTENT).send();
+    action.run();
   }
 
   private static String id(Context context) {
--- a/basilport-standin/src/main/java/org/basilport/standin/http/PlatformHttpServer.java
+++ b/basilport-standin/src/main/java/org/basilport/standin/http/PlatformHttpServer.java
@@ -45,8 +45,7 @@
         .prefix("objects", objects -> objects.all(this::object))
         .get("instances", context -> await(context, client(context).list(), sender(context)))
         .post("instances/:id/leaving", this::markLeaving)
-        .put("instances/:id", this::putInstance)
-        .delete("instances/:id", this::removeInstance)
+        .path("instances/:id", this::changeInstance)
         .post("weights", this::reserve)
         .post("outage", this::outage);
   }
@@ -145,6 +144,11 @@
         : Optional.empty();
   }
 
+  private void changeInstance(Context context) throws Exception {
+    context.byMethod(
+        methods -> methods.put(() -> putInstance(context)).delete(() -> removeInstance(context)));
+  }
+
   private void putInstance(Context context) {
     context
         .getRequest()
--- a/basilport-standin/src/main/java/org/basilport/standin/http/ServiceHttpServer.java
+++ b/basilport-standin/src/main/java/org/basilport/standin/http/ServiceHttpServer.java
@@ -1,5 +1,6 @@
 package org.basilport.standin.http;
 
+import java.time.Duration;
 import org.basilport.service.ServiceRequest;
 import org.basilport.service.ServiceResponse;
 import org.basilport.service.http.HttpPlainService;
@@ -9,9 +10,9 @@
 import ratpack.http.Headers;
 
 /**
- * A replica of a plain service over HTTP, with admin calls {@code POST /admin/leaving}, {@code
- * /admin/crash} and {@code /admin/restart}. While the replica is down, connections are accepted and
- * closed without an answer; stop the server to have them refused.
+ * A replica of a plain service over HTTP, with admin calls {@code POST /admin/leaving} and {@code
+ * POST /admin/crash?restartAfterMillis=}. While it is down, the server does not listen, so that
+ * connections are refused.
  */
 public final class ServiceHttpServer extends StandInServer {
   private static final int NO_CONTENT = 204;
@@ -22,6 +23,7 @@
   public ServiceHttpServer(CountingService service, int port) {
     super(port);
     this.service = service;
+    service.onAvailability(this::availabilityChanged);
   }
 
   @Override
@@ -30,8 +32,7 @@
         .get("load", context -> await(context, service.report(), r -> sendJson(context, r)))
         .prefix("call", calls -> calls.all(this::call))
         .post("admin/leaving", context -> admin(context, service::markLeaving))
-        .post("admin/crash", context -> admin(context, service::crash))
-        .post("admin/restart", context -> admin(context, service::restart));
+        .post("admin/crash", this::crash);
   }
 
   private void call(Context context) {
@@ -64,8 +65,13 @@
     return value == null ? "" : value;
   }
 
+  private void crash(Context context) {
+    Duration delay = restartDelay(context);
+    admin(context, () -> service.crashFor(delay));
+  }
+
   private static void admin(Context context, Runnable action) {
-    action.run();
     context.getResponse().status(NO_CONTENT).send();
+    action.run();
   }
 }
--- a/basilport-standin/src/main/java/org/basilport/standin/http/StandInServer.java
+++ b/basilport-standin/src/main/java/org/basilport/standin/http/StandInServer.java
@@ -1,6 +1,7 @@
 package org.basilport.standin.http;
 
 import java.net.InetAddress;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.basilport.error.BasilportException;
@@ -20,8 +21,11 @@
 abstract class StandInServer implements Service {
   private static final int MAX_BODY_BYTES = 4_000_000;
   private static final int THREADS = 2;
+  private static final Duration RESTART_DELAY = Duration.ofSeconds(3);
   private static final int PRECONDITION_FAILED = 412;
 
+  private volatile boolean wanted;
+  private volatile boolean up = true;
   private int port;
   private RatpackServer server;
 
@@ -36,6 +40,12 @@
 
   abstract void addHandlers(Chain chain) throws Exception;
 
+  /** Time after which a stand-in that crashed by an admin call starts again. */
+  static Duration restartDelay(Context context) {
+    String millis = context.getRequest().getQueryParams().get("restartAfterMillis");
+    return millis == null ? RESTART_DELAY : Duration.ofMillis(Long.parseLong(millis));
+  }
+
   /** IP address and port; known once the server has started. */
   public synchronized String address() {
     return "127.0.0.1:" + port;
@@ -43,15 +53,31 @@
 
   @Override
   public CompletableFuture<Void> start() {
-    return CompletableFuture.runAsync(this::startNow);
+    wanted = true;
+    return CompletableFuture.runAsync(this::reconcile);
   }
 
   @Override
   public CompletableFuture<Void> stop() {
-    return CompletableFuture.runAsync(this::stopNow);
+    wanted = false;
+    return CompletableFuture.runAsync(this::reconcile);
+  }
+
+  /** Stops listening while the stand-in is down, so that connections are refused. */
+  void availabilityChanged(boolean nowUp) {
+    up = nowUp;
+    CompletableFuture.runAsync(this::reconcile);
+  }
+
+  private synchronized void reconcile() {
+    if (wanted && up) {
+      startNow();
+    } else {
+      stopNow();
+    }
   }
 
-  private synchronized void startNow() {
+  private void startNow() {
     if (server != null) {
       return;
     }
@@ -77,7 +103,7 @@
     }
   }
 
-  private synchronized void stopNow() {
+  private void stopNow() {
     if (server == null) {
       return;
     }
--- a/basilport-standin/src/main/java/org/basilport/standin/service/CountingService.java
+++ b/basilport-standin/src/main/java/org/basilport/standin/service/CountingService.java
@@ -13,6 +13,7 @@
 import org.basilport.service.ServiceReport;
 import org.basilport.service.ServiceRequest;
 import org.basilport.service.ServiceResponse;
+import org.basilport.standin.AvailabilityListener;
 
 /**
  * A replica of a plain service in memory that counts executions. Its methods may be called from any
@@ -28,6 +29,7 @@
   private final ServiceFaults faults;
   private final Duration latency;
   private final Duration executionTime;
+  private AvailabilityListener availability = up -> {};
   private ServiceRequest previous;
   private boolean down;
   private boolean leaving;
@@ -79,6 +81,11 @@
     return counts;
   }
 
+  /** Sets the listener that is told of crashes and restarts. */
+  public synchronized void onAvailability(AvailabilityListener listener) {
+    availability = listener;
+  }
+
   /** Number that grows with each restart. */
   public synchronized long incarnation() {
     return incarnation;
@@ -106,6 +113,13 @@
   public synchronized void crash() {
     down = true;
     active = 0;
+    availability.availabilityChanged(false);
+  }
+
+  /** Kills the replica and starts it again after a delay. */
+  public void crashFor(Duration delay) {
+    crash();
+    scheduler.schedule(delay, this::restart);
   }
 
   /** Starts the replica again with a new incarnation. */
@@ -114,6 +128,7 @@
     down = false;
     leaving = false;
     incarnation++;
+    availability.availabilityChanged(true);
   }
 
   @Override
--- a/basilport-standin/src/test/java/org/basilport/standin/contract/ModelEngineContract.java
+++ b/basilport-standin/src/test/java/org/basilport/standin/contract/ModelEngineContract.java
@@ -210,6 +210,7 @@
     generate("g-1", 500, listener);
     timing.until(() -> listener.tokens() > 0);
     simulated.restart();
+    awaitReachable();
 
     EngineReport report = timing.await(engine.report());
 
@@ -244,6 +245,16 @@
     assertThat(report.running().get(0).unattachedMillis()).isEqualTo(0);
   }
 
+  /** Waits until the engine answers again; over HTTP its server needs a moment to listen. */
+  private void awaitReachable() {
+    timing.until(
+        () -> {
+          CompletableFuture<EngineReport> report = engine.report();
+          timing.until(report::isDone);
+          return !report.isCompletedExceptionally() && report.join().incarnation() == 2;
+        });
+  }
+
   private RunningGeneration running(String id) {
     return simulated.currentReport().running().stream()
         .filter(generation -> generation.generationId().equals(id))
--- a/basilport-standin/src/test/java/org/basilport/standin/contract/PlainServiceContract.java
+++ b/basilport-standin/src/test/java/org/basilport/standin/contract/PlainServiceContract.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import org.basilport.error.BasilportException;
 import org.basilport.error.FailureCode;
 import org.basilport.error.Outcome;
@@ -108,6 +109,12 @@
         .isEqualTo(Outcome.MAY_HAVE_RUN);
     counting.restart();
     counting.markLeaving();
+    timing.until(
+        () -> {
+          CompletableFuture<ServiceReport> report = service.report();
+          timing.until(report::isDone);
+          return !report.isCompletedExceptionally();
+        });
 
     assertThat(timing.await(service.report())).isEqualTo(new ServiceReport(2, true, 0));
   }
--- /dev/null
+++ b/basilport-standin/src/test/java/org/basilport/standin/site/StandInProcessTest.java
@@ -0,0 +1,103 @@
+package org.basilport.standin.site;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import org.basilport.engine.EngineReport;
+import org.basilport.engine.ModelEngine;
+import org.basilport.engine.http.HttpModelEngine;
+import org.basilport.error.BasilportException;
+import org.basilport.error.Outcome;
+import org.basilport.error.Step;
+import org.basilport.http.HttpCall;
+import org.basilport.http.HttpConnector;
+import org.basilport.http.HttpTimeouts;
+import org.basilport.http.Json;
+import org.basilport.platform.InstanceKind;
+import org.basilport.platform.InstanceState;
+import org.basilport.platform.ListedInstance;
+import org.basilport.platform.http.HttpInstanceDirectory;
+import org.basilport.standin.engine.EngineSettings;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class StandInProcessTest {
+  private final HttpConnector connector = HttpConnector.standalone(1, HttpTimeouts.defaults());
+  private final StandInProcess process =
+      new StandInProcess(
+          new SiteSettings(
+              "r", List.of("a", "b"), "llm", 3, "app", 2, 0, 1, EngineSettings.defaults()));
+
+  @BeforeEach
+  void start() {
+    process.start().join();
+  }
+
+  @AfterEach
+  void stop() {
+    connector.close();
+    process.stop().join();
+  }
+
+  private List<ListedInstance> list() {
+    return new HttpInstanceDirectory(connector, process.platformAddress(), "c").list().join();
+  }
+
+  private int send(String method, String address, String path, Object body) {
+    HttpCall call = HttpCall.of(method, address, path);
+    return connector
+        .exchange(body == null ? call : call.withBody("application/json", Json.bytes(body)))
+        .join()
+        .status();
+  }
+
+  /** Guards against backend servers that no client can find, and admin calls without effect. */
+  @Test
+  void instanceListNamesAllServersAndCanBeChanged() {
+    assertThat(list().stream().map(ListedInstance::id))
+        .containsExactly("app-0", "app-1", "llm-0", "llm-1", "llm-2");
+    ListedInstance entry =
+        new ListedInstance(
+            "entry-1", InstanceKind.ENTRY, "", "r", "a", "x:1", "x:2", InstanceState.LIVE, 1);
+    String address = process.platformAddress();
+
+    assertThat(send("PUT", address, "/instances/entry-1", entry)).isEqualTo(204);
+    assertThat(send("POST", address, "/instances/llm-2/leaving", null)).isEqualTo(204);
+    assertThat(send("DELETE", address, "/instances/app-1", null)).isEqualTo(204);
+
+    assertThat(list()).contains(entry);
+    assertThat(list().stream().filter(i -> i.state() == InstanceState.LEAVING)).hasSize(1);
+    assertThat(list()).hasSize(5);
+  }
+
+  /** Guards against a crashed engine whose connections are not refused, or that stays away. */
+  @Test
+  void crashedEngineRefusesConnectionsAndComesBack() throws Exception {
+    String address = process.engineServers().get(0).address();
+    ModelEngine engine = new HttpModelEngine(connector, address);
+    send("POST", address, "/admin/crash?restartAfterMillis=1500", null);
+    TimeUnit.MILLISECONDS.sleep(700);
+
+    CompletionException refused =
+        assertThrows(CompletionException.class, () -> engine.report().join());
+    assertThat(BasilportException.unwrap(refused, Outcome.MAY_HAVE_RUN, Step.SEND).outcome())
+        .isEqualTo(Outcome.NOT_RUN);
+
+    assertThat(incarnationWithin(engine, 100)).isEqualTo(2);
+  }
+
+  private static long incarnationWithin(ModelEngine engine, int tries) throws Exception {
+    for (int i = 0; i < tries; i++) {
+      EngineReport report = engine.report().exceptionally(failure -> null).join();
+      if (report != null) {
+        return report.incarnation();
+      }
+      TimeUnit.MILLISECONDS.sleep(100);
+    }
+    return 0;
+  }
+}
