--- /dev/null
+++ b/basilport-clients/src/test/java/org/basilport/service/http/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the HTTP client of plain services. */
+package org.basilport.service.http;
--- a/basilport-standin/src/test/java/org/basilport/standin/engine/SimulatedEngineTest.java
+++ b/basilport-standin/src/test/java/org/basilport/standin/engine/SimulatedEngineTest.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
+import org.basilport.engine.EngineOrder;
 import org.basilport.engine.EngineReport;
 import org.basilport.engine.EngineRequest;
 import org.basilport.engine.GenerationEnd;
@@ -191,6 +192,18 @@
     return trace;
   }
 
+  /** Guards against an engine that checks tokens although its deployment ignores them. */
+  @Test
+  void ordersWithAnOldTokenTakeEffectWithoutFencing() {
+    SimulatedEngine engine = engine(EngineSettings.defaults().withFencing(false));
+    engine.order(new EngineOrder(7, "decode", List.of("base")));
+    engine.order(new EngineOrder(6, "decode", List.of("adapter")));
+    scheduler.runFor(Duration.ofSeconds(10));
+
+    assertThat(engine.currentReport().loadedModels()).containsExactly("adapter");
+    assertThat(engine.history().modelLoads()).isEqualTo(1);
+  }
+
   /** Guards against lengths without a heavy tail. */
   @Test
   void lengthsAreHeavyTailed() {
