Prefer fresh heartbeats in gossip and send fewer full entries

Change: choose the entries that advanced last from a random choice of twice the room, send addresses with 6 entries instead of 16, and 10 backend entries. Router and daemon tests pass.

--- a/basilport-router/src/main/java/org/basilport/backend/CommonBackendView.java
+++ b/basilport-router/src/main/java/org/basilport/backend/CommonBackendView.java
@@ -37,7 +37,7 @@
   /** How far behind the newest list an entry may be at instances that do not read the list. */
   private static final long UNLISTED_MILLIS = 30_000;
 
-  private static final int MAX_ENTRIES = 16;
+  private static final int MAX_ENTRIES = 10;
 
   private final GossipMembership membership;
   private final InstanceDirectory directory;
--- a/basilport-router/src/main/java/org/basilport/membership/GossipMembership.java
+++ b/basilport-router/src/main/java/org/basilport/membership/GossipMembership.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -37,7 +38,7 @@
   private static final int MAX_ENTRIES = 64;
 
   /** Entries per message with addresses; the others carry only what changes. */
-  private static final int MAX_FULL_ENTRIES = 16;
+  private static final int MAX_FULL_ENTRIES = 6;
 
   private static final int COLD_CONTACT_ROUNDS = 4;
 
@@ -194,16 +195,31 @@
   @Override
   public void contribute(GossipMessage.Builder message) {
     message.addMembers(self);
-    List<MemberEntry> alive = new ArrayList<>();
+    List<MemberEntry> sample = sample();
+    shuffle(sample);
+    for (int i = 0; i < sample.size(); i++) {
+      message.addMembers(i < MAX_FULL_ENTRIES - 1 ? sample.get(i) : brief(sample.get(i)));
+    }
+  }
+
+  /** The entries that advanced last within a random choice of twice the room. */
+  private List<MemberEntry> sample() {
+    List<MemberRecord> alive = new ArrayList<>();
     for (MemberRecord record : records.values()) {
       if (record.health() == MemberHealth.ALIVE) {
-        alive.add(record.entry());
+        alive.add(record);
       }
     }
-    shuffle(alive);
-    for (int i = 0; i < Math.min(alive.size(), MAX_ENTRIES - 1); i++) {
-      message.addMembers(i < MAX_FULL_ENTRIES - 1 ? alive.get(i) : brief(alive.get(i)));
+    int room = MAX_ENTRIES - 1;
+    if (alive.size() > room) {
+      shuffle(alive);
+      long now = control.nanoTime();
+      alive = new ArrayList<>(alive.subList(0, Math.min(alive.size(), 2 * room)));
+      alive.sort(Comparator.comparingLong(record -> record.silentNanos(now)));
     }
+    List<MemberEntry> sample = new ArrayList<>();
+    alive.stream().limit(room).forEach(record -> sample.add(record.entry()));
+    return sample;
   }
 
   @Override
