Hand deferred runs over when their owner leaves

A drained owner dropped its runs, so a long summary started again and wasted engine time. The next owner now resumes the generation from a token in the shard object, and a shard without runs is given up at once. Tokens carry the request's fingerprint, so a resumed request that crashes engines is recognised. A failing change no longer blocks its object.

--- a/basilport-router/src/main/java/org/basilport/claim/GroupCommit.java
+++ b/basilport-router/src/main/java/org/basilport/claim/GroupCommit.java
@@ -68,6 +68,7 @@
   private static final int MAX_BATCH = 512;
   // Leaves room below the platform's limit for the marks that a later change adds.
   private static final int MAX_BYTES = ObjectStore.MAX_VALUE_BYTES - 50_000;
+  private static final Duration REFUSAL_RETRY = Duration.ofMinutes(1);
   private static final int MAX_LANES = 1_024;
 
   private final ObjectStore store;
@@ -236,6 +237,17 @@
     }
 
     private void write(boolean freshlyRead) {
+      try {
+        writeBatch(freshlyRead);
+      } catch (RuntimeException e) {
+        // A violated invariant or an unreadable object must not block later changes.
+        known = false;
+        refuse(FailureCode.INTERNAL, "the object " + name + " cannot be changed: " + e);
+        throw e;
+      }
+    }
+
+    private void writeBatch(boolean freshlyRead) {
       S state = value == null ? codec.empty() : codec.decode(value);
       batch.removeIf(pending -> pending.result.isDone());
       boolean changed = false;
@@ -253,7 +265,8 @@
       }
       byte[] next = codec.encode(state);
       if (next.length > MAX_BYTES) {
-        refuseAsFull();
+        known = false;
+        refuse(FailureCode.OVER_LIMIT, "the object " + name + " is full");
         return;
       }
       long expected = version;
@@ -301,20 +314,19 @@
       advance();
     }
 
-    private void refuseAsFull() {
+    private void refuse(FailureCode code, String message) {
       List<Pending<S, ?>> refused = batch;
       batch = new ArrayList<>();
       busy = false;
-      // The content that was decoded above holds the refused changes only in memory.
       for (Pending<S, ?> pending : refused) {
         pending.fail(
             new UnavailableException(
-                FailureCode.OVER_LIMIT,
-                Outcome.NOT_RUN,
+                code,
+                pending.exposed ? Outcome.MAY_HAVE_RUN : Outcome.NOT_RUN,
                 Step.STORE,
                 name,
-                Duration.ofMinutes(1),
-                "the object " + name + " is full",
+                REFUSAL_RETRY,
+                message,
                 null));
       }
       advance();
--- a/basilport-router/src/main/java/org/basilport/deferred/DeferredJobs.java
+++ b/basilport-router/src/main/java/org/basilport/deferred/DeferredJobs.java
@@ -2,11 +2,13 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
@@ -14,6 +16,7 @@
 import org.basilport.claim.GroupCommit;
 import org.basilport.claim.SlotSweeper;
 import org.basilport.delivery.GenerationHandle;
+import org.basilport.delivery.GenerationRequest;
 import org.basilport.error.BasilportException;
 import org.basilport.error.FailureCode;
 import org.basilport.error.Outcome;
@@ -62,6 +65,8 @@
   private final ResultWriter results;
   private final Map<String, GenerationHandle> running = new HashMap<>();
   private final Map<String, Integer> failedRuns = new HashMap<>();
+  private final Set<String> triedTokens = new HashSet<>();
+  private final Set<Integer> owned = new HashSet<>();
   private final Map<String, Integer> collected =
       new LinkedHashMap<>() {
         @Override
@@ -71,7 +76,7 @@
       };
   private final SlotSweeper resultSweeper;
   private Cancellable ticks = () -> {};
-  private boolean stopped;
+  private boolean draining;
 
   /**
    * Creates a component that does nothing until its start.
@@ -119,11 +124,25 @@
     resultSweeper.start();
   }
 
-  /** Starts no more jobs; those that run end with their sessions. */
+  /** Starts no more jobs, and keeps the shards of those that run until they end. */
+  public void drain() {
+    control.execute(
+        () -> {
+          draining = true;
+          IntStream.range(0, JobIds.SHARDS).forEach(this::giveUpIfIdle);
+        });
+  }
+
+  /** Whether no job runs and none is being handed over; call on the control scheduler. */
+  public boolean idle() {
+    return running.isEmpty();
+  }
+
+  /** Stops; jobs that still run are found by the next owner. */
   public void stop() {
     control.execute(
         () -> {
-          stopped = true;
+          draining = true;
           ticks.cancel();
           resultSweeper.stop();
         });
@@ -140,7 +159,7 @@
               "a deferred result has at most " + MAX_RESULT_BYTES / BYTES_PER_TOKEN + " tokens"));
     }
     String id = ids.create(requestIds.get(), workspace, control.now());
-    JobRecord job = new JobRecord(id, workspace, route, prompt, maxTokens);
+    JobRecord job = new JobRecord(id, workspace, route, prompt, maxTokens, "");
     return commits
         .apply(shardName(ids.shard(id, workspace).getAsInt()), shard -> accept(shard, job))
         .thenApply(
@@ -192,13 +211,52 @@
   @Override
   public void interrupted(JobRecord job) {
     record(EventType.JOB_RETRIED, job, job.id(), "its run ended early");
+    ended(job);
+  }
+
+  @Override
+  public void handedOver(JobRecord job, String resumeToken) {
+    record(EventType.JOB_RETRIED, job, job.id(), "its owner leaves and hands it over");
+    commits
+        .apply(shardOf(job), shard -> update(shard, job.withResumeToken(resumeToken)))
+        .whenComplete((updated, failure) -> control.execute(() -> ended(job)));
+  }
+
+  private static GroupCommit.Applied<Boolean> update(JobShard shard, JobRecord job) {
+    boolean open = shard.find(job.id()).isPresent();
+    boolean changed = open && !shard.find(job.id()).get().equals(job);
+    if (changed) {
+      shard.put(job);
+    }
+    return new GroupCommit.Applied<>(open, changed);
+  }
+
+  private void ended(JobRecord job) {
     running.remove(job.id());
+    if (draining) {
+      giveUpIfIdle(ids.shard(job.id(), job.workspace()).getAsInt());
+    }
+  }
+
+  /** Lets another instance own the shard at once instead of after the end of the lease. */
+  private void giveUpIfIdle(int shard) {
+    if (!hasRuns(shard) && owned.remove(shard)) {
+      commits.apply(
+          shardName(shard),
+          state -> {
+            boolean mine = state.owner().equals(self);
+            if (mine) {
+              state.own("", 0);
+            }
+            return new GroupCommit.Applied<>(mine, mine);
+          });
+    }
   }
 
   private static boolean isPermanent(BasilportException failure) {
     return switch (failure.code()) {
       case QUARANTINED -> failure.retryAfter().isEmpty();
-      case UNKNOWN_ROUTE, MALFORMED, TOO_LARGE, FORBIDDEN -> true;
+      case UNKNOWN_ROUTE, MALFORMED, TOO_LARGE -> true;
       default -> false;
     };
   }
@@ -217,7 +275,7 @@
   private void tick() {
     for (int shard = 0; shard < JobIds.SHARDS; shard++) {
       String name = shardName(shard);
-      boolean mine = membership.owner(name).map(Member::id).equals(selfId());
+      boolean mine = !draining && membership.owner(name).map(Member::id).equals(selfId());
       boolean busy = hasRuns(shard);
       if (mine || busy) {
         int number = shard;
@@ -252,7 +310,10 @@
   }
 
   private void run(int shard, List<JobRecord> jobs, boolean mayStart) {
-    if (stopped || !mayStart) {
+    if (!jobs.isEmpty()) {
+      owned.add(shard);
+    }
+    if (draining || !mayStart) {
       return;
     }
     long active = running.keySet().stream().filter(id -> isInShard(id, shard)).count();
@@ -269,14 +330,7 @@
 
   private void start(JobRecord job) {
     try {
-      GenerationHandle handle =
-          starter.start(
-              requestIds.get(),
-              job.workspace(),
-              job.route(),
-              job.prompt(),
-              job.maxTokens(),
-              new JobRun(job, control, this));
+      GenerationHandle handle = startOrResume(job);
       running.put(job.id(), handle);
       handle.request(Integer.MAX_VALUE);
     } catch (BasilportException e) {
@@ -284,13 +338,23 @@
     }
   }
 
+  private GenerationHandle startOrResume(JobRecord job) {
+    JobRun run = new JobRun(job, control, this);
+    boolean resumes = !job.resumeToken().isEmpty() && triedTokens.add(job.resumeToken());
+    if (resumes) {
+      return starter.resume(job.workspace(), job.resumeToken(), run);
+    }
+    GenerationRequest request = new GenerationRequest(job.route(), job.prompt(), job.maxTokens());
+    return starter.start(requestIds.get(), job.workspace(), request, run);
+  }
+
   private void store(JobRecord job, JobResult result) {
     results
         .create(job.id(), result)
         .thenCompose(
             created ->
                 commits.apply(
-                    shardName(ids.shard(job.id(), job.workspace()).getAsInt()),
+                    shardOf(job),
                     shard -> {
                       boolean removed = shard.remove(job.id());
                       return new GroupCommit.Applied<>(removed, removed);
@@ -300,8 +364,9 @@
                 control.execute(
                     () -> {
                       // After a failed removal the next run finds the result and removes again.
-                      running.remove(job.id());
                       failedRuns.remove(job.id());
+                      triedTokens.remove(job.resumeToken());
+                      ended(job);
                     }));
   }
 
@@ -362,6 +427,10 @@
         .toList();
   }
 
+  private String shardOf(JobRecord job) {
+    return shardName(ids.shard(job.id(), job.workspace()).getAsInt());
+  }
+
   private static String shardName(int shard) {
     return JobShard.PREFIX + shard;
   }
--- a/basilport-router/src/main/java/org/basilport/deferred/JobRecord.java
+++ b/basilport-router/src/main/java/org/basilport/deferred/JobRecord.java
@@ -8,5 +8,11 @@
  * @param route route of the generation
  * @param prompt text of the prompt
  * @param maxTokens largest number of tokens to generate
+ * @param resumeToken token of a generation that an earlier owner handed over, else empty
  */
-record JobRecord(String id, String workspace, String route, String prompt, int maxTokens) {}
+record JobRecord(
+    String id, String workspace, String route, String prompt, int maxTokens, String resumeToken) {
+  JobRecord withResumeToken(String token) {
+    return new JobRecord(id, workspace, route, prompt, maxTokens, token);
+  }
+}
--- a/basilport-router/src/main/java/org/basilport/deferred/JobRun.java
+++ b/basilport-router/src/main/java/org/basilport/deferred/JobRun.java
@@ -14,6 +14,8 @@
     void failed(JobRecord job, BasilportException failure);
 
     void interrupted(JobRecord job);
+
+    void handedOver(JobRecord job, String resumeToken);
   }
 
   private final JobRecord job;
@@ -46,7 +48,7 @@
 
   @Override
   public void onHandover(String resumeToken, List<String> addresses) {
-    control.execute(() -> owner.interrupted(job));
+    control.execute(() -> owner.handedOver(job, resumeToken));
   }
 
   @Override
--- a/basilport-router/src/main/java/org/basilport/deferred/JobShard.java
+++ b/basilport-router/src/main/java/org/basilport/deferred/JobShard.java
@@ -98,6 +98,7 @@
         out.writeInt(prompt.length);
         out.write(prompt);
         out.writeInt(job.maxTokens());
+        out.writeUTF(job.resumeToken());
       }
     } catch (IOException e) {
       throw new UncheckedIOException(e);
@@ -128,6 +129,6 @@
     String workspace = in.readUTF();
     String route = in.readUTF();
     String prompt = new String(in.readNBytes(in.readInt()), StandardCharsets.UTF_8);
-    return new JobRecord(id, workspace, route, prompt, in.readInt());
+    return new JobRecord(id, workspace, route, prompt, in.readInt(), in.readUTF());
   }
 }
--- a/basilport-router/src/main/java/org/basilport/deferred/JobStarter.java
+++ b/basilport-router/src/main/java/org/basilport/deferred/JobStarter.java
@@ -2,24 +2,19 @@
 
 import org.basilport.delivery.GenerationHandle;
 import org.basilport.delivery.GenerationListener;
+import org.basilport.delivery.GenerationRequest;
 
-/** Starts the generation of a job under the configuration in force. */
-@FunctionalInterface
+/** Runs the generations of jobs under the configuration in force. */
 public interface JobStarter {
   /**
    * Starts a generation.
    *
    * @param requestId id of this run, unique over all runs
    * @param workspace workspace that pays
-   * @param route route of the generation
-   * @param prompt text of the prompt
-   * @param maxTokens largest number of tokens to generate
    */
   GenerationHandle start(
-      String requestId,
-      String workspace,
-      String route,
-      String prompt,
-      int maxTokens,
-      GenerationListener listener);
+      String requestId, String workspace, GenerationRequest request, GenerationListener listener);
+
+  /** Goes on with a generation that an earlier owner handed over. */
+  GenerationHandle resume(String workspace, String resumeToken, GenerationListener listener);
 }
--- a/basilport-router/src/main/java/org/basilport/delivery/GenerationService.java
+++ b/basilport-router/src/main/java/org/basilport/delivery/GenerationService.java
@@ -19,7 +19,6 @@
 import org.basilport.policy.GenerationClass;
 import org.basilport.policy.GenerationPolicyFactory;
 import org.basilport.policy.PolicySettings;
-import org.basilport.quarantine.RequestFingerprint;
 
 /** The generations of an instance; methods are safe to call from any thread. */
 public final class GenerationService implements BackendListener {
@@ -69,9 +68,12 @@
 
   /** Goes on reading the generation that a checked token names. */
   public GenerationHandle resume(
-      ResumeToken token, PolicySettings settings, GenerationListener listener, Runnable onDone) {
+      ResumeToken token,
+      PolicySettings settings,
+      GenerationClass generationClass,
+      GenerationListener listener,
+      Runnable onDone) {
     String requestId = token.generationId();
-    String fingerprint = RequestFingerprint.of(token.workspace(), "resume", requestId);
     SessionWork work =
         new SessionWork(
             requestId,
@@ -79,8 +81,8 @@
             token.service(),
             settings.model(),
             new GenerationRequest("", "", 0),
-            GenerationClass.STREAMED,
-            fingerprint);
+            generationClass,
+            token.fingerprint());
     SessionHandle handle = new SessionHandle(environment.traffic(), requestId);
     environment
         .traffic()
--- a/basilport-router/src/main/java/org/basilport/delivery/GenerationSession.java
+++ b/basilport-router/src/main/java/org/basilport/delivery/GenerationSession.java
@@ -29,6 +29,8 @@
  */
 final class GenerationSession implements GenerationHandle, GenerationAttempt.Owner {
   private static final Duration QUEUE_DEADLINE = Duration.ofSeconds(30);
+  // A suspect waits for its turn behind other suspects, which run one at a time on each server.
+  private static final Duration ISOLATION_DEADLINE = Duration.ofMinutes(2);
   private static final Duration PLACEMENT_RETRY = Duration.ofMillis(100);
   private static final int MAX_ATTEMPTS = 3;
   private static final int MAX_REFUSED_PLACEMENTS = 5;
@@ -145,7 +147,8 @@
       leave(addresses);
       return;
     }
-    String token = token();
+    // The tokens of a deferred generation are kept by its run here, so the next run needs them all.
+    String token = token(isDeferred() ? 0 : buffer.deliveredOffset());
     record(EventType.GENERATION_HANDED_OVER, current.generationId(), buffer.deliveredOffset());
     current.close();
     finish();
@@ -344,7 +347,8 @@
       if (first) {
         record(EventType.GENERATION_FIRST_TOKEN, current.generationId());
       }
-      listener.onTokens(frame.offset(), frame.tokens(), token());
+      String token = isDeferred() ? "" : token(buffer.deliveredOffset());
+      listener.onTokens(frame.offset(), frame.tokens(), token);
     }
     if (state == State.RUNNING && end != null && buffer.isEmpty()) {
       record(EventType.GENERATION_FINISHED, current.generationId(), end.totalTokens());
@@ -399,8 +403,10 @@
 
   private void startQueueDeadline() {
     queueDeadline.cancel();
-    if (work.generationClass() == GenerationClass.STREAMED) {
-      queueDeadline = traffic.schedule(QUEUE_DEADLINE, this::queueDeadlinePassed);
+    if (!isDeferred()) {
+      boolean suspect = environment.crashes().verdict(work.fingerprint()) == Verdict.SUSPECT;
+      Duration limit = suspect ? ISOLATION_DEADLINE : QUEUE_DEADLINE;
+      queueDeadline = traffic.schedule(limit, this::queueDeadlinePassed);
     }
   }
 
@@ -415,8 +421,12 @@
     environment.events().record(type, subject, arguments);
   }
 
-  private String token() {
+  private boolean isDeferred() {
+    return work.generationClass() == GenerationClass.DEFERRED;
+  }
+
+  private String token(long offset) {
     return SessionTokens.encode(
-        environment, work, current.server(), current.generationId(), buffer.deliveredOffset());
+        environment, work, current.server(), current.generationId(), offset);
   }
 }
--- a/basilport-router/src/main/java/org/basilport/delivery/ResumeToken.java
+++ b/basilport-router/src/main/java/org/basilport/delivery/ResumeToken.java
@@ -9,6 +9,7 @@
  * @param incarnation incarnation of the backend server
  * @param generationId id of the attempt
  * @param nextOffset number of the first token that the caller does not have
+ * @param fingerprint hash of the request, by which its crashes are recognised
  * @param expiresAtSeconds end of the token's validity, in seconds since the epoch
  */
 public record ResumeToken(
@@ -18,4 +19,5 @@
     long incarnation,
     String generationId,
     long nextOffset,
+    String fingerprint,
     long expiresAtSeconds) {}
--- a/basilport-router/src/main/java/org/basilport/delivery/ResumeTokenCodec.java
+++ b/basilport-router/src/main/java/org/basilport/delivery/ResumeTokenCodec.java
@@ -89,6 +89,7 @@
       out.writeLong(token.incarnation());
       out.writeUTF(token.generationId());
       out.writeLong(token.nextOffset());
+      out.writeUTF(token.fingerprint());
       out.writeLong(token.expiresAtSeconds());
     } catch (IOException e) {
       throw new UncheckedIOException(e);
@@ -108,6 +109,7 @@
           in.readLong(),
           in.readUTF(),
           in.readLong(),
+          in.readUTF(),
           in.readLong());
     } catch (IOException e) {
       throw rejected(FailureCode.MALFORMED, "the resume token is truncated");
--- a/basilport-router/src/main/java/org/basilport/delivery/SessionTokens.java
+++ b/basilport-router/src/main/java/org/basilport/delivery/SessionTokens.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import org.basilport.backend.BackendServer;
-import org.basilport.policy.GenerationClass;
 
 /** Makes the resume tokens of sessions. */
 final class SessionTokens {
@@ -11,16 +10,13 @@
 
   private SessionTokens() {}
 
-  /** Returns the token to go on with; empty for work that no caller resumes. */
+  /** Returns the token to go on with after the tokens before an offset. */
   static String encode(
       DeliveryEnvironment environment,
       SessionWork work,
       BackendServer server,
       String generationId,
       long nextOffset) {
-    if (work.generationClass() == GenerationClass.DEFERRED) {
-      return "";
-    }
     long expiry = environment.traffic().now().plus(LIFETIME).getEpochSecond();
     return environment
         .tokens()
@@ -32,6 +28,7 @@
                 server.incarnation(),
                 generationId,
                 nextOffset,
+                work.fingerprint(),
                 expiry));
   }
 }
--- a/basilport-router/src/main/java/org/basilport/router/DefaultRouter.java
+++ b/basilport-router/src/main/java/org/basilport/router/DefaultRouter.java
@@ -146,7 +146,8 @@
       Workspace workspace = gate.authenticate(credentials);
       ResumeToken token = components.tokens().decode(resumeToken, workspace.name(), traffic.now());
       gate.checkServing(workspace, "");
-      return components.resume(gate.configuration(), token, listener, gate.enter(workspace));
+      return components.resume(
+          gate.configuration(), token, GenerationClass.STREAMED, listener, gate.enter(workspace));
     } catch (BasilportException e) {
       return refuse(e, listener);
     }
--- a/basilport-router/src/main/java/org/basilport/router/DrainCoordinator.java
+++ b/basilport-router/src/main/java/org/basilport/router/DrainCoordinator.java
@@ -42,14 +42,16 @@
     resources.timeline().record(EventType.INSTANCE_DRAINING, EventSubject.NONE, instanceId, reason);
     startedNanos = control.nanoTime();
     resources.controlPlane().leave();
-    components.jobs().stop();
+    components.drainJobs();
     components.generations().leave(otherAddresses());
     check();
   }
 
   private void check() {
     boolean empty =
-        components.generations().active().isEmpty() && components.calls().active().isEmpty();
+        components.generations().active().isEmpty()
+            && components.calls().active().isEmpty()
+            && components.jobs().idle();
     if (empty) {
       drained.complete(null);
       return;
--- a/basilport-router/src/main/java/org/basilport/router/RouterComponents.java
+++ b/basilport-router/src/main/java/org/basilport/router/RouterComponents.java
@@ -11,6 +11,7 @@
 import org.basilport.config.ModelService;
 import org.basilport.config.Route;
 import org.basilport.deferred.DeferredJobs;
+import org.basilport.deferred.JobStarter;
 import org.basilport.delivery.DeliveryEnvironment;
 import org.basilport.delivery.FullJitter;
 import org.basilport.delivery.GenerationHandle;
@@ -126,6 +127,11 @@
                 () -> resources.controlPlane().reportActiveStreams(generations.active().size()));
   }
 
+  /** Starts no more jobs, and gives up the shards whose jobs have ended. */
+  void drainJobs() {
+    jobs.drain();
+  }
+
   void stop() {
     jobs.stop();
     archive.stop();
@@ -165,6 +171,7 @@
   GenerationHandle resume(
       AcceptedConfiguration configuration,
       ResumeToken token,
+      GenerationClass generationClass,
       GenerationListener listener,
       Runnable onDone) {
     PolicySettings settings = policySettings.settings(configuration, token.service());
@@ -173,7 +180,7 @@
       throw new RejectedException(
           FailureCode.UNKNOWN_ROUTE, Step.ADMIT, "the generation's service is not known");
     }
-    return generations.resume(token, settings, listener, onDone);
+    return generations.resume(token, settings, generationClass, listener, onDone);
   }
 
   private DeferredJobs newJobs(RequestIds ids) {
@@ -183,7 +190,7 @@
         resources.control(),
         resources.timeline(),
         resources.controlPlane().membership(),
-        this::startJob,
+        new Starter(),
         settings.instanceId() + "@" + settings.incarnation(),
         settings.clusterKey(),
         ids::next,
@@ -191,15 +198,10 @@
   }
 
   private GenerationHandle startJob(
-      String requestId,
-      String workspace,
-      String route,
-      String prompt,
-      int maxTokens,
-      GenerationListener listener) {
+      String requestId, String workspace, GenerationRequest request, GenerationListener listener) {
     AcceptedConfiguration configuration = gate.configuration();
     Deployment deployment = configuration.deployment();
-    Route found = RequestGate.route(deployment, route, Route.Delivery.DEFERRED);
+    Route found = RequestGate.route(deployment, request.route(), Route.Delivery.DEFERRED);
     ModelService service =
         deployment
             .modelService(found.service())
@@ -207,9 +209,27 @@
                 () ->
                     new RejectedException(
                         FailureCode.UNKNOWN_ROUTE, Step.ADMIT, "the service is not known"));
-    GenerationRequest request = new GenerationRequest(route, prompt, maxTokens);
     SessionWork work =
         DefaultRouter.work(requestId, workspace, service, request, GenerationClass.DEFERRED);
     return generate(configuration, work, listener, () -> {});
   }
+
+  private final class Starter implements JobStarter {
+    @Override
+    public GenerationHandle start(
+        String requestId,
+        String workspace,
+        GenerationRequest request,
+        GenerationListener listener) {
+      return startJob(requestId, workspace, request, listener);
+    }
+
+    @Override
+    public GenerationHandle resume(
+        String workspace, String resumeToken, GenerationListener listener) {
+      ResumeToken token = tokens.decode(resumeToken, workspace, resources.traffic().now());
+      return RouterComponents.this.resume(
+          gate.configuration(), token, GenerationClass.DEFERRED, listener, () -> {});
+    }
+  }
 }
--- a/basilport-router/src/test/java/org/basilport/deferred/DeferredJobsTest.java
+++ b/basilport-router/src/test/java/org/basilport/deferred/DeferredJobsTest.java
@@ -137,6 +137,32 @@
       fleet.run(60_000);
       assertThat(first.state()).isEqualTo(DeferredJob.State.FINISHED);
       assertThat(collect(id)).isEqualTo(first);
+      assertThat(runs()).isEqualTo(2);
+    }
+
+    /** Guards against engine time that is wasted when an owner is replaced in order. */
+    @Test
+    void aDrainedOwnerHandsItsRunOver() {
+      CompletableFuture<String> accepted = submit(5_000);
+      fleet.run(5_000);
+      String id = accepted.join();
+      CompletableFuture<Void> drained = fleet.routers.get(ownerOf(id)).drain("test");
+      fleet.run(90_000);
+
+      DeferredJob job = collect(id);
+      assertThat(drained.isDone()).isTrue();
+      assertThat(job.state()).isEqualTo(DeferredJob.State.FINISHED);
+      assertThat(job.result().get()).startsWith(firstToken());
+      assertThat(job.result().get()).endsWith(":4999");
+      assertThat(runs()).isEqualTo(1);
+    }
+
+    private String firstToken() {
+      return fleet.engines.values().stream()
+          .flatMap(engine -> engine.started.stream())
+          .findFirst()
+          .map(generation -> generation + ":0")
+          .orElseThrow();
     }
   }
 
--- a/basilport-router/src/test/java/org/basilport/delivery/GenerationDeliveryTest.java
+++ b/basilport-router/src/test/java/org/basilport/delivery/GenerationDeliveryTest.java
@@ -306,7 +306,7 @@
     @Test
     void eachPartOfTheTokenIsSigned() {
       ResumeTokenCodec codec = new ResumeTokenCodec("key");
-      ResumeToken token = new ResumeToken("w", "s", "e", 1, "g-1", 5, Long.MAX_VALUE);
+      ResumeToken token = new ResumeToken("w", "s", "e", 1, "g-1", 5, "f", Long.MAX_VALUE);
       String text = codec.encode(token);
       assertThat(codec.decode(text, "w", fleet.scheduler.now())).isEqualTo(token);
       String other = new ResumeTokenCodec("key2").encode(token);
