Share free memory between instances by visible and own freed memory

Change: an instance takes its share of what the latest report shows as free and reuses what its own work gave back since; rarely it may take all of the free memory; a blocked workspace does not stop others; forecasts of others' work include what waits at the engine and the age of the report; 2.5% of the memory stays free.

--- a/basilport-policy/src/main/java/org/basilport/policy/AdaptiveGenerationPolicy.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/AdaptiveGenerationPolicy.java
@@ -32,6 +32,15 @@
   /** Generated tokens between two updates of a running generation's forecast. */
   private static final long FORECAST_STEP = 32;
 
+  /** Workspaces whose next generation may wait for memory while those of others start. */
+  private static final int LOOKAHEAD = 4;
+
+  /**
+   * One turn in this many, per feeding instance, may use all of a replica's free memory. More turns
+   * make several instances fill the same memory at once.
+   */
+  private static final int TURNS_PER_DRAW = 16;
+
   private static final int STREAMED_PRIORITY = 100;
   private static final int LARGEST_ATTEMPT_PRIORITY = 50;
   private static final double NANOS_PER_SECOND = 1e9;
@@ -41,8 +50,10 @@
   private final MemoryAdmission admission;
   private final PrefixDirectory prefixes = new PrefixDirectory(PREFIX_LIMIT);
   private final ReplicaSelector selector;
+  private final SplittableRandom random;
   private final Map<String, WorkItem> waiting = new HashMap<>();
   private final Map<String, RunningWork> running = new HashMap<>();
+  private final List<WorkspaceAccount> skipped = new ArrayList<>();
   private final MemoryForecast candidate = new MemoryForecast();
   private List<ReplicaLedger> ledgers = List.of();
 
@@ -52,6 +63,7 @@
     this.lengths = lengths;
     this.queue = new FairQueue(settings.queueLimit(), settings.workspaceWeights());
     this.admission = new MemoryAdmission(settings.admissionRisk());
+    this.random = random;
     this.selector = new AffinitySelector(prefixes, random);
   }
 
@@ -77,12 +89,24 @@
     }
     List<Placement> placements = new ArrayList<>();
     for (GenerationClass generationClass : GenerationClass.values()) {
+      placeClass(generationClass, placements, nowNanos);
+    }
+    return placements;
+  }
+
+  private void placeClass(
+      GenerationClass generationClass, List<Placement> placements, long nowNanos) {
+    skipped.clear();
+    while (skipped.size() < LOOKAHEAD) {
       WorkItem item = queue.peek(generationClass).orElse(null);
-      while (item != null && placeOne(item, placements, nowNanos)) {
-        item = queue.peek(generationClass).orElse(null);
+      if (item == null) {
+        break;
+      }
+      if (!placeOne(item, placements, nowNanos)) {
+        skipped.add(queue.skip(generationClass));
       }
     }
-    return placements;
+    queue.restore(generationClass, skipped);
   }
 
   private boolean placeOne(WorkItem item, List<Placement> placements, long nowNanos) {
@@ -97,7 +121,7 @@
     WorkspaceAccount account = queue.start(item, PROMPT_SERVICE * item.promptTokens());
     RunningWork work = new RunningWork(item, ledger, account, lengths.distribution(item), nowNanos);
     work.forecast.add(candidate, 1);
-    ledger.start(work.forecast);
+    ledger.start(work.forecast, nowNanos);
     admission.adjustFleet(work.forecast, 1);
     running.put(item.requestId(), work);
     prefixes.add(item.prefixHash(), ledger.serverId());
@@ -148,7 +172,7 @@
       lengths.grown(work.item, work.observed, generatedTokens);
       lengths.ended(work.item, generatedTokens);
     }
-    work.ledger.end(work.forecast);
+    work.ledger.end(work.forecast, nowNanos);
     admission.adjustFleet(work.forecast, -1);
     queue.end(work.account);
   }
@@ -172,7 +196,7 @@
       if (ledger == null) {
         ledger = new ReplicaLedger(state);
       }
-      ledger.report(state, nowNanos);
+      ledger.report(state, turn(feedingInstances), nowNanos);
       next.add(ledger);
     }
     known.keySet().forEach(prefixes::forget);
@@ -180,6 +204,10 @@
     admission.feedingInstances(feedingInstances);
   }
 
+  private boolean turn(int feedingInstances) {
+    return random.nextInt(TURNS_PER_DRAW * Math.max(1, feedingInstances)) == 0;
+  }
+
   @Override
   public int waiting() {
     return queue.size();
--- a/basilport-policy/src/main/java/org/basilport/policy/admission/MemoryAdmission.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/admission/MemoryAdmission.java
@@ -10,10 +10,19 @@
  * unused, since not all of them are long at once.
  *
  * <p>Work of other instances is forecast from its reported size, with the growth of this instance's
- * own work, since all instances serve the same mix. Between two reports an instance takes at most
- * its share of the free memory, because the others may do the same.
+ * own work, since all instances serve the same mix. Of the memory that a report shows as free, an
+ * instance takes at most its share until the next report, because the others may do the same.
+ * Memory that its own work gave back since then is not visible to the others, and is used again at
+ * once. A generation that is larger than the share would never fit, so each instance is at random
+ * allowed to use all of the free memory in a few of its turns.
  */
 public final class MemoryAdmission {
+  /**
+   * Share of the memory that is filled. The rest absorbs placements of other instances that no
+   * report shows yet, which the forecast's variance does not cover.
+   */
+  private static final double USABLE = 0.975;
+
   private final double deviations;
   private final MemoryForecast fleet = new MemoryForecast();
   private int feedingInstances = 1;
@@ -42,11 +51,11 @@
     if (ledger.empty()) {
       return true;
     }
-    double capacity = ledger.state().capacityTokens();
+    double capacity = USABLE * ledger.state().capacityTokens();
     double held = Math.max(1, fleet.mean(0));
     double others = ledger.othersHeld() / held;
     for (int i = 0; i < MemoryForecast.SIZE; i++) {
-      double mean = ledger.own().mean(i) + growth(i, others, ledger.othersHeld());
+      double mean = ledger.own().mean(i) + growth(i, others, ledger);
       double variance = ledger.own().variance(i) + others * fleet.variance(i);
       double after =
           mean
@@ -56,15 +65,18 @@
         return false;
       }
       double freshMean = ledger.fresh().mean(i);
-      double free = capacity - mean + freshMean;
-      if ((freshMean + candidate.mean(i)) * feedingInstances > free) {
+      double free = Math.max(0, capacity - mean + freshMean);
+      double share = ledger.turn() ? free : free / feedingInstances;
+      if (freshMean + candidate.mean(i) > share) {
         return false;
       }
     }
     return true;
   }
 
-  private double growth(int index, double others, double othersHeld) {
-    return fleet.mean(0) < 1 ? othersHeld : others * fleet.mean(index);
+  private double growth(int index, double others, ReplicaLedger ledger) {
+    return fleet.mean(0) < 1
+        ? ledger.othersHeld()
+        : others * fleet.meanAfter(index, ledger.ageSteps());
   }
 }
--- a/basilport-policy/src/main/java/org/basilport/policy/admission/MemoryForecast.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/admission/MemoryForecast.java
@@ -57,6 +57,20 @@
     return mean[index];
   }
 
+  /** Returns the expected memory a number of steps after a position, interpolated. */
+  public double meanAfter(int index, double steps) {
+    double at = HORIZONS[index] + steps;
+    int next = index;
+    while (next < SIZE && HORIZONS[next] <= at) {
+      next++;
+    }
+    if (next == SIZE) {
+      return mean[SIZE - 1];
+    }
+    double share = (at - HORIZONS[next - 1]) / (HORIZONS[next] - HORIZONS[next - 1]);
+    return mean[next - 1] + share * (mean[next] - mean[next - 1]);
+  }
+
   /** Returns the variance of the memory at a position of the future steps. */
   public double variance(int index) {
     return variance[index];
--- a/basilport-policy/src/main/java/org/basilport/policy/admission/ReplicaLedger.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/admission/ReplicaLedger.java
@@ -1,5 +1,6 @@
 package org.basilport.policy.admission;
 
+import java.util.ArrayDeque;
 import java.util.Arrays;
 import org.basilport.policy.ReplicaState;
 import org.basilport.policy.routing.ReplicaLoad;
@@ -14,18 +15,25 @@
   /** Remembered points of own use; at 100 ms apart they reach back over 12 s. */
   private static final int HISTORY = 128;
 
+  private static final double NANOS_PER_MILLI = 1e6;
+  private static final long SHORTEST_TURN_NANOS = 100_000_000L;
+
   /** Index of the future step at which {@link #load} looks. */
   private static final int LOAD_HORIZON = 4;
 
   private final String serverId;
   private final MemoryForecast own = new MemoryForecast();
   private final MemoryForecast fresh = new MemoryForecast();
+  private final ArrayDeque<Change> changes = new ArrayDeque<>();
   private final long[] historyNanos = new long[HISTORY];
   private final double[] historyHeld = new double[HISTORY];
   private int historyNext;
   private ReplicaState state;
   private double othersHeld;
+  private double ageSteps;
   private int outstanding;
+  private boolean turn;
+  private long turnEndsNanos = Long.MIN_VALUE;
 
   /** Creates the ledger of a replica from its first report. */
   public ReplicaLedger(ReplicaState state) {
@@ -35,22 +43,41 @@
     Arrays.fill(historyNanos, Long.MIN_VALUE);
   }
 
-  /** Takes a report. */
-  public void report(ReplicaState report, long nowNanos) {
+  /**
+   * Takes a report.
+   *
+   * @param drawn whether this instance may use all of the free memory in its next turn
+   */
+  public void report(ReplicaState report, boolean drawn, long nowNanos) {
     historyNanos[historyNext] = nowNanos;
     historyHeld[historyNext] = own.mean(0);
     historyNext = (historyNext + 1) % HISTORY;
-    if (report.measuredAtNanos() != state.measuredAtNanos()) {
+    while (!changes.isEmpty() && changes.peek().atNanos <= report.measuredAtNanos()) {
+      Change seen = changes.remove();
+      fresh.add(seen.forecast, -seen.sign);
+    }
+    if (changes.isEmpty()) {
       fresh.clear();
     }
+    if (nowNanos >= turnEndsNanos) {
+      turn = drawn;
+      turnEndsNanos = nowNanos + Math.max(SHORTEST_TURN_NANOS, nowNanos - report.measuredAtNanos());
+    }
     state = report;
-    othersHeld = Math.max(0, report.usedTokens() - heldAt(report.measuredAtNanos()));
+    double waitingTokens =
+        (double) report.usedTokens() / Math.max(1, report.running()) * report.waiting();
+    othersHeld =
+        Math.max(0, report.usedTokens() + waitingTokens - heldAt(report.measuredAtNanos()));
+    ageSteps =
+        report.medianTokenMillis() <= 0
+            ? 0
+            : (nowNanos - report.measuredAtNanos()) / NANOS_PER_MILLI / report.medianTokenMillis();
   }
 
   /** Adds own work that starts now. */
-  public void start(MemoryForecast forecast) {
+  public void start(MemoryForecast forecast, long nowNanos) {
     own.add(forecast, 1);
-    fresh.add(forecast, 1);
+    change(forecast, 1, nowNanos);
     outstanding++;
   }
 
@@ -60,8 +87,9 @@
   }
 
   /** Removes own work that ended. */
-  public void end(MemoryForecast forecast) {
+  public void end(MemoryForecast forecast, long nowNanos) {
     own.add(forecast, -1);
+    change(forecast, -1, nowNanos);
     outstanding--;
     if (outstanding == 0) {
       own.clear();
@@ -73,11 +101,21 @@
     return own;
   }
 
-  /** Returns the forecast of own work that was placed after the latest report. */
+  /** Returns the forecast of own work placed after the latest report, less what ended since. */
   public MemoryForecast fresh() {
     return fresh;
   }
 
+  /** Returns the age of the latest report in decode steps. */
+  public double ageSteps() {
+    return ageSteps;
+  }
+
+  /** Returns whether this instance may use all of the free memory, and not only its share. */
+  public boolean turn() {
+    return turn;
+  }
+
   /** Returns the latest report. */
   public ReplicaState state() {
     return state;
@@ -118,6 +156,13 @@
     return state.medianTokenMillis();
   }
 
+  private void change(MemoryForecast forecast, int sign, long nowNanos) {
+    MemoryForecast copy = new MemoryForecast();
+    copy.add(forecast, 1);
+    changes.add(new Change(copy, sign, nowNanos));
+    fresh.add(forecast, sign);
+  }
+
   private double heldAt(long nanos) {
     double held = 0;
     long best = Long.MIN_VALUE;
@@ -129,4 +174,6 @@
     }
     return held;
   }
+
+  private record Change(MemoryForecast forecast, int sign, long atNanos) {}
 }
--- a/basilport-policy/src/main/java/org/basilport/policy/fairness/FairQueue.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/fairness/FairQueue.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.basilport.policy.GenerationClass;
@@ -73,6 +74,20 @@
         : Optional.ofNullable(heap.peek().queues.get(generationClass).peek());
   }
 
+  /** Takes the next workspace of a class out of the order until {@link #restore}. */
+  public WorkspaceAccount skip(GenerationClass generationClass) {
+    WorkspaceAccount account = heaps[generationClass.ordinal()].peek();
+    heaps[generationClass.ordinal()].remove(account);
+    return account;
+  }
+
+  /** Puts skipped workspaces of a class back. */
+  public void restore(GenerationClass generationClass, List<WorkspaceAccount> skipped) {
+    for (WorkspaceAccount account : skipped) {
+      heaps[generationClass.ordinal()].add(account);
+    }
+  }
+
   /** Takes a generation that starts now, and charges its workspace. */
   public WorkspaceAccount start(WorkItem item, double service) {
     WorkspaceAccount account = account(item.workspace());
