--- a/basilport-bench/src/main/java/org/basilport/bench/policy/Measure.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/policy/Measure.java
@@ -32,6 +32,8 @@
   MEMORY("memory used", "share", true),
   /** Largest gap of weighted service between backlogged workspaces in a window. */
   FAIRNESS_GAP("fairness gap", "tokens/window", false),
+  /** Largest gap of weighted service between workspaces backlogged at one instance. */
+  INSTANCE_FAIRNESS_GAP("fairness gap inst.", "tokens/window", false),
   /** Tokens of the workspaces other than the greedy one. */
   OTHERS_GOODPUT("others' goodput", "tokens/s", true),
   /** Generations that a full queue refused, per 1,000 arrivals. */
--- a/basilport-bench/src/main/java/org/basilport/bench/policy/MetricsCollector.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/policy/MetricsCollector.java
@@ -35,6 +35,7 @@
   private double memorySum;
   private long memorySamples;
   private double fairnessGap;
+  private double instanceFairnessGap;
 
   void activate() {
     active = true;
@@ -105,6 +106,12 @@
     }
   }
 
+  void instanceFairness(double gap) {
+    if (active) {
+      instanceFairnessGap = Math.max(instanceFairnessGap, gap);
+    }
+  }
+
   void fairness(double gap) {
     if (active) {
       fairnessGap = Math.max(fairnessGap, gap);
@@ -130,6 +137,7 @@
     result.put(Measure.GOODPUT, (all - lostTokens) / seconds);
     result.put(Measure.MEMORY, memorySum / Math.max(1, memorySamples));
     result.put(Measure.FAIRNESS_GAP, fairnessGap);
+    result.put(Measure.INSTANCE_FAIRNESS_GAP, instanceFairnessGap);
     result.put(Measure.OTHERS_GOODPUT, (all - tokens[ArrivalGenerator.GREEDY]) / seconds);
     result.put(Measure.REFUSED, refused * PER_THOUSAND / Math.max(1, arrivals));
     result.put(Measure.LOST, lost * PER_THOUSAND / Math.max(1, arrivals));
--- a/basilport-bench/src/main/java/org/basilport/bench/policy/PolicySimulation.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/policy/PolicySimulation.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -46,7 +47,10 @@
   private final List<ArrayDeque<ReplicaState>> snapshots = new ArrayList<>();
   private final MetricsCollector metrics = new MetricsCollector();
   private final FairnessProbe fairness;
+  private final FairnessProbe[] instanceFairness = new FairnessProbe[ArrivalGenerator.INSTANCES];
   private final int[] pending = new int[ArrivalGenerator.WORKSPACES];
+  private final int[][] pendingAt =
+      new int[ArrivalGenerator.INSTANCES][ArrivalGenerator.WORKSPACES];
   private final SplittableRandom faults;
   private long now;
   private long sequence;
@@ -66,6 +70,7 @@
     SplittableRandom random = new SplittableRandom(seed);
     this.faults = random.split();
     this.fairness = new FairnessProbe(ArrivalGenerator.weights());
+    Arrays.setAll(instanceFairness, i -> new FairnessProbe(ArrivalGenerator.weights()));
     for (int i = 0; i < deployment.replicas(); i++) {
       boolean slow = workload.slowReplica() && i == 1;
       EngineModel engine =
@@ -124,7 +129,7 @@
     Generation generation = new Generation(arrival, item);
     if (policies[arrival.instance()].submit(item, now)) {
       generations.put(item.requestId(), generation);
-      pending[arrival.workspace()]++;
+      pending(arrival, 1);
       place(arrival.instance());
     } else {
       metrics.refused();
@@ -231,6 +236,9 @@
       }
     }
     metrics.fairness(fairness.sample(pending));
+    for (int i = 0; i < instanceFairness.length; i++) {
+      metrics.instanceFairness(instanceFairness[i].sample(pendingAt[i]));
+    }
     at(now + SECOND, this::sample);
   }
 
@@ -247,7 +255,7 @@
     policies[arrival.instance()].finished(id, generation.generated, false, now);
     generations.remove(id);
     if (generation.firstTokenNanos == Generation.NEVER) {
-      pending[arrival.workspace()]--;
+      pending(arrival, -1);
     }
     boolean repeatable =
         generation.generated == 0 || generation.item.generationClass() == GenerationClass.DEFERRED;
@@ -275,9 +283,8 @@
   @Override
   public void firstToken(Generation generation, long nowNanos) {
     metrics.first(generation, nowNanos);
-    int workspace = generation.arrival.workspace();
-    pending[workspace]--;
-    fairness.serve(workspace, PROMPT_SERVICE * generation.item.promptTokens());
+    pending(generation.arrival, -1);
+    serve(generation.arrival, PROMPT_SERVICE * generation.item.promptTokens());
     generation.chargedNanos = nowNanos;
   }
 
@@ -305,14 +312,23 @@
     }
   }
 
+  private void pending(Arrival arrival, int change) {
+    pending[arrival.workspace()] += change;
+    pendingAt[arrival.instance()][arrival.workspace()] += change;
+  }
+
+  private void serve(Arrival arrival, double service) {
+    fairness.serve(arrival.workspace(), service);
+    instanceFairness[arrival.instance()].serve(arrival.workspace(), service);
+  }
+
   private void deliver(Generation generation, long nowNanos) {
     long tokens = generation.generated - generation.delivered;
     double seconds = (nowNanos - generation.chargedNanos) / (double) SECOND;
     generation.delivered = generation.generated;
     generation.chargedNanos = nowNanos;
-    int workspace = generation.arrival.workspace();
-    metrics.delivered(workspace, tokens);
-    fairness.serve(workspace, tokens + MEMORY_SERVICE * generation.held() * seconds);
+    metrics.delivered(generation.arrival.workspace(), tokens);
+    serve(generation.arrival, tokens + MEMORY_SERVICE * generation.held() * seconds);
   }
 
   @Override
--- a/basilport-bench/src/main/java/org/basilport/bench/policy/TextReport.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/policy/TextReport.java
@@ -17,6 +17,7 @@
           Measure.GOODPUT,
           Measure.MEMORY,
           Measure.FAIRNESS_GAP,
+          Measure.INSTANCE_FAIRNESS_GAP,
           Measure.OTHERS_GOODPUT,
           Measure.REFUSED,
           Measure.MOST_PREEMPTIONS,
--- a/basilport-policy/src/main/java/org/basilport/policy/AdaptiveGenerationPolicy.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/AdaptiveGenerationPolicy.java
@@ -41,6 +41,15 @@
    */
   private static final int TURNS_PER_DRAW = 16;
 
+  /** Time of a decode step that is assumed when future memory use is charged, in seconds. */
+  private static final double STEP_SECONDS = 0.03;
+
+  /** Service that waiting deferred work may claim for each unit that streamed work receives. */
+  private static final double DEFERRED_SHARE = 0.25;
+
+  /** Claimed service at which deferred work goes before streamed work. */
+  private static final double DEFERRED_DEBT_LIMIT = 20_000;
+
   private static final int STREAMED_PRIORITY = 100;
   private static final int LARGEST_ATTEMPT_PRIORITY = 50;
   private static final double NANOS_PER_SECOND = 1e9;
@@ -56,6 +65,7 @@
   private final List<WorkspaceAccount> skipped = new ArrayList<>();
   private final MemoryForecast candidate = new MemoryForecast();
   private List<ReplicaLedger> ledgers = List.of();
+  private double deferredDebt;
 
   /** Creates a policy with an estimator of output lengths and a seeded random source. */
   public AdaptiveGenerationPolicy(
@@ -88,9 +98,11 @@
       return List.of();
     }
     List<Placement> placements = new ArrayList<>();
-    for (GenerationClass generationClass : GenerationClass.values()) {
-      placeClass(generationClass, placements, nowNanos);
+    if (deferredDebt > DEFERRED_DEBT_LIMIT) {
+      placeClass(GenerationClass.DEFERRED, placements, nowNanos);
     }
+    placeClass(GenerationClass.STREAMED, placements, nowNanos);
+    placeClass(GenerationClass.DEFERRED, placements, nowNanos);
     return placements;
   }
 
@@ -102,8 +114,17 @@
       if (item == null) {
         break;
       }
-      if (!placeOne(item, placements, nowNanos)) {
-        skipped.add(queue.skip(generationClass));
+      if (placeOne(item, placements, nowNanos)) {
+        continue;
+      }
+      WorkItem other = queue.peekOtherRoute(generationClass).orElse(null);
+      WorkspaceAccount account = queue.skip(generationClass);
+      skipped.add(account);
+      if (queue.bypassExhausted(account)) {
+        break;
+      }
+      if (other != null) {
+        placeOne(other, placements, nowNanos);
       }
     }
     queue.restore(generationClass, skipped);
@@ -118,8 +139,13 @@
     }
     ReplicaLedger ledger = ledgers.get(position);
     waiting.remove(item.requestId());
-    WorkspaceAccount account = queue.start(item, PROMPT_SERVICE * item.promptTokens());
+    double service = service(item);
+    queue.bypass(skipped, service);
+    payClass(item.generationClass(), service);
+    WorkspaceAccount account = queue.start(item, service);
     RunningWork work = new RunningWork(item, ledger, account, lengths.distribution(item), nowNanos);
+    work.charged = service;
+    work.served = PROMPT_SERVICE * item.promptTokens();
     work.forecast.add(candidate, 1);
     ledger.start(work.forecast, nowNanos);
     admission.adjustFleet(work.forecast, 1);
@@ -129,6 +155,20 @@
     return true;
   }
 
+  private double service(WorkItem item) {
+    return PROMPT_SERVICE * item.promptTokens()
+        + candidate.tokens()
+        + MEMORY_SERVICE * STEP_SECONDS * candidate.tokenSteps();
+  }
+
+  private void payClass(GenerationClass generationClass, double service) {
+    if (generationClass == GenerationClass.DEFERRED) {
+      deferredDebt = Math.max(0, deferredDebt - service);
+    } else if (queue.waits(GenerationClass.DEFERRED)) {
+      deferredDebt += DEFERRED_SHARE * service;
+    }
+  }
+
   private static int priority(WorkItem item) {
     int retried = Math.min(LARGEST_ATTEMPT_PRIORITY, item.attempt() - 1);
     return item.generationClass() == GenerationClass.STREAMED
@@ -156,7 +196,11 @@
   private void charge(RunningWork work, long generatedTokens, long nowNanos) {
     double seconds = (nowNanos - work.lastNanos) / NANOS_PER_SECOND;
     double held = work.item.promptTokens() + generatedTokens;
-    queue.charge(work.account, generatedTokens - work.generated + MEMORY_SERVICE * held * seconds);
+    work.served += generatedTokens - work.generated + MEMORY_SERVICE * held * seconds;
+    if (work.served > work.charged) {
+      queue.charge(work.account, work.served - work.charged);
+      work.charged = work.served;
+    }
     work.generated = generatedTokens;
     work.lastNanos = nowNanos;
   }
@@ -168,6 +212,7 @@
       return;
     }
     charge(work, generatedTokens, nowNanos);
+    queue.charge(work.account, work.served - work.charged);
     if (completed) {
       lengths.grown(work.item, work.observed, generatedTokens);
       lengths.ended(work.item, generatedTokens);
--- a/basilport-policy/src/main/java/org/basilport/policy/RunningWork.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/RunningWork.java
@@ -12,6 +12,8 @@
   final WorkspaceAccount account;
   final LengthDistribution lengths;
   final MemoryForecast forecast = new MemoryForecast();
+  double charged;
+  double served;
   long generated;
   long observed = -1;
   long lastNanos;
--- a/basilport-policy/src/main/java/org/basilport/policy/admission/MemoryForecast.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/admission/MemoryForecast.java
@@ -20,10 +20,15 @@
 
   private final double[] mean = new double[SIZE];
   private final double[] variance = new double[SIZE];
+  private double tokens;
+  private double tokenSteps;
 
   /** Sets this to the forecast of one generation. */
   public void assign(
       long promptTokens, long generated, long maxTokens, LengthDistribution lengths) {
+    tokens = 0;
+    tokenSteps = 0;
+    double aliveBefore = 1;
     for (int i = 0; i < SIZE; i++) {
       long further = HORIZONS[i];
       double alive =
@@ -33,9 +38,25 @@
       double held = promptTokens + generated + further;
       mean[i] = alive * held;
       variance[i] = alive * (1 - alive) * held * held;
+      if (i > 0) {
+        double steps = further - HORIZONS[i - 1];
+        tokens += steps * (alive + aliveBefore) / 2;
+        tokenSteps += steps * (mean[i] + mean[i - 1]) / 2;
+      }
+      aliveBefore = alive;
     }
   }
 
+  /** Returns the expected number of further tokens of the generation that was assigned last. */
+  public double tokens() {
+    return tokens;
+  }
+
+  /** Returns the expected memory times steps of the generation that was assigned last. */
+  public double tokenSteps() {
+    return tokenSteps;
+  }
+
   /** Adds another forecast, multiplied by a sign or share. */
   public void add(MemoryForecast other, double factor) {
     for (int i = 0; i < SIZE; i++) {
--- a/basilport-policy/src/main/java/org/basilport/policy/fairness/FairQueue.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/fairness/FairQueue.java
@@ -13,8 +13,26 @@
  *
  * <p>The workspace with the smallest counter is next. A workspace that was idle is lifted to the
  * smallest counter of those that wait, so idling earns nothing.
+ *
+ * <p>A generation is charged its expected service when it starts, and the difference to its actual
+ * service while it runs and at its end. The bound: while two workspaces both wait, their counters
+ * differ by at most the largest service of one workspace's generations that run at once, plus one
+ * more generation, plus {@link #BYPASS_LIMIT}, each divided by the weight. The reason: only the
+ * workspace with the smallest counter starts work, so at that moment it is not ahead. Afterwards it
+ * gets ahead by the one charge and by what its running work turns out to need beyond the charge; it
+ * falls behind by what is given back, and by what passes it while its own next generation does not
+ * fit. Waiting work is never held back by the counters: what fits starts.
  */
 public final class FairQueue {
+  /** Generations of one workspace that are looked through for one of another route. */
+  private static final int SEARCH_DEPTH = 16;
+
+  /**
+   * Service that others may receive while the next workspace's generation does not fit. After it,
+   * nothing else starts, so that the memory that ends of other generations free goes to it.
+   */
+  private static final double BYPASS_LIMIT = 20_000;
+
   private final Map<String, Double> weights;
   private final int limit;
   private final Map<String, WorkspaceAccount> accounts = new HashMap<>();
@@ -74,6 +92,11 @@
         : Optional.ofNullable(heap.peek().queues.get(generationClass).peek());
   }
 
+  /** Returns whether generations of a class wait. */
+  public boolean waits(GenerationClass generationClass) {
+    return !heaps[generationClass.ordinal()].isEmpty();
+  }
+
   /** Takes the next workspace of a class out of the order until {@link #restore}. */
   public WorkspaceAccount skip(GenerationClass generationClass) {
     WorkspaceAccount account = heaps[generationClass.ordinal()].peek();
@@ -81,6 +104,41 @@
     return account;
   }
 
+  /**
+   * Returns a generation of another route behind the next one of the same workspace.
+   *
+   * <p>A short question would otherwise wait behind a long description that does not fit.
+   */
+  public Optional<WorkItem> peekOtherRoute(GenerationClass generationClass) {
+    AccountHeap heap = heaps[generationClass.ordinal()];
+    String blocked = null;
+    int seen = 0;
+    for (WorkItem item : heap.peek().queues.get(generationClass)) {
+      if (blocked == null) {
+        blocked = item.route();
+      } else if (!blocked.equals(item.route())) {
+        return Optional.of(item);
+      }
+      seen++;
+      if (seen == SEARCH_DEPTH) {
+        break;
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Counts service that was given to others while accounts were skipped. */
+  public void bypass(List<WorkspaceAccount> skipped, double service) {
+    for (WorkspaceAccount account : skipped) {
+      account.bypassed += service;
+    }
+  }
+
+  /** Returns whether a skipped account must not be bypassed any more. */
+  public boolean bypassExhausted(WorkspaceAccount account) {
+    return account.bypassed > BYPASS_LIMIT;
+  }
+
   /** Puts skipped workspaces of a class back. */
   public void restore(GenerationClass generationClass, List<WorkspaceAccount> skipped) {
     for (WorkspaceAccount account : skipped) {
@@ -94,6 +152,7 @@
     floor = Math.max(floor, account.counter());
     remove(item);
     account.running++;
+    account.bypassed = 0;
     charge(account, service);
     return account;
   }
--- a/basilport-policy/src/main/java/org/basilport/policy/fairness/WorkspaceAccount.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/fairness/WorkspaceAccount.java
@@ -14,6 +14,7 @@
   final Map<GenerationClass, ArrayDeque<WorkItem>> queues = new EnumMap<>(GenerationClass.class);
   final int[] positions = new int[GenerationClass.values().length];
   int running;
+  double bypassed;
 
   private final String workspace;
   private final double weight;
--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/limit/TokenBucket.java
@@ -0,0 +1,60 @@
+package org.basilport.policy.limit;
+
+/**
+ * A token bucket that is filled at a constant rate.
+ *
+ * <p>It is not safe for use by several threads.
+ */
+public final class TokenBucket {
+  private static final double NANOS_PER_SECOND = 1e9;
+  private static final double MILLIS_PER_SECOND = 1e3;
+
+  private double ratePerSecond;
+  private double burst;
+  private double available;
+  private long filledNanos;
+
+  /** Creates a full bucket with a rate in tokens per second and its size in tokens. */
+  public TokenBucket(double ratePerSecond, double burst, long nowNanos) {
+    this.ratePerSecond = ratePerSecond;
+    this.burst = burst;
+    this.available = burst;
+    this.filledNanos = nowNanos;
+  }
+
+  /** Takes tokens if they are there. */
+  public boolean tryTake(double tokens, long nowNanos) {
+    fill(nowNanos);
+    if (tokens > available) {
+      return false;
+    }
+    available -= tokens;
+    return true;
+  }
+
+  /**
+   * Changes rate and size, for example when the number of live instances that share a limit
+   * changes.
+   */
+  public void resize(double newRatePerSecond, double newBurst, long nowNanos) {
+    fill(nowNanos);
+    ratePerSecond = newRatePerSecond;
+    burst = newBurst;
+    available = Math.min(available, burst);
+  }
+
+  /** Returns the time until some tokens will be there, in milliseconds. */
+  public long waitMillis(double tokens, long nowNanos) {
+    fill(nowNanos);
+    double missing = Math.min(tokens, burst) - available;
+    return missing <= 0 ? 0 : (long) Math.ceil(missing / ratePerSecond * MILLIS_PER_SECOND);
+  }
+
+  private void fill(long nowNanos) {
+    if (nowNanos > filledNanos) {
+      double seconds = (nowNanos - filledNanos) / NANOS_PER_SECOND;
+      available = Math.min(burst, available + seconds * ratePerSecond);
+      filledNanos = nowNanos;
+    }
+  }
+}
--- /dev/null
+++ b/basilport-policy/src/test/java/org/basilport/policy/LimitsTest.java
@@ -0,0 +1,128 @@
+package org.basilport.policy;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.Range;
+import java.util.SplittableRandom;
+import org.basilport.policy.limit.Deadline;
+import org.basilport.policy.limit.FullJitterBackoff;
+import org.basilport.policy.limit.RetryBudget;
+import org.basilport.policy.limit.TokenBucket;
+import org.basilport.policy.limit.WorkspaceLimits;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class LimitsTest {
+  private static final long SECOND = 1_000_000_000L;
+
+  @Nested
+  class RetryBudgets {
+    /** Guards against retries that exceed their share at some moment, not only on average. */
+    @Test
+    void neverAllowsMoreThanTheShareOfFirstTries() {
+      for (long seed = 1; seed <= 20; seed++) {
+        SplittableRandom random = new SplittableRandom(seed);
+        RetryBudget budget = new RetryBudget(0.1, 50);
+        int first = 0;
+        int retries = 0;
+        for (int i = 0; i < 50_000; i++) {
+          if (random.nextInt(3) == 0) {
+            budget.firstTry();
+            first++;
+          } else if (budget.tryRetry()) {
+            retries++;
+          }
+          assertThat(retries * 10).isAtMost(first);
+        }
+        assertThat(retries * 10).isAtLeast(first - 10);
+      }
+    }
+
+    /** Guards against a quiet day that pays for a burst of retries. */
+    @Test
+    void boundsWhatIsSaved() {
+      RetryBudget budget = new RetryBudget(0.1, 5);
+      for (int i = 0; i < 10_000; i++) {
+        budget.firstTry();
+      }
+      int retries = 0;
+      while (budget.tryRetry()) {
+        retries++;
+      }
+      assertThat(retries).isEqualTo(5);
+    }
+  }
+
+  @Nested
+  class TokenBuckets {
+    /** Guards against taking more than rate times time plus one burst. */
+    @Test
+    void neverGivesMoreThanRateAndBurst() {
+      SplittableRandom random = new SplittableRandom(7);
+      TokenBucket bucket = new TokenBucket(10, 20, 0);
+      long now = 0;
+      double taken = 0;
+      for (int i = 0; i < 20_000; i++) {
+        now += random.nextLong(SECOND / 20);
+        double tokens = random.nextInt(1, 4);
+        if (bucket.tryTake(tokens, now)) {
+          taken += tokens;
+        }
+        assertThat(taken).isAtMost(20 + 10.0 * now / SECOND + 1e-6);
+      }
+    }
+
+    /** Guards against a retry delay after which the caller is refused again. */
+    @Test
+    void hasTokensAfterTheTimeItNames() {
+      TokenBucket bucket = new TokenBucket(3, 5, 0);
+      assertThat(bucket.tryTake(5, 0)).isTrue();
+      long wait = bucket.waitMillis(2, 0);
+      assertThat(bucket.tryTake(2, (wait - 1) * 1_000_000)).isFalse();
+      assertThat(bucket.tryTake(2, wait * 1_000_000)).isTrue();
+    }
+
+    /** Guards against a limit that grows with the number of instances. */
+    @Test
+    void splitsALimitOverInstances() {
+      WorkspaceLimits limits = new WorkspaceLimits(60, 60, 10);
+      limits.liveInstances(6);
+      int taken = 0;
+      while (limits.tryTake("a", 1, 0)) {
+        taken++;
+      }
+      assertThat(taken).isEqualTo(10);
+      assertThat(limits.tryTake("b", 1, 0)).isTrue();
+      assertThat(limits.retryAfterMillis("a", 1, 0)).isEqualTo(100);
+    }
+  }
+
+  @Nested
+  class Backoff {
+    /** Guards against delays beyond the bound and against delays that are not spread. */
+    @Test
+    void drawsBetweenZeroAndTheBound() {
+      FullJitterBackoff backoff = new FullJitterBackoff(200, 10_000, new SplittableRandom(3));
+      long sum = 0;
+      for (int i = 0; i < 1_000; i++) {
+        assertThat(backoff.delayMillis(1)).isAtMost(200);
+        sum += backoff.delayMillis(40);
+        assertThat(backoff.delayMillis(40)).isAtMost(10_000);
+      }
+      assertThat(sum / 1_000).isIn(Range.closed(4_500L, 5_500L));
+    }
+  }
+
+  @Nested
+  class Deadlines {
+    /** Guards against a retry that cannot be answered in time. */
+    @Test
+    void refusesARetryThatIsTooLate() {
+      Deadline deadline = Deadline.after(1_000, SECOND);
+      assertThat(deadline.remainingMillis(SECOND + SECOND / 2)).isEqualTo(500);
+      assertThat(deadline.allows(300, 200, SECOND + SECOND / 2)).isTrue();
+      assertThat(deadline.allows(301, 200, SECOND + SECOND / 2)).isFalse();
+      assertThat(deadline.remainingMillis(3 * SECOND)).isEqualTo(0);
+    }
+  }
+}
--- /dev/null
+++ b/basilport-policy/src/test/java/org/basilport/policy/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the decisions. */
+package org.basilport.policy;
