--- a/basilport-policy/src/main/java/org/basilport/policy/AdaptiveGenerationPolicy.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/AdaptiveGenerationPolicy.java
@@ -32,6 +32,24 @@
   /** Generated tokens between two updates of a running generation's forecast. */
   private static final long FORECAST_STEP = 32;
 
+  /** Workspaces whose next generation may wait for memory while those of others start. */
+  private static final int LOOKAHEAD = 4;
+
+  /**
+   * One turn in this many, per feeding instance, may use all of a replica's free memory. More turns
+   * make several instances fill the same memory at once.
+   */
+  private static final int TURNS_PER_DRAW = 16;
+
+  /** Time of a decode step that is assumed when future memory use is charged, in seconds. */
+  private static final double STEP_SECONDS = 0.03;
+
+  /** Service that waiting deferred work may claim for each unit that streamed work receives. */
+  private static final double DEFERRED_SHARE = 0.25;
+
+  /** Claimed service at which deferred work goes before streamed work. */
+  private static final double DEFERRED_DEBT_LIMIT = 20_000;
+
   private static final int STREAMED_PRIORITY = 100;
   private static final int LARGEST_ATTEMPT_PRIORITY = 50;
   private static final double NANOS_PER_SECOND = 1e9;
@@ -41,10 +59,13 @@
   private final MemoryAdmission admission;
   private final PrefixDirectory prefixes = new PrefixDirectory(PREFIX_LIMIT);
   private final ReplicaSelector selector;
+  private final SplittableRandom random;
   private final Map<String, WorkItem> waiting = new HashMap<>();
   private final Map<String, RunningWork> running = new HashMap<>();
+  private final List<WorkspaceAccount> skipped = new ArrayList<>();
   private final MemoryForecast candidate = new MemoryForecast();
   private List<ReplicaLedger> ledgers = List.of();
+  private double deferredDebt;
 
   /** Creates a policy with an estimator of output lengths and a seeded random source. */
   public AdaptiveGenerationPolicy(
@@ -52,6 +73,7 @@
     this.lengths = lengths;
     this.queue = new FairQueue(settings.queueLimit(), settings.workspaceWeights());
     this.admission = new MemoryAdmission(settings.admissionRisk());
+    this.random = random;
     this.selector = new AffinitySelector(prefixes, random);
   }
 
@@ -76,13 +98,36 @@
       return List.of();
     }
     List<Placement> placements = new ArrayList<>();
-    for (GenerationClass generationClass : GenerationClass.values()) {
+    if (deferredDebt > DEFERRED_DEBT_LIMIT) {
+      placeClass(GenerationClass.DEFERRED, placements, nowNanos);
+    }
+    placeClass(GenerationClass.STREAMED, placements, nowNanos);
+    placeClass(GenerationClass.DEFERRED, placements, nowNanos);
+    return placements;
+  }
+
+  private void placeClass(
+      GenerationClass generationClass, List<Placement> placements, long nowNanos) {
+    skipped.clear();
+    while (skipped.size() < LOOKAHEAD) {
       WorkItem item = queue.peek(generationClass).orElse(null);
-      while (item != null && placeOne(item, placements, nowNanos)) {
-        item = queue.peek(generationClass).orElse(null);
+      if (item == null) {
+        break;
+      }
+      if (placeOne(item, placements, nowNanos)) {
+        continue;
+      }
+      WorkItem other = queue.peekOtherRoute(generationClass).orElse(null);
+      WorkspaceAccount account = queue.skip(generationClass);
+      skipped.add(account);
+      if (queue.bypassExhausted(account)) {
+        break;
+      }
+      if (other != null) {
+        placeOne(other, placements, nowNanos);
       }
     }
-    return placements;
+    queue.restore(generationClass, skipped);
   }
 
   private boolean placeOne(WorkItem item, List<Placement> placements, long nowNanos) {
@@ -94,10 +139,15 @@
     }
     ReplicaLedger ledger = ledgers.get(position);
     waiting.remove(item.requestId());
-    WorkspaceAccount account = queue.start(item, PROMPT_SERVICE * item.promptTokens());
+    double service = service(item);
+    queue.bypass(skipped, service);
+    payClass(item.generationClass(), service);
+    WorkspaceAccount account = queue.start(item, service);
     RunningWork work = new RunningWork(item, ledger, account, lengths.distribution(item), nowNanos);
+    work.charged = service;
+    work.served = PROMPT_SERVICE * item.promptTokens();
     work.forecast.add(candidate, 1);
-    ledger.start(work.forecast);
+    ledger.start(work.forecast, nowNanos);
     admission.adjustFleet(work.forecast, 1);
     running.put(item.requestId(), work);
     prefixes.add(item.prefixHash(), ledger.serverId());
@@ -105,6 +155,20 @@
     return true;
   }
 
+  private double service(WorkItem item) {
+    return PROMPT_SERVICE * item.promptTokens()
+        + candidate.tokens()
+        + MEMORY_SERVICE * STEP_SECONDS * candidate.tokenSteps();
+  }
+
+  private void payClass(GenerationClass generationClass, double service) {
+    if (generationClass == GenerationClass.DEFERRED) {
+      deferredDebt = Math.max(0, deferredDebt - service);
+    } else if (queue.waits(GenerationClass.DEFERRED)) {
+      deferredDebt += DEFERRED_SHARE * service;
+    }
+  }
+
   private static int priority(WorkItem item) {
     int retried = Math.min(LARGEST_ATTEMPT_PRIORITY, item.attempt() - 1);
     return item.generationClass() == GenerationClass.STREAMED
@@ -132,7 +196,11 @@
   private void charge(RunningWork work, long generatedTokens, long nowNanos) {
     double seconds = (nowNanos - work.lastNanos) / NANOS_PER_SECOND;
     double held = work.item.promptTokens() + generatedTokens;
-    queue.charge(work.account, generatedTokens - work.generated + MEMORY_SERVICE * held * seconds);
+    work.served += generatedTokens - work.generated + MEMORY_SERVICE * held * seconds;
+    if (work.served > work.charged) {
+      queue.charge(work.account, work.served - work.charged);
+      work.charged = work.served;
+    }
     work.generated = generatedTokens;
     work.lastNanos = nowNanos;
   }
@@ -144,11 +212,12 @@
       return;
     }
     charge(work, generatedTokens, nowNanos);
+    queue.charge(work.account, work.served - work.charged);
     if (completed) {
       lengths.grown(work.item, work.observed, generatedTokens);
       lengths.ended(work.item, generatedTokens);
     }
-    work.ledger.end(work.forecast);
+    work.ledger.end(work.forecast, nowNanos);
     admission.adjustFleet(work.forecast, -1);
     queue.end(work.account);
   }
@@ -172,7 +241,7 @@
       if (ledger == null) {
         ledger = new ReplicaLedger(state);
       }
-      ledger.report(state, nowNanos);
+      ledger.report(state, turn(feedingInstances), nowNanos);
       next.add(ledger);
     }
     known.keySet().forEach(prefixes::forget);
@@ -180,6 +249,10 @@
     admission.feedingInstances(feedingInstances);
   }
 
+  private boolean turn(int feedingInstances) {
+    return random.nextInt(TURNS_PER_DRAW * Math.max(1, feedingInstances)) == 0;
+  }
+
   @Override
   public int waiting() {
     return queue.size();
--- a/basilport-policy/src/main/java/org/basilport/policy/admission/MemoryForecast.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/admission/MemoryForecast.java
@@ -20,10 +20,15 @@
 
   private final double[] mean = new double[SIZE];
   private final double[] variance = new double[SIZE];
+  private double tokens;
+  private double tokenSteps;
 
   /** Sets this to the forecast of one generation. */
   public void assign(
       long promptTokens, long generated, long maxTokens, LengthDistribution lengths) {
+    tokens = 0;
+    tokenSteps = 0;
+    double aliveBefore = 1;
     for (int i = 0; i < SIZE; i++) {
       long further = HORIZONS[i];
       double alive =
@@ -33,9 +38,25 @@
       double held = promptTokens + generated + further;
       mean[i] = alive * held;
       variance[i] = alive * (1 - alive) * held * held;
+      if (i > 0) {
+        double steps = further - HORIZONS[i - 1];
+        tokens += steps * (alive + aliveBefore) / 2;
+        tokenSteps += steps * (mean[i] + mean[i - 1]) / 2;
+      }
+      aliveBefore = alive;
     }
   }
 
+  /** Returns the expected number of further tokens of the generation that was assigned last. */
+  public double tokens() {
+    return tokens;
+  }
+
+  /** Returns the expected memory times steps of the generation that was assigned last. */
+  public double tokenSteps() {
+    return tokenSteps;
+  }
+
   /** Adds another forecast, multiplied by a sign or share. */
   public void add(MemoryForecast other, double factor) {
     for (int i = 0; i < SIZE; i++) {
@@ -57,6 +78,20 @@
     return mean[index];
   }
 
+  /** Returns the expected memory a number of steps after a position, interpolated. */
+  public double meanAfter(int index, double steps) {
+    double at = HORIZONS[index] + steps;
+    int next = index;
+    while (next < SIZE && HORIZONS[next] <= at) {
+      next++;
+    }
+    if (next == SIZE) {
+      return mean[SIZE - 1];
+    }
+    double share = (at - HORIZONS[next - 1]) / (HORIZONS[next] - HORIZONS[next - 1]);
+    return mean[next - 1] + share * (mean[next] - mean[next - 1]);
+  }
+
   /** Returns the variance of the memory at a position of the future steps. */
   public double variance(int index) {
     return variance[index];
