--- a/basilport-bench/src/main/java/org/basilport/bench/soak/FaultInjector.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/soak/FaultInjector.java
@@ -81,7 +81,7 @@
   private void killInstance() {
     withInstance(
         instance -> {
-          world.counts.add("fault.instance-killed");
+          world.noteFault("instance-killed", instance.id());
           instance.kill();
           after(RESTART_DELAY, instance::start);
         });
@@ -90,7 +90,7 @@
   private void pauseInstance() {
     withInstance(
         instance -> {
-          world.counts.add("fault.instance-paused");
+          world.noteFault("instance-paused", instance.id());
           instance.pause();
           after(seconds(1, 15), instance::resume);
         });
@@ -99,7 +99,7 @@
   private void drainInstance() {
     withInstance(
         instance -> {
-          world.counts.add("fault.instance-drained");
+          world.noteFault("instance-drained", instance.id());
           instance
               .drain()
               .thenRun(
@@ -127,7 +127,7 @@
   private void partitionInstance() {
     withInstance(
         instance -> {
-          world.counts.add("fault.partition");
+          world.noteFault("partition", instance.id());
           boolean peers = random.nextBoolean();
           instance.partition(peers, !peers || random.nextBoolean());
           after(
@@ -143,19 +143,21 @@
   private void crashBackend() {
     SimulatedBackend backend = pick(world.backends);
     if (!backend.down()) {
-      world.counts.add("fault.backend-crashed");
+      world.noteFault("backend-crashed", backend.id());
       backend.crash();
     }
   }
 
   private void stallEngine() {
-    world.counts.add("fault.engine-stalled");
-    pick(world.engines()).engine().orElseThrow().stallStreams(seconds(1, 5));
+    SimulatedBackend backend = pick(world.engines());
+    world.noteFault("engine-stalled", backend.id());
+    backend.engine().orElseThrow().stallStreams(seconds(1, 5));
   }
 
   private void cutReaders() {
-    world.counts.add("fault.readers-cut");
-    pick(world.engines()).engine().orElseThrow().cutAllReaders();
+    SimulatedBackend backend = pick(world.engines());
+    world.noteFault("readers-cut", backend.id());
+    backend.engine().orElseThrow().cutAllReaders();
   }
 
   private void leaveBackend() {
@@ -163,14 +165,14 @@
     if (backend.down()) {
       return;
     }
-    world.counts.add("fault.backend-leaving");
+    world.noteFault("backend-leaving", backend.id());
     backend.leave(random.nextBoolean());
     after(LEAVING_NOTICE, backend::crash);
   }
 
   private void disturbFrames() {
     SimulatedBackend backend = pick(world.engines());
-    world.counts.add("fault.frames");
+    world.noteFault("frames", backend.id());
     var engineFaults = backend.engine().orElseThrow().faults();
     engineFaults.duplicateFrames(0.1);
     engineFaults.reorderFrames(0.05);
@@ -185,7 +187,7 @@
   }
 
   private void disturbServices() {
-    world.counts.add("fault.services");
+    world.noteFault("services", "");
     setServiceFaults(0.15);
     after(seconds(2, 10), () -> setServiceFaults(0));
   }
@@ -204,21 +206,21 @@
   }
 
   private void platformOutage() {
-    world.counts.add("fault.platform-outage");
+    world.noteFault("platform-outage", "");
     PlatformFaults platform = world.platform.faults();
     platform.outage(true);
     after(seconds(2, 25), () -> platform.outage(false));
   }
 
   private void platformSlow() {
-    world.counts.add("fault.platform-slow");
+    world.noteFault("platform-slow", "");
     PlatformFaults platform = world.platform.faults();
     platform.slowness(seconds(1, 3));
     after(seconds(2, 15), () -> platform.slowness(Duration.ZERO));
   }
 
   private void loseWriteAnswers() {
-    world.counts.add("fault.write-answers-lost");
+    world.noteFault("write-answers-lost", "");
     PlatformFaults platform = world.platform.faults();
     platform.loseWriteAnswers(0.5);
     after(seconds(2, 10), () -> platform.loseWriteAnswers(0));
--- a/basilport-bench/src/main/java/org/basilport/bench/soak/PoisonCaller.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/soak/PoisonCaller.java
@@ -33,6 +33,7 @@
       return;
     }
     SimulatedInstance instance = pickInstance();
+    world.noteFault("poison-sent", instance.id() + " " + prompt);
     GenerationRequest request = new GenerationRequest(SoakConfiguration.STREAM_ROUTE, prompt, 50);
     later(
         () ->
@@ -73,6 +74,7 @@
 
   @Override
   public void onFailure(BasilportException failure) {
+    world.noteFault("poison-answer", failure.toString());
     if (failure.code() == FailureCode.QUARANTINED) {
       world.counts.add("poison.quarantined");
     }
--- a/basilport-bench/src/main/java/org/basilport/bench/soak/SimulatedInstance.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/soak/SimulatedInstance.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import org.apache.logging.log4j.Level;
 import org.basilport.engine.ModelEngine;
 import org.basilport.event.Event;
 import org.basilport.event.HybridClock;
@@ -28,7 +29,7 @@
 final class SimulatedInstance {
   private static final int FIRST_PORT = 8000;
   private static final int FIRST_PEER_PORT = 7000;
-  private static final int TIMELINE_CAPACITY = 2_000;
+  private static final int TIMELINE_CAPACITY = 5_000;
   private static final long DRAIN_LIMIT_MILLIS = 5_000;
   private static final long RESUME_WINDOW_MILLIS = 30_000;
   private static final int FLEET_WRITES_PER_SECOND = 300;
@@ -109,7 +110,7 @@
     return new DefaultRouter(
         settings,
         control,
-        store,
+        control.platformStore(),
         target -> engine(target, boundary),
         target -> service(target, boundary),
         new AdaptiveGenerationPolicyFactory(),
@@ -269,10 +270,14 @@
 
   List<Event> events() {
     return Optional.ofNullable(router)
-        .map(r -> r.timeline().events(event -> true, TIMELINE_CAPACITY))
+        .map(r -> r.timeline().events(SimulatedInstance::matters, TIMELINE_CAPACITY))
         .orElse(List.of());
   }
 
+  private static boolean matters(Event event) {
+    return event.type().level().isMoreSpecificThan(Level.INFO);
+  }
+
   private InProcessPeerNetwork network() {
     return world.network;
   }
--- a/basilport-bench/src/main/java/org/basilport/bench/soak/SoakWorld.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/soak/SoakWorld.java
@@ -2,12 +2,15 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.Deque;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.basilport.event.Event;
+import org.basilport.event.HybridClock;
 import org.basilport.misc.VirtualScheduler;
 import org.basilport.peer.InProcessPeerNetwork;
 import org.basilport.standin.engine.EngineSettings;
@@ -19,7 +22,8 @@
 /** All simulated processes of one run: platform, backend servers and entry instances. */
 final class SoakWorld {
   static final String CRASH_MARKER = "CRASH";
-  private static final int TIMELINE_EVENTS = 200;
+  private static final int TIMELINE_EVENTS = 1_500;
+  private static final int FAULT_NOTES = 400;
   private static final long ENGINE_CAPACITY_TOKENS = 20_000;
 
   final SoakSettings settings;
@@ -31,6 +35,7 @@
   final SoakCounts counts = new SoakCounts();
   final List<SimulatedBackend> backends = new ArrayList<>();
   final List<SimulatedInstance> instances = new ArrayList<>();
+  private final Deque<String> faultNotes = new ArrayDeque<>();
   private long trace = 17;
 
   SoakWorld(SoakSettings settings) {
@@ -84,18 +89,29 @@
     return scheduler.nanoTime() / 1e9;
   }
 
-  /** The latest events of all instances, merged by their hybrid time. */
+  /** Counts a fault and keeps it for the timeline of a violation. */
+  void noteFault(String name, String target) {
+    counts.add("fault." + name);
+    faultNotes.add(line(scheduler.now().toEpochMilli(), "fault " + name + " " + target));
+    if (faultNotes.size() > FAULT_NOTES) {
+      faultNotes.remove();
+    }
+  }
+
+  /** The latest events of all instances and the latest faults, in order of time. */
   String timeline() {
-    return instances.stream()
-        .flatMap(instance -> instance.events().stream())
-        .sorted(Comparator.comparingLong(Event::hybridTime))
-        .map(event -> event.hybridTime() + " " + event.instanceId() + " " + event.text())
-        .collect(
-            Collectors.collectingAndThen(
-                Collectors.toList(),
-                lines ->
-                    String.join(
-                        "\n",
-                        lines.subList(Math.max(0, lines.size() - TIMELINE_EVENTS), lines.size()))));
+    Stream<String> events =
+        instances.stream().flatMap(instance -> instance.events().stream()).map(SoakWorld::line);
+    List<String> lines = Stream.concat(events, faultNotes.stream()).sorted().toList();
+    int from = Math.max(0, lines.size() - TIMELINE_EVENTS);
+    return String.join("\n", lines.subList(from, lines.size()));
+  }
+
+  private static String line(Event event) {
+    return line(HybridClock.millis(event.hybridTime()), event.instanceId() + " " + event.text());
+  }
+
+  private static String line(long millis, String text) {
+    return Instant.ofEpochMilli(millis) + " " + text;
   }
 }
