Accept only whole events of a completion stream

An event without id or tokens would have reached the session as a frame of nulls, and an unknown reason of the end would have thrown on the event loop. The first is now a failed stream, the second counts as STOP.

--- a/basilport-clients/src/main/java/org/basilport/engine/http/CompletionChunk.java
+++ b/basilport-clients/src/main/java/org/basilport/engine/http/CompletionChunk.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -44,14 +45,24 @@
     return new TokenFrame(id, offset, tokens);
   }
 
-  /** The end that this event states. */
+  /** Whether the event has what a frame or an end needs. */
+  boolean isComplete() {
+    return id != null && (toEnd().isPresent() || (tokens != null && !tokens.isEmpty()));
+  }
+
+  /** The end that this event states; a reason of another engine counts as STOP. */
   public Optional<GenerationEnd> toEnd() {
     if (choices == null || choices.isEmpty() || choices.get(0).finishReason() == null) {
       return Optional.empty();
     }
-    String reason = choices.get(0).finishReason().toUpperCase(Locale.ROOT);
+    String stated = choices.get(0).finishReason().toUpperCase(Locale.ROOT);
+    GenerationEnd.Reason reason =
+        Arrays.stream(GenerationEnd.Reason.values())
+            .filter(known -> known.name().equals(stated))
+            .findFirst()
+            .orElse(GenerationEnd.Reason.STOP);
     long total = usage == null ? offset : usage.completionTokens();
-    return Optional.of(new GenerationEnd(id, total, GenerationEnd.Reason.valueOf(reason)));
+    return Optional.of(new GenerationEnd(id, total, reason));
   }
 
   /**
--- a/basilport-clients/src/main/java/org/basilport/engine/http/HttpTokenStream.java
+++ b/basilport-clients/src/main/java/org/basilport/engine/http/HttpTokenStream.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import java.io.EOFException;
+import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -138,7 +139,7 @@
     try {
       for (String event : parser.add(chunk)) {
         if (!event.equals(DONE)) {
-          pending.addLast(Json.read(event, CompletionChunk.class));
+          pending.addLast(parse(event));
         }
       }
     } catch (UncheckedIOException e) {
@@ -149,6 +150,14 @@
     drain();
   }
 
+  private static CompletionChunk parse(String event) {
+    CompletionChunk chunk = Json.read(event, CompletionChunk.class);
+    if (chunk == null || !chunk.isComplete()) {
+      throw new UncheckedIOException(new IOException("an event has neither tokens nor an end"));
+    }
+    return chunk;
+  }
+
   private void finish(GenerationEnd end) {
     if (!finished) {
       release();
--- a/basilport-clients/src/test/java/org/basilport/engine/http/HttpTokenStreamTest.java
+++ b/basilport-clients/src/test/java/org/basilport/engine/http/HttpTokenStreamTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import ratpack.handling.Handler;
 import ratpack.server.RatpackServer;
@@ -38,6 +39,7 @@
   private final AtomicLong sent = new AtomicLong();
   private final AtomicLong received = new AtomicLong();
   private final CompletableFuture<BasilportException> failure = new CompletableFuture<>();
+  private final CompletableFuture<GenerationEnd> end = new CompletableFuture<>();
   private RatpackServer server;
 
   @AfterEach
@@ -116,14 +118,28 @@
 
   /** Guards against a server error or a garbled event that is reported as not run. */
   @ParameterizedTest
-  @ValueSource(ints = {200, 302, 500, 503})
-  void answerThatIsNotUnderstoodMayHaveRun(int status) throws Exception {
-    open(context -> context.getResponse().status(status).send("data: {garbled\n\n")).request(1);
+  @CsvSource(
+      delimiter = '|',
+      value = {"200|{garbled", "200|{}", "200|null", "302|{}", "500|{garbled", "503|{}"})
+  void answerThatIsNotUnderstoodMayHaveRun(int status, String event) throws Exception {
+    open(context -> context.getResponse().status(status).send("data: " + event + "\n\n"))
+        .request(1);
 
     assertThat(failure.get(5, TimeUnit.SECONDS).outcome()).isEqualTo(Outcome.MAY_HAVE_RUN);
     assertThat(received.get()).isEqualTo(0);
   }
 
+  /** Guards against an end with a reason of another engine that breaks the stream. */
+  @Test
+  void unknownReasonOfTheEndCountsAsStop() throws Exception {
+    String event =
+        "data: {\"id\":\"g\",\"offset\":4,\"choices\":[{\"finish_reason\":\"other\"}]}\n\n";
+    open(context -> context.getResponse().send(event));
+
+    assertThat(end.get(5, TimeUnit.SECONDS))
+        .isEqualTo(new GenerationEnd("g", 4, GenerationEnd.Reason.STOP));
+  }
+
   @Nested
   class Parser {
     /** Guards against events that are lost or joined when chunks end within a line or character. */
@@ -151,7 +167,9 @@
     }
 
     @Override
-    public void onEnd(GenerationEnd end) {}
+    public void onEnd(GenerationEnd ended) {
+      end.complete(ended);
+    }
 
     @Override
     public void onFailure(BasilportException cause) {
