Close engine streams whose server was stopped

Frames of a running generation were handed to an event loop that had ended with its server, and each logged a rejected task. The stream is now closed instead.

--- a/basilport-standin/src/main/java/org/basilport/standin/http/EngineEventStream.java
+++ b/basilport-standin/src/main/java/org/basilport/standin/http/EngineEventStream.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Function;
 import org.basilport.engine.GenerationEnd;
 import org.basilport.engine.TokenFrame;
@@ -54,7 +55,7 @@
 
   @Override
   public void onAccepted() {
-    eventLoop.execute(
+    execute(
         () -> {
           answered = true;
           accepted.success(this);
@@ -74,7 +75,7 @@
   private void add(CompletionChunk chunk, boolean last) {
     String done = last ? "data: [DONE]\n\n" : "";
     String event = "data: " + Json.write(chunk) + "\n\n" + done;
-    eventLoop.execute(
+    execute(
         () -> {
           events.add(event);
           ended = last;
@@ -84,7 +85,7 @@
 
   @Override
   public void onFailure(BasilportException cause) {
-    eventLoop.execute(
+    execute(
         () -> {
           if (!answered) {
             answered = true;
@@ -106,7 +107,7 @@
   @Override
   public void request(long count) {
     stream.request((int) Math.min(Integer.MAX_VALUE, count));
-    eventLoop.execute(
+    execute(
         () -> {
           demand += count;
           drain();
@@ -116,7 +117,16 @@
   @Override
   public void cancel() {
     stream.close();
-    eventLoop.execute(() -> finished = true);
+    execute(() -> finished = true);
+  }
+
+  private void execute(Runnable task) {
+    try {
+      eventLoop.execute(task);
+    } catch (RejectedExecutionException ignored) {
+      // The server was stopped while the generation went on, so nobody reads it any more.
+      stream.close();
+    }
   }
 
   private void drain() {
