--- a/basilport-router/src/test/java/org/basilport/claim/ClaimRegistryTest.java
+++ b/basilport-router/src/test/java/org/basilport/claim/ClaimRegistryTest.java
@@ -48,6 +48,34 @@
     assertThat(claim(registry(3), "c")).isEqualTo(ClaimDecision.Kind.FINISHED);
   }
 
+  /** Guards against a key that is blocked by a write that arrives after its release. */
+  @Test
+  void aLateWriteOfAClaimThatWasGivenUpHasNoEffect() {
+    store.lateWrites = 1;
+    CompletableFuture<ClaimDecision> given = registry(1).claim(key, "a");
+    scheduler.runFor(Duration.ofMillis(7));
+    store.down = true;
+    scheduler.runFor(Duration.ofSeconds(5));
+    assertThat(given.isCompletedExceptionally()).isTrue();
+    store.down = false;
+    scheduler.runFor(Duration.ofSeconds(20));
+
+    assertThat(claim(registry(2), "b")).isEqualTo(ClaimDecision.Kind.HELD);
+  }
+
+  /** Guards against an answer from a remembered object that another instance has changed. */
+  @Test
+  void aReleasedKeyIsClaimedByAnInstanceThatSawItHeld() {
+    ClaimRegistry first = registry(1);
+    ClaimRegistry second = registry(2);
+    claim(first, "a");
+    assertThat(claim(second, "b")).isEqualTo(ClaimDecision.Kind.IN_PROGRESS);
+    first.release(new ClaimTicket(key, "a", EventSink.none()));
+    scheduler.runFor(Duration.ofSeconds(1));
+
+    assertThat(claim(second, "c")).isEqualTo(ClaimDecision.Kind.HELD);
+  }
+
   /** Guards against a key that can be claimed again after its claims were dropped. */
   @Test
   void aClosedObjectRefusesEveryClaimAndIsRemovedLater() {
--- a/basilport-router/src/test/java/org/basilport/delivery/GenerationDeliveryTest.java
+++ b/basilport-router/src/test/java/org/basilport/delivery/GenerationDeliveryTest.java
@@ -235,6 +235,21 @@
       assertThat(busyEngine().cancelled).hasSize(1);
     }
 
+    /** Guards against the cancellation of a generation that is read elsewhere by now. */
+    @Test
+    void aGenerationThatWasResumedElsewhereIsNotCancelled() {
+      GenerationHandle handle = generate(5_000);
+      handle.request(5);
+      fleet.run(200);
+      handle.detach();
+      RecordingListener second = new RecordingListener();
+      fleet.routers.get(1).resume(FakeFleet.CALLER, caller.resumeToken, second).request(10_000);
+      fleet.run(60_000);
+
+      assertThat(busyEngine().cancelled).isEmpty();
+      assertThat(second.ended).isTrue();
+    }
+
     /** Guards against generations that nobody cancels because their instance died. */
     @Test
     void theOwnerOfTheEngineCancelsWhatItsReportsShow() {
--- a/basilport-router/src/test/java/org/basilport/fake/FakeObjectStore.java
+++ b/basilport-router/src/test/java/org/basilport/fake/FakeObjectStore.java
@@ -19,6 +19,8 @@
   /** Time from a call to its effect, and from the effect to the answer. */
   public static final Duration LATENCY = Duration.ofMillis(2);
 
+  private static final Duration LATE = Duration.ofSeconds(10);
+
   /** Whether calls fail without an effect. */
   public boolean down;
 
@@ -34,6 +36,9 @@
   /** Number of writes that took effect. */
   public int writes;
 
+  /** Number of writes that fail at once and take effect ten seconds later. */
+  public int lateWrites;
+
   /** Extra time before a write takes effect. */
   public Duration writeDelay = Duration.ZERO;
 
@@ -74,6 +79,13 @@
   @Override
   public CompletableFuture<Long> write(String name, byte[] value, long expectedVersion) {
     CompletableFuture<Long> answer = new CompletableFuture<>();
+    if (lateWrites > 0) {
+      lateWrites--;
+      scheduler.schedule(LATENCY, () -> answer.completeExceptionally(outage()));
+      CompletableFuture<Long> unheard = new CompletableFuture<>();
+      scheduler.schedule(LATE, () -> takeEffect(name, value, expectedVersion, unheard));
+      return answer;
+    }
     scheduler.schedule(
         LATENCY.plus(writeDelay), () -> takeEffect(name, value, expectedVersion, answer));
     return answer;
