--- a/basilport-cli/src/main/java/org/basilport/cli/FailurePrinter.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/FailurePrinter.java
@@ -1,5 +1,8 @@
 package org.basilport.cli;
 
+import java.util.List;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutionException;
 import org.basilport.config.InvalidConfigurationException;
 import org.basilport.daemon.http.FailureBody;
 import org.basilport.daemon.http.Json;
@@ -14,7 +17,8 @@
 
   @Override
   public int handleExecutionException(
-      Exception failure, CommandLine command, ParseResult arguments) {
+      Exception thrown, CommandLine command, ParseResult arguments) {
+    Exception failure = withoutWrapper(thrown);
     if (failure instanceof InvalidConfigurationException) {
       ((InvalidConfigurationException) failure)
           .problems()
@@ -33,12 +37,19 @@
     return ExitCode.CHECK_FAILED.number();
   }
 
+  private static Exception withoutWrapper(Exception thrown) {
+    boolean wrapper = thrown instanceof ExecutionException || thrown instanceof CompletionException;
+    return wrapper && thrown.getCause() instanceof Exception
+        ? (Exception) thrown.getCause()
+        : thrown;
+  }
+
   private static void print(BasilportException failure, CommandLine command) {
     boolean json =
         command.getCommandSpec().findOption(JSON_FLAG) != null
             && Boolean.TRUE.equals(command.getCommandSpec().findOption(JSON_FLAG).getValue());
     if (json) {
-      command.getErr().println(Json.write(FailureBody.of(failure, java.util.List.of())));
+      command.getErr().println(Json.write(FailureBody.of(failure, List.of())));
       return;
     }
     String peer = failure.peer().isEmpty() ? "" : " with " + failure.peer();
--- a/basilport-cli/src/main/java/org/basilport/cli/RouterCommand.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/RouterCommand.java
@@ -33,9 +33,9 @@
     }
     LogSettings.apply(settings.logFormat(), settings.logLevel());
     Daemon daemon = DaemonAssembly.create(settings);
+    daemon.start().get();
     Thread onSignal = new Thread(() -> drain(daemon, settings), "shutdown");
     Runtime.getRuntime().addShutdownHook(onSignal);
-    daemon.start().get();
     daemon.terminated().get();
     return ExitCode.DONE;
   }
--- a/basilport-cli/src/main/java/org/basilport/cli/client/GenerationReading.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/client/GenerationReading.java
@@ -10,6 +10,7 @@
 import org.basilport.daemon.http.Json;
 import org.basilport.daemon.http.StreamBodies;
 import org.basilport.delivery.GenerationRequest;
+import org.basilport.error.BasilportException;
 import org.basilport.error.Outcome;
 import org.basilport.error.Step;
 
@@ -49,11 +50,27 @@
                     client.open(address, "POST", "/v1/generations", caller.headers(), body))));
     while (summary == null) {
       countReconnect();
-      consume(caller.firstThatServes(addresses, this::reopen));
+      consume(resume());
     }
     return summary;
   }
 
+  /** The generation ran already, so a refused resume does not mean that the request was not run. */
+  private Connection resume() {
+    try {
+      return caller.firstThatServes(addresses, this::reopen);
+    } catch (BasilportException e) {
+      throw new BasilportException(
+          e.code(),
+          Outcome.LOST_PART_WAY,
+          e.step(),
+          e.peer(),
+          e.retryAfter().orElse(null),
+          "the stream cannot be continued: " + e.getMessage(),
+          e);
+    }
+  }
+
   private Connection reopen(String address) {
     Map<String, String> headers = caller.headers();
     headers.put("Last-Event-ID", lastEventId);
--- a/basilport-cli/src/main/java/org/basilport/cli/demo/Demo.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/demo/Demo.java
@@ -38,7 +38,8 @@
       Set.of(EventType.MEMBER_JOINED, EventType.BACKEND_ADDED);
   private static final Duration START_LIMIT = Duration.ofSeconds(10);
   private static final Duration CONFIGURATION_LIMIT = Duration.ofSeconds(3);
-  private static final Duration OUTCOME_LIMIT = Duration.ofSeconds(3);
+  private static final Duration OUTCOME_LIMIT = Duration.ofSeconds(8);
+  private static final Duration OUTCOME_PAUSE = Duration.ofSeconds(1);
   private static final Duration DRAIN_LIMIT = Duration.ofSeconds(10);
 
   private final Deployment deployment;
@@ -97,7 +98,8 @@
     CallRequest request = new CallRequest(route(Route.Delivery.CALL), "/", key, false, "{}");
     CallAnswer first = caller.call(request);
     checks.check(!first.duplicate(), "the first call ran with status " + first.status());
-    Duration waited = checks.await(OUTCOME_LIMIT, () -> isDuplicate(caller, request));
+    Duration waited =
+        checks.await(OUTCOME_LIMIT, OUTCOME_PAUSE, () -> isDuplicate(caller, request));
     checks.check(
         waited.compareTo(OUTCOME_LIMIT) < 0, "the second call gets the outcome of the first");
     checks.check(standIns.executions().ofKey(key) == 1, "G4 the service ran it once");
--- a/basilport-cli/src/main/java/org/basilport/cli/demo/DemoChecks.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/demo/DemoChecks.java
@@ -6,7 +6,7 @@
 
 /** Prints what the demo does and remembers broken guarantees. */
 final class DemoChecks {
-  private static final long POLL_MILLIS = 20;
+  private static final Duration POLL = Duration.ofMillis(20);
 
   private final PrintWriter out;
   private int held;
@@ -32,10 +32,16 @@
 
   /** Waits until a condition holds; returns how long that took, or the limit when it did not. */
   Duration await(Duration limit, BooleanSupplier condition) throws InterruptedException {
+    return await(limit, POLL, condition);
+  }
+
+  /** Waits like {@link #await(Duration, BooleanSupplier)}, with a pause between two questions. */
+  Duration await(Duration limit, Duration pause, BooleanSupplier condition)
+      throws InterruptedException {
     long begin = System.nanoTime();
     Duration waited = Duration.ZERO;
     while (!condition.getAsBoolean() && waited.compareTo(limit) < 0) {
-      Thread.sleep(POLL_MILLIS);
+      Thread.sleep(pause.toMillis());
       waited = Duration.ofNanos(System.nanoTime() - begin);
     }
     return waited.compareTo(limit) < 0 ? waited : limit;
--- a/basilport-cli/src/main/java/org/basilport/cli/demo/DemoInstances.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/demo/DemoInstances.java
@@ -70,8 +70,7 @@
   List<Event> events() {
     return daemons.stream()
         .flatMap(
-            daemon ->
-                daemon.router().timeline().events(event -> true, TIMELINE_CAPACITY).stream())
+            daemon -> daemon.router().timeline().events(event -> true, TIMELINE_CAPACITY).stream())
         .sorted(Comparator.comparingLong(Event::hybridTime))
         .toList();
   }
--- a/basilport-cli/src/test/java/org/basilport/cli/BasilportCommandTest.java
+++ b/basilport-cli/src/test/java/org/basilport/cli/BasilportCommandTest.java
@@ -60,6 +60,13 @@
       assertThat(run(line.split(" "))).isEqualTo(2);
     }
 
+    /** Guards against a router that starts with a setting that it did not check. */
+    @Test
+    void wrongSettingIsUsage() {
+      assertThat(run("router", "--instance-id", "Entry One")).isEqualTo(2);
+      assertThat(err.toString()).contains("--instance-id (BASILPORT_INSTANCE_ID)");
+    }
+
     @Test
     void unreachableInstanceIsUnavailable() {
       assertThat(run("instances", "--entry", "127.0.0.1:1", "--operator-key", "k")).isEqualTo(6);
@@ -163,6 +170,21 @@
       assertThat(lastEventIds).containsExactly("t1");
     }
 
+    /**
+     * Guards against a cut stream that is taken for a complete one, or for one that did not run.
+     */
+    @Test
+    void cutStreamThatNobodyContinuesIsLostPartWay() {
+      second.stop(0);
+      status = 200;
+      answer =
+          "id: t1\nevent: token\ndata: {\"offset\":0,\"tokens\":[\"a\"]}\n\n"
+              + "id: t1\nevent: resume\ndata: {\"resumeToken\":\"t1\",\"addresses\":[\""
+              + address(second)
+              + "\"]}\n\n";
+      assertThat(generate()).isEqualTo(5);
+    }
+
     @Test
     void lostPartWayIsTold() {
       status = 200;
