Let instances give up part of what they hold; small generations use the reserve

Cause: an instance reused all memory that its own work gave back, so the instances that filled the memory first kept it. Change: an instance that holds more than its part of a replica reuses 75% of what ends there; generations below 1% of a replica's memory may use what is otherwise kept free.

--- a/basilport-policy/src/main/java/org/basilport/policy/AdaptiveGenerationPolicy.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/AdaptiveGenerationPolicy.java
@@ -217,7 +217,7 @@
       lengths.grown(work.item, work.observed, generatedTokens);
       lengths.ended(work.item, generatedTokens);
     }
-    work.ledger.end(work.forecast, nowNanos);
+    work.ledger.end(work.forecast, admission.credit(work.ledger), nowNanos);
     admission.adjustFleet(work.forecast, -1);
     queue.end(work.account);
   }
--- a/basilport-policy/src/main/java/org/basilport/policy/admission/MemoryAdmission.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/admission/MemoryAdmission.java
@@ -23,6 +23,17 @@
    */
   private static final double USABLE = 0.975;
 
+  /** A generation whose memory stays below this share of a replica's is small. */
+  private static final double SMALL = 0.01;
+
+  /** Share of the memory below which a generation does not matter to a forecast. */
+  private static final double NEGLIGIBLE = 0.0005;
+
+  /** Share of the memory that small generations may fill. */
+  private static final double USABLE_BY_SMALL = 0.99;
+
+  private static final double CREDIT_OVER_PART = 0.75;
+
   private final double deviations;
   private final MemoryForecast fleet = new MemoryForecast();
   private int feedingInstances = 1;
@@ -48,7 +59,7 @@
 
   /** Returns whether a replica has room for a generation. */
   public boolean admits(ReplicaLedger ledger, MemoryForecast candidate) {
-    if (ledger.empty()) {
+    if (ledger.empty() || admitsSmall(ledger, candidate)) {
       return true;
     }
     double capacity = USABLE * ledger.state().capacityTokens();
@@ -74,6 +85,37 @@
     return true;
   }
 
+  /**
+   * Returns whether a generation is so small and short that it may use the memory that is otherwise
+   * kept free.
+   */
+  private boolean admitsSmall(ReplicaLedger ledger, MemoryForecast candidate) {
+    double capacity = ledger.state().capacityTokens();
+    double others = ledger.othersHeld() / Math.max(1, fleet.mean(0));
+    for (int i = 0; i < MemoryForecast.SIZE; i++) {
+      if (candidate.mean(i) > SMALL * capacity) {
+        return false;
+      }
+      double after = ledger.own().mean(i) + growth(i, others, ledger) + candidate.mean(i);
+      if (candidate.mean(i) > NEGLIGIBLE * capacity && after > USABLE_BY_SMALL * capacity) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /**
+   * Returns the share of the memory of ended work that this instance may use again at once.
+   *
+   * <p>An instance that holds more than its part of a replica gives some of it up. Otherwise the
+   * instances that filled the memory first would keep it, and work at the others would starve.
+   */
+  public double credit(ReplicaLedger ledger) {
+    double own = ledger.own().mean(0);
+    boolean over = own * feedingInstances > own + ledger.othersHeld();
+    return over ? CREDIT_OVER_PART : 1;
+  }
+
   private double growth(int index, double others, ReplicaLedger ledger) {
     return fleet.mean(0) < 1
         ? ledger.othersHeld()
--- a/basilport-policy/src/main/java/org/basilport/policy/admission/ReplicaLedger.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/admission/ReplicaLedger.java
@@ -86,10 +86,14 @@
     own.add(forecast, sign);
   }
 
-  /** Removes own work that ended. */
-  public void end(MemoryForecast forecast, long nowNanos) {
+  /**
+   * Removes own work that ended.
+   *
+   * @param credit share of its memory that this instance may use again at once
+   */
+  public void end(MemoryForecast forecast, double credit, long nowNanos) {
     own.add(forecast, -1);
-    change(forecast, -1, nowNanos);
+    change(forecast, -credit, nowNanos);
     outstanding--;
     if (outstanding == 0) {
       own.clear();
@@ -156,7 +160,7 @@
     return state.medianTokenMillis();
   }
 
-  private void change(MemoryForecast forecast, int sign, long nowNanos) {
+  private void change(MemoryForecast forecast, double sign, long nowNanos) {
     MemoryForecast copy = new MemoryForecast();
     copy.add(forecast, 1);
     changes.add(new Change(copy, sign, nowNanos));
@@ -175,5 +179,5 @@
     return held;
   }
 
-  private record Change(MemoryForecast forecast, int sign, long atNanos) {}
+  private record Change(MemoryForecast forecast, double sign, long atNanos) {}
 }
