--- a/basilport-cli/src/main/java/org/basilport/cli/BasilportCommand.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/BasilportCommand.java
@@ -1,6 +1,7 @@
 package org.basilport.cli;
 
 import java.io.PrintWriter;
+import org.basilport.bench.soak.SoakCommand;
 import org.basilport.daemon.EnvironmentDefaults;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -31,6 +32,7 @@
       TimelineCommand.class,
       MetricsCommand.class,
       BenchCommand.class,
+      SoakCommand.class,
       StandinCommand.class,
       DemoCommand.class
     })
