Check that the memory is not full before a negligible generation starts

Cause: a generation with a prompt below 0.05% of the memory was admitted to an overfull replica. Change: the present memory is checked for each generation, whatever its size.

--- a/basilport-policy/src/main/java/org/basilport/policy/admission/MemoryAdmission.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/admission/MemoryAdmission.java
@@ -97,7 +97,8 @@
         return false;
       }
       double after = ledger.own().mean(i) + growth(i, others, ledger) + candidate.mean(i);
-      if (candidate.mean(i) > NEGLIGIBLE * capacity && after > USABLE_BY_SMALL * capacity) {
+      boolean matters = i == 0 || candidate.mean(i) > NEGLIGIBLE * capacity;
+      if (matters && after > USABLE_BY_SMALL * capacity) {
         return false;
       }
     }
--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/routing/OutlierEjector.java
@@ -0,0 +1,56 @@
+package org.basilport.policy.routing;
+
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * Takes replicas out of the choice whose time between tokens is far above that of the others.
+ *
+ * <p>A set share of the replicas always stays eligible: when many are slow, the cause is usually
+ * the load, and ejecting them would move it to the rest. An ejected replica comes back after a
+ * while, because without new work its time between tokens falls and tells little.
+ */
+public final class OutlierEjector {
+  /** Multiple of the median at which a replica is ejected. */
+  private static final double EJECT_AT = 2;
+
+  private static final long EJECTION_NANOS = 60_000_000_000L;
+
+  private final double eligibleShare;
+
+  /**
+   * Creates an ejector.
+   *
+   * @param eligibleShare share of the replicas that always stays eligible
+   */
+  public OutlierEjector(double eligibleShare) {
+    this.eligibleShare = eligibleShare;
+  }
+
+  /**
+   * Updates until when each replica is ejected.
+   *
+   * @param replicas replicas with their latest reports
+   * @param ejectedUntil monotonic time per replica, in nanoseconds; updated in place
+   */
+  public void update(List<? extends ReplicaLoad> replicas, long[] ejectedUntil, long nowNanos) {
+    int size = replicas.size();
+    double[] millis = new double[size];
+    int ejected = 0;
+    for (int i = 0; i < size; i++) {
+      millis[i] = replicas.get(i).tokenMillis();
+      ejected += ejectedUntil[i] > nowNanos ? 1 : 0;
+    }
+    double[] sorted = millis.clone();
+    Arrays.sort(sorted);
+    double bound = EJECT_AT * sorted[size / 2];
+    int limit = size - (int) Math.ceil(eligibleShare * size);
+    for (int i = 0; i < size && bound > 0; i++) {
+      boolean out = ejectedUntil[i] > nowNanos;
+      if (millis[i] > bound && (out || ejected < limit)) {
+        ejected += out ? 0 : 1;
+        ejectedUntil[i] = nowNanos + EJECTION_NANOS;
+      }
+    }
+  }
+}
