Ask replicas that hold the prefix first; eject slow replicas; add JSON and HTML reports

Cause: a replica that holds the prefix was preferred only when it was one of the two random choices; nothing reacted to a slow replica. Change: holders of the prefix are candidates besides the random choices; replicas at twice the median time between tokens get no streamed work for 30 s, and 70% stay eligible; the model reports the median of 33 steps. 'bench policy' writes JSON and HTML and checks the targets.

--- a/basilport-bench/src/main/java/org/basilport/bench/policy/EngineModel.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/policy/EngineModel.java
@@ -1,6 +1,7 @@
 package org.basilport.bench.policy;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
@@ -19,7 +20,9 @@
   /** Share of the memory that must stay free when a waiting sequence enters the batch. */
   private static final double WATERMARK = 0.01;
 
-  private static final double MEDIAN_DECAY = 0.1;
+  /** Steps whose median time an engine reports. */
+  private static final int RECENT = 33;
+
   private static final double MILLIS = 1e-6;
 
   private static final Comparator<Generation> KEEP_ORDER =
@@ -38,7 +41,8 @@
   private long usedTokens;
   private long previousEndNanos;
   private long orders;
-  private double stepMillis;
+  private final double[] recentMillis = new double[RECENT];
+  private int steps;
 
   EngineModel(
       String id,
@@ -74,8 +78,14 @@
     return batch.size();
   }
 
+  /** Returns the median time of the recent steps, in milliseconds; 0 before there are enough. */
   double stepMillis() {
-    return stepMillis;
+    if (steps < RECENT) {
+      return 0;
+    }
+    double[] sorted = recentMillis.clone();
+    Arrays.sort(sorted);
+    return sorted[RECENT / 2];
   }
 
   boolean idle() {
@@ -120,7 +130,8 @@
       left -= computed;
     }
     double nanos = slowness * settings.stepNanos(decoded, held, budget - decoded - left);
-    stepMillis += MEDIAN_DECAY * (nanos * MILLIS - stepMillis);
+    recentMillis[steps % RECENT] = nanos * MILLIS;
+    steps++;
     return nowNanos + (long) nanos;
   }
 
--- a/basilport-bench/src/main/java/org/basilport/bench/policy/PolicyBenchmarkCommand.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/policy/PolicyBenchmarkCommand.java
@@ -1,6 +1,8 @@
 package org.basilport.bench.policy;
 
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
@@ -17,6 +19,8 @@
     mixinStandardHelpOptions = true,
     description = "Compares generation policies against engine models on a virtual clock.")
 public final class PolicyBenchmarkCommand implements Callable<Integer> {
+  private static final int CHECK_FAILED = 1;
+
   @Spec private CommandSpec spec;
 
   @Option(names = "--seeds", defaultValue = "10", description = "Number of seeds.")
@@ -43,6 +47,15 @@
   @Option(names = "--candidate", description = "Policies to run: ${COMPLETION-CANDIDATES}.")
   private List<Candidate> candidates;
 
+  @Option(names = "--json", description = "File to write the measures of each run to.")
+  private Path json;
+
+  @Option(names = "--html", description = "File to write a report with plots to.")
+  private Path html;
+
+  @Option(names = "--check", description = "Exit with 1 when a target is missed.")
+  private boolean check;
+
   @Override
   public Integer call() throws IOException {
     BenchmarkSettings settings =
@@ -58,7 +71,14 @@
             .run(selectedDeployments(), selectedWorkloads(), selectedCandidates());
     spec.commandLine().getOut().print(new TextReport().render(result));
     spec.commandLine().getOut().flush();
-    return 0;
+    if (json != null) {
+      Files.writeString(json, new JsonReport().render(result));
+    }
+    if (html != null) {
+      Files.writeString(html, new HtmlReport().render(result));
+    }
+    boolean met = new TargetCheck(result).check().stream().allMatch(Target::met);
+    return check && !met ? CHECK_FAILED : 0;
   }
 
   private List<Candidate> selectedCandidates() {
--- a/basilport-bench/src/main/java/org/basilport/bench/policy/TextReport.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/policy/TextReport.java
@@ -32,6 +32,17 @@
           .distinct()
           .forEach(workload -> table(text, result, deployment, workload));
     }
+    for (Target target : new TargetCheck(result).check()) {
+      text.append(
+          String.format(
+              Locale.ROOT,
+              "%-8s%-60s%10.3f %s %.3f%n",
+              target.met() ? "met" : "MISSED",
+              target.name(),
+              target.value(),
+              target.atLeast() ? ">=" : "<=",
+              target.bound()));
+    }
     return text.toString();
   }
 
--- a/basilport-policy/src/main/java/org/basilport/policy/AdaptiveGenerationPolicy.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/AdaptiveGenerationPolicy.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.IntPredicate;
 import org.basilport.policy.admission.MemoryAdmission;
 import org.basilport.policy.admission.MemoryForecast;
 import org.basilport.policy.admission.ReplicaLedger;
@@ -12,6 +13,7 @@
 import org.basilport.policy.fairness.WorkspaceAccount;
 import org.basilport.policy.length.LengthEstimator;
 import org.basilport.policy.routing.AffinitySelector;
+import org.basilport.policy.routing.OutlierEjector;
 import org.basilport.policy.routing.PrefixDirectory;
 import org.basilport.policy.routing.ReplicaSelector;
 
@@ -50,6 +52,12 @@
   /** Claimed service at which deferred work goes before streamed work. */
   private static final double DEFERRED_DEBT_LIMIT = 20_000;
 
+  /**
+   * Share of the replicas that is never ejected for being slow. Deferred work still uses ejected
+   * replicas, since nobody reads its tokens while they are generated.
+   */
+  private static final double ELIGIBLE_SHARE = 0.7;
+
   private static final int STREAMED_PRIORITY = 100;
   private static final int LARGEST_ATTEMPT_PRIORITY = 50;
   private static final double NANOS_PER_SECOND = 1e9;
@@ -58,7 +66,9 @@
   private final FairQueue queue;
   private final MemoryAdmission admission;
   private final PrefixDirectory prefixes = new PrefixDirectory(PREFIX_LIMIT);
-  private final ReplicaSelector selector;
+  private final AffinitySelector selector;
+  private final IntPredicate admits = this::admits;
+  private final OutlierEjector ejector = new OutlierEjector(ELIGIBLE_SHARE);
   private final SplittableRandom random;
   private final Map<String, WorkItem> waiting = new HashMap<>();
   private final Map<String, RunningWork> running = new HashMap<>();
@@ -66,6 +76,9 @@
   private final MemoryForecast candidate = new MemoryForecast();
   private List<ReplicaLedger> ledgers = List.of();
   private double deferredDebt;
+  private long[] ejectedUntil = {};
+  private long placedNanos;
+  private boolean candidateStreamed;
 
   /** Creates a policy with an estimator of output lengths and a seeded random source. */
   public AdaptiveGenerationPolicy(
@@ -77,6 +90,11 @@
     this.selector = new AffinitySelector(prefixes, random);
   }
 
+  private boolean admits(int position) {
+    return (!candidateStreamed || ejectedUntil[position] <= placedNanos)
+        && admission.admits(ledgers.get(position), candidate);
+  }
+
   @Override
   public boolean submit(WorkItem item, long nowNanos) {
     if (!queue.add(item)) {
@@ -97,6 +115,7 @@
     if (waiting.isEmpty() || ledgers.isEmpty()) {
       return List.of();
     }
+    placedNanos = nowNanos;
     List<Placement> placements = new ArrayList<>();
     if (deferredDebt > DEFERRED_DEBT_LIMIT) {
       placeClass(GenerationClass.DEFERRED, placements, nowNanos);
@@ -131,9 +150,9 @@
   }
 
   private boolean placeOne(WorkItem item, List<Placement> placements, long nowNanos) {
+    candidateStreamed = item.generationClass() == GenerationClass.STREAMED;
     candidate.assign(item.promptTokens(), 0, item.maxTokens(), lengths.distribution(item));
-    int position =
-        selector.select(item, ledgers, index -> admission.admits(ledgers.get(index), candidate));
+    int position = selector.select(item, ledgers, admits);
     if (position == ReplicaSelector.NONE) {
       return false;
     }
@@ -236,7 +255,12 @@
     Map<String, ReplicaLedger> known = new HashMap<>();
     ledgers.forEach(ledger -> known.put(ledger.serverId(), ledger));
     List<ReplicaLedger> next = new ArrayList<>(states.size());
+    Map<String, Integer> positions = new HashMap<>();
+    long[] until = new long[states.size()];
     for (ReplicaState state : states) {
+      Integer previous = selector.position(state.serverId());
+      until[next.size()] = previous == null ? Long.MIN_VALUE : ejectedUntil[previous];
+      positions.put(state.serverId(), next.size());
       ReplicaLedger ledger = known.remove(state.serverId());
       if (ledger == null) {
         ledger = new ReplicaLedger(state);
@@ -246,6 +270,11 @@
     }
     known.keySet().forEach(prefixes::forget);
     ledgers = next;
+    ejectedUntil = until;
+    selector.positions(positions);
+    if (!next.isEmpty()) {
+      ejector.update(next, until, nowNanos);
+    }
     admission.feedingInstances(feedingInstances);
   }
 
--- a/basilport-policy/src/main/java/org/basilport/policy/routing/AffinitySelector.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/routing/AffinitySelector.java
@@ -1,6 +1,7 @@
 package org.basilport.policy.routing;
 
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.IntPredicate;
 import org.basilport.policy.WorkItem;
@@ -26,6 +27,7 @@
 
   private final PrefixDirectory prefixes;
   private final SplittableRandom random;
+  private Map<String, Integer> positions = Map.of();
 
   /** Creates a selector over a directory of cached prefixes. */
   public AffinitySelector(PrefixDirectory prefixes, SplittableRandom random) {
@@ -33,6 +35,16 @@
     this.random = random;
   }
 
+  /** Sets the position of each replica by its id. */
+  public void positions(Map<String, Integer> newPositions) {
+    positions = newPositions;
+  }
+
+  /** Returns the position of a replica, or null when it is not known. */
+  public Integer position(String serverId) {
+    return positions.get(serverId);
+  }
+
   @Override
   public int select(WorkItem item, List<? extends ReplicaLoad> replicas, IntPredicate admits) {
     List<String> holders = prefixes.holders(item.prefixHash());
@@ -44,6 +56,16 @@
     }
     int best = NONE;
     double bestScore = Double.POSITIVE_INFINITY;
+    for (int i = 0; i < holders.size(); i++) {
+      Integer holder = positions.get(holders.get(i));
+      if (holder != null && admits.test(holder)) {
+        double score = score(replicas.get(holder), holders);
+        if (score < bestScore) {
+          bestScore = score;
+          best = holder;
+        }
+      }
+    }
     int found = 0;
     int position = first;
     for (int i = 0; i < Math.min(size, PROBES) && found < CHOICES; i++) {
--- a/basilport-policy/src/main/java/org/basilport/policy/routing/OutlierEjector.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/routing/OutlierEjector.java
@@ -14,7 +14,7 @@
   /** Multiple of the median at which a replica is ejected. */
   private static final double EJECT_AT = 2;
 
-  private static final long EJECTION_NANOS = 60_000_000_000L;
+  private static final long EJECTION_NANOS = 30_000_000_000L;
 
   private final double eligibleShare;
 
