End the platform partition of a simulated instance when it restarts

The owner of its shard had no way to the platform for the rest of the run: it was killed while cut off, and the restart cleared the mark but not the partition. That was ruled out as a fault of the circuit breaker by its state (open, a probe every few seconds). The run now also fails on invariant violations that a callback swallowed.

--- a/basilport-bench/src/main/java/org/basilport/bench/soak/SimulatedInstance.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/soak/SimulatedInstance.java
@@ -69,6 +69,7 @@
     draining = false;
     partitioned = false;
     network().heal(peerAddress);
+    world.platform.faults().partition(id, false);
     router = createRouter();
     network().register(peerAddress, router.peerEndpoint());
     list(InstanceState.LIVE);
@@ -235,6 +236,13 @@
     return number;
   }
 
+  /** Throws when an invariant inside the program was violated, also where a callback hid it. */
+  void checkInvariants() {
+    for (Event violation : router.timeline().violations()) {
+      throw new SoakViolation("invariant", id + " " + violation.text());
+    }
+  }
+
   /** Whether the process has run without a pause or a partition since a time. */
   boolean undisturbedSince(long nanos) {
     return running() && !partitioned && runningSinceNanos <= nanos;
--- a/basilport-bench/src/main/java/org/basilport/bench/soak/SoakRun.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/soak/SoakRun.java
@@ -129,6 +129,7 @@
 
   private void check() {
     operator.checkNumbers();
+    world.instances.forEach(SimulatedInstance::checkInvariants);
     for (SimulatedBackend backend : world.backends) {
       checkLeaving(backend);
       if (backend.down() && !restarting.contains(backend)) {
--- a/basilport-common/src/main/java/org/basilport/event/Timeline.java
+++ b/basilport-common/src/main/java/org/basilport/event/Timeline.java
@@ -11,9 +11,12 @@
 public final class Timeline implements EventSink {
   private static final Logger LOG = LogManager.getLogger(Timeline.class);
 
+  private static final int MAX_VIOLATIONS = 16;
+
   private final String instanceId;
   private final HybridClock clock;
   private final Event[] ring;
+  private final List<Event> violations = new ArrayList<>();
   private long recorded;
 
   /** Creates a timeline that keeps the latest {@code capacity} events. */
@@ -30,6 +33,9 @@
     synchronized (this) {
       ring[(int) (recorded % ring.length)] = event;
       recorded++;
+      if (type == EventType.INVARIANT_VIOLATED && violations.size() < MAX_VIOLATIONS) {
+        violations.add(event);
+      }
     }
     LOG.log(type.level(), "[{}] {} {}", type.number(), instanceId, text);
   }
@@ -48,6 +54,14 @@
     return List.copyOf(matching.subList(from, matching.size()));
   }
 
+  /**
+   * Returns the first violated invariants since the start. They are kept apart from the ring, since
+   * an exception alone can be lost in a callback.
+   */
+  public synchronized List<Event> violations() {
+    return List.copyOf(violations);
+  }
+
   /** The clock that stamps the events. */
   public HybridClock clock() {
     return clock;
