Stop a crashing request after two engines also under lost news, races and drains

Causes, in the order found: the death in isolation became known before the other one, and only the last death was looked at; a lost connection was a suspicion only on the instance that saw it; entries with the latest expiry went first in gossip, so that many older suspects kept the news from travelling; the slot of the fingerprint was freed with the loss, before its news had spread; and an instance behind a partition granted itself every slot. Ruled out: wrong attribution by the checker, whose counts agree with the engines' timelines.

Now the deaths count in any order, losses travel with gossip, news goes first, the slot lapses instead of being freed, and slots need contact with most members.

--- a/basilport-bench/src/main/java/org/basilport/bench/soak/FaultInjector.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/soak/FaultInjector.java
@@ -127,8 +127,8 @@
   private void partitionInstance() {
     withInstance(
         instance -> {
-          world.noteFault("partition", instance.id());
           boolean peers = random.nextBoolean();
+          world.noteFault("partition", instance.id() + (peers ? " from peers" : " from platform"));
           instance.partition(peers, !peers || random.nextBoolean());
           after(
               seconds(2, 15),
--- a/basilport-bench/src/main/java/org/basilport/bench/soak/SimulatedInstance.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/soak/SimulatedInstance.java
@@ -48,6 +48,7 @@
   private long runningSinceNanos;
   private long highestNumber;
   private boolean partitioned;
+  private boolean partitionedFromPeers;
   private boolean draining;
 
   SimulatedInstance(SoakWorld world, int index) {
@@ -68,6 +69,7 @@
     highestNumber = 0;
     draining = false;
     partitioned = false;
+    partitionedFromPeers = false;
     network().heal(peerAddress);
     world.platform.faults().partition(id, false);
     router = createRouter();
@@ -171,6 +173,7 @@
   /** Cuts the instance off from its peers and from the platform, or one of them. */
   void partition(boolean fromPeers, boolean fromPlatform) {
     partitioned = true;
+    partitionedFromPeers = fromPeers;
     if (fromPeers) {
       network().isolate(peerAddress);
     }
@@ -180,6 +183,7 @@
 
   void heal() {
     partitioned = false;
+    partitionedFromPeers = false;
     runningSinceNanos = world.scheduler.nanoTime();
     network().heal(peerAddress);
     world.platform.faults().partition(id, false);
@@ -264,6 +268,10 @@
     return partitioned;
   }
 
+  boolean partitionedFromPeers() {
+    return partitionedFromPeers;
+  }
+
   boolean draining() {
     return draining;
   }
--- a/basilport-router/src/main/java/org/basilport/claim/PlainCall.java
+++ b/basilport-router/src/main/java/org/basilport/claim/PlainCall.java
@@ -21,6 +21,7 @@
 import org.basilport.event.Invariant;
 import org.basilport.misc.Cancellable;
 import org.basilport.misc.Scheduler;
+import org.basilport.quarantine.IsolationLease;
 import org.basilport.quarantine.RequestFlight;
 import org.basilport.quarantine.Verdict;
 import org.basilport.service.ServiceRequest;
@@ -139,7 +140,7 @@
                       if (granted.isEmpty()) {
                         traffic.schedule(ISOLATION_RETRY, this::tryReplica);
                       } else if (over || !isCandidate(replica)) {
-                        granted.get().cancel();
+                        granted.get().release();
                         tryReplica();
                       } else {
                         send(replica, granted);
@@ -151,7 +152,7 @@
     return environment.backends().candidates(work.service()).contains(replica);
   }
 
-  private void send(BackendServer replica, Optional<Cancellable> isolation) {
+  private void send(BackendServer replica, Optional<IsolationLease> isolation) {
     Invariant.check(
         work.repeatable() || ticket.isPresent() && !mayHaveRun,
         environment.events(),
@@ -185,7 +186,11 @@
 
   private void answered(Try answeredTry, ServiceResponse response, Throwable failure) {
     replicas.ended(answeredTry.replica);
-    answeredTry.isolation.ifPresent(Cancellable::cancel);
+    boolean unknown =
+        failure != null
+            && BasilportException.unwrap(failure, Outcome.MAY_HAVE_RUN, Step.SEND).outcome()
+                != Outcome.NOT_RUN;
+    answeredTry.isolation.ifPresent(unknown ? IsolationLease::lapse : IsolationLease::release);
     if (failure != null) {
       failed(answeredTry, BasilportException.unwrap(failure, Outcome.MAY_HAVE_RUN, Step.SEND));
     } else if (!response.requestId().equals(answeredTry.attemptId)) {
@@ -306,6 +311,6 @@
       String attemptId,
       BackendServer replica,
       RequestFlight flight,
-      Optional<Cancellable> isolation,
+      Optional<IsolationLease> isolation,
       boolean mayHaveRunBefore) {}
 }
--- a/basilport-router/src/main/java/org/basilport/delivery/GenerationSession.java
+++ b/basilport-router/src/main/java/org/basilport/delivery/GenerationSession.java
@@ -18,6 +18,7 @@
 import org.basilport.misc.Scheduler;
 import org.basilport.policy.GenerationClass;
 import org.basilport.policy.Placement;
+import org.basilport.quarantine.IsolationLease;
 import org.basilport.quarantine.RequestFlight;
 import org.basilport.quarantine.Verdict;
 
@@ -57,7 +58,7 @@
   private GenerationAttempt current;
   private Placement placement;
   private RequestFlight flight;
-  private Cancellable isolation = () -> {};
+  private IsolationLease isolation = IsolationLease.none();
   private Cancellable queueDeadline = () -> {};
   private boolean isolated;
   private GenerationEnd end;
@@ -219,7 +220,7 @@
     end = ended;
     flight.completed();
     flight = null;
-    isolation.cancel();
+    isolation.release();
     if (placement != null) {
       boolean natural = ended.reason() != GenerationEnd.Reason.CANCELLED;
       dispatcher.finished(work.requestId(), ended.totalTokens(), natural);
@@ -242,6 +243,7 @@
   public void engineLost(String reason) {
     flight.lost();
     flight = null;
+    isolation.lapse();
     BackendServer server = current.server();
     dispatcher.avoid(server.id());
     // A suspect is not tried again here: its caller decides after the death is known.
@@ -284,9 +286,9 @@
         .thenAccept(granted -> traffic.execute(() -> isolationAnswered(server, granted)));
   }
 
-  private void isolationAnswered(BackendServer server, Optional<Cancellable> granted) {
+  private void isolationAnswered(BackendServer server, Optional<IsolationLease> granted) {
     if (state != State.ISOLATING) {
-      granted.ifPresent(Cancellable::cancel);
+      granted.ifPresent(IsolationLease::release);
       return;
     }
     isolation = granted.orElse(isolation);
@@ -384,7 +386,7 @@
     }
     state = State.DONE;
     queueDeadline.cancel();
-    isolation.cancel();
+    isolation.release();
     if (flight != null) {
       flight.withdrawn();
     }
@@ -395,8 +397,8 @@
   }
 
   private void giveBackPlacement() {
-    isolation.cancel();
-    isolation = () -> {};
+    isolation.release();
+    isolation = IsolationLease.none();
     placement = null;
     dispatcher.finished(work.requestId(), 0, false);
   }
--- a/basilport-router/src/main/java/org/basilport/quarantine/CrashTracker.java
+++ b/basilport-router/src/main/java/org/basilport/quarantine/CrashTracker.java
@@ -22,8 +22,9 @@
  * Finds requests that crash backend servers; safe to use from any thread.
  *
  * <p>When a backend server dies, each request in flight at that incarnation becomes a suspect and
- * runs in isolation from then on. A lost connection makes a request a suspect for a short time even
- * before the death is known, since a retry elsewhere would otherwise crash the next server.
+ * runs in isolation from then on. A lost connection makes a request a suspect on all instances for
+ * a short time even before the death is known, since a retry elsewhere would otherwise crash the
+ * next server.
  */
 public final class CrashTracker implements BackendListener, GossipParticipant {
   /** How long a request stays a suspect after the last death. */
@@ -35,9 +36,7 @@
   /** How long a lost connection may wait for news of the backend server. */
   static final Duration DEATH_NEWS = Duration.ofSeconds(15);
 
-  private static final int DEATHS_TO_QUARANTINE = 2;
   private static final int MAX_RECORDS = 10_000;
-  private static final int MAX_GOSSIP_ENTRIES = 64;
 
   private final Scheduler control;
   private final EventSink events;
@@ -86,13 +85,12 @@
     long isolated = victims.stream().filter(flight -> flight.isolated).count();
     for (Flight victim : victims) {
       SuspicionRecord suspicion = suspicion(victim.fingerprint);
-      boolean counted = suspicion.addDeath(deathId, nowMillis() + SUSPICION.toMillis());
-      int deaths = suspicion.deathCount();
-      if (counted) {
-        record(EventType.REQUEST_SUSPECTED, victim.fingerprint, deaths);
+      boolean alone = victim.isolated && isolated == 1;
+      long expiry = nowMillis() + SUSPICION.toMillis();
+      if (suspicion.addDeath(deathId, alone, expiry)) {
+        record(EventType.REQUEST_SUSPECTED, victim.fingerprint, suspicion.deathCount());
       }
-      boolean onlySuspect = victim.isolated && isolated == 1;
-      if (deaths >= DEATHS_TO_QUARANTINE && onlySuspect && !suspicion.quarantined()) {
+      if (suspicion.provesGuilt()) {
         quarantine(victim.fingerprint, suspicion);
       }
     }
@@ -118,12 +116,8 @@
   public synchronized void contribute(GossipMessage.Builder message) {
     long now = nowMillis();
     records.values().removeIf(suspicion -> suspicion.expired(now));
-    records.entrySet().stream()
-        .sorted(
-            Comparator.comparingLong(
-                (Map.Entry<String, SuspicionRecord> entry) -> -entry.getValue().expiresAtMillis()))
-        .limit(MAX_GOSSIP_ENTRIES)
-        .forEach(entry -> message.addSuspicions(entry.getValue().toEntry(entry.getKey())));
+    SuspicionNews.select(records.values())
+        .forEach(suspicion -> message.addSuspicions(suspicion.toEntry()));
   }
 
   @Override
@@ -134,11 +128,19 @@
   /** Takes over entries from gossip or from the platform. */
   public synchronized void learn(List<SuspicionEntry> entries) {
     long now = nowMillis();
+    boolean changed = false;
     for (SuspicionEntry entry : entries) {
       if (entry.getExpiresAtMillis() > now) {
-        suspicion(entry.getFingerprint()).merge(entry);
+        SuspicionRecord suspicion = suspicion(entry.getFingerprint());
+        changed |= suspicion.merge(entry, now);
+        if (suspicion.provesGuilt()) {
+          quarantine(entry.getFingerprint(), suspicion);
+        }
       }
     }
+    if (changed) {
+      gossipSoon.run();
+    }
   }
 
   private void quarantine(String fingerprint, SuspicionRecord suspicion) {
@@ -148,7 +150,7 @@
     records.forEach(
         (name, known) -> {
           if (known.quarantined() && !known.expired(nowMillis())) {
-            all.add(known.toEntry(name));
+            all.add(known.toEntry());
           }
         });
     control.execute(() -> onQuarantine.accept(all));
@@ -160,7 +162,7 @@
           .min(Comparator.comparingLong(entry -> entry.getValue().expiresAtMillis()))
           .ifPresent(oldest -> records.remove(oldest.getKey()));
     }
-    return records.computeIfAbsent(fingerprint, name -> new SuspicionRecord());
+    return records.computeIfAbsent(fingerprint, SuspicionRecord::new);
   }
 
   private synchronized void end(Flight flight, boolean completed) {
@@ -186,7 +188,9 @@
     }
     flight.lost = true;
     long until = nowMillis() + DEATH_NEWS.toMillis();
-    suspicion(flight.fingerprint).addLoss(flight.deathId, flight.isolated, until);
+    if (suspicion(flight.fingerprint).addLoss(flight.deathId, flight.isolated, until)) {
+      gossipSoon.run();
+    }
     control.schedule(DEATH_NEWS, () -> end(flight, false));
   }
 
--- a/basilport-router/src/main/java/org/basilport/quarantine/IsolationGate.java
+++ b/basilport-router/src/main/java/org/basilport/quarantine/IsolationGate.java
@@ -1,9 +1,12 @@
 package org.basilport.quarantine;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.basilport.membership.Member;
+import org.basilport.membership.MemberHealth;
+import org.basilport.membership.MemberStatus;
 import org.basilport.membership.MembershipView;
 import org.basilport.misc.Cancellable;
 import org.basilport.misc.Scheduler;
@@ -45,7 +48,7 @@
    * Acquires the slot of the fingerprint and then that of the backend server. The result holds what
    * frees both, and is empty when one of them is taken or its owner cannot be reached.
    */
-  public CompletableFuture<Optional<Cancellable>> acquire(
+  public CompletableFuture<Optional<IsolationLease>> acquire(
       String fingerprint, String serverId, String holderId) {
     IsolationRequest flight = request("fingerprint/" + fingerprint, fingerprint, holderId);
     IsolationRequest server = request(serverId, fingerprint, holderId);
@@ -59,7 +62,7 @@
             });
   }
 
-  private Optional<Cancellable> hold(
+  private Optional<IsolationLease> hold(
       IsolationRequest flight, IsolationRequest server, boolean granted) {
     if (!granted) {
       free(flight);
@@ -72,18 +75,14 @@
               ask(flight);
               ask(server);
             });
-    return Optional.of(
-        () -> {
-          renewal.cancel();
-          free(server);
-          free(flight);
-        });
+    return Optional.of(new HeldLease(flight, server, renewal));
   }
 
   private CompletableFuture<Boolean> ask(IsolationRequest request) {
     Optional<Member> owner = membership.owner(request.getServerId());
     if (owner.isEmpty() || isSelf(owner.get())) {
-      return CompletableFuture.completedFuture(local.acquire(request).getGranted());
+      boolean granted = inContact() && local.acquire(request).getGranted();
+      return CompletableFuture.completedFuture(granted);
     }
     return peer(owner.get())
         .acquireIsolation(request)
@@ -91,6 +90,17 @@
         .exceptionally(failure -> false);
   }
 
+  /**
+   * Whether most members answer. Behind a partition an instance takes itself for the owner of every
+   * slot, while the instances on the other side grant the same slots to others.
+   */
+  private boolean inContact() {
+    List<Member> members =
+        membership.members().stream().filter(m -> m.status() != MemberStatus.LEFT).toList();
+    long alive = members.stream().filter(m -> m.health() == MemberHealth.ALIVE).count();
+    return 2 * alive > members.size();
+  }
+
   private void free(IsolationRequest request) {
     Optional<Member> owner = membership.owner(request.getServerId());
     if (owner.isEmpty() || isSelf(owner.get())) {
@@ -116,4 +126,40 @@
         .setHolderId(holderId)
         .build();
   }
+
+  /** Slots that were granted. */
+  private final class HeldLease implements IsolationLease {
+    private final IsolationRequest flight;
+    private final IsolationRequest server;
+    private final Cancellable renewal;
+    private boolean ended;
+
+    HeldLease(IsolationRequest flight, IsolationRequest server, Cancellable renewal) {
+      this.flight = flight;
+      this.server = server;
+      this.renewal = renewal;
+    }
+
+    @Override
+    public void release() {
+      if (end()) {
+        free(flight);
+      }
+    }
+
+    @Override
+    public void lapse() {
+      end();
+    }
+
+    private synchronized boolean end() {
+      if (ended) {
+        return false;
+      }
+      ended = true;
+      renewal.cancel();
+      free(server);
+      return true;
+    }
+  }
 }
--- a/basilport-router/src/main/java/org/basilport/quarantine/SuspicionRecord.java
+++ b/basilport-router/src/main/java/org/basilport/quarantine/SuspicionRecord.java
@@ -4,51 +4,101 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.basilport.protocol.LossEntry;
 import org.basilport.protocol.SuspicionEntry;
 
 /** What is known of one fingerprint. */
 final class SuspicionRecord {
+  private static final int DEATHS_TO_QUARANTINE = 2;
+
   private final Set<String> deaths = new HashSet<>();
   private final Set<String> cleared = new HashSet<>();
-  // Losses of a server that is not known to be dead, with the end of the wait for that news.
-  private final Map<String, Long> losses = new HashMap<>();
-  private final Set<String> isolatedLosses = new HashSet<>();
+  // Losses of a server that is not known to be dead, by death id.
+  private final Map<String, Loss> losses = new HashMap<>();
+  private final String fingerprint;
+  private boolean diedAlone;
+  private int timesTold;
   private boolean quarantined;
   private long expiresAtMillis;
 
-  /** Counts a death once; returns false when it was counted or cleared before. */
-  boolean addDeath(String deathId, long expiry) {
+  SuspicionRecord(String fingerprint) {
+    this.fingerprint = fingerprint;
+  }
+
+  String fingerprint() {
+    return fingerprint;
+  }
+
+  /** How often the latest state was told to other instances. */
+  int timesTold() {
+    return timesTold;
+  }
+
+  void told() {
+    timesTold++;
+  }
+
+  /** Whether a lost connection waits for news of its backend server. */
+  boolean awaitsNews() {
+    return losses.values().stream().anyMatch(loss -> !loss.resolved);
+  }
+
+  /**
+   * Counts a death once; returns false when it was counted or cleared before.
+   *
+   * @param alone whether the request was the only suspect on the backend server
+   */
+  boolean addDeath(String deathId, boolean alone, long expiry) {
     resolve(deathId);
     expiresAtMillis = Math.max(expiresAtMillis, expiry);
-    return !cleared.contains(deathId) && deaths.add(deathId);
+    boolean added = !cleared.contains(deathId) && deaths.add(deathId);
+    diedAlone |= added && alone;
+    changed(added);
+    return added;
   }
 
-  void addLoss(String deathId, boolean isolated, long until) {
-    losses.put(deathId, until);
-    expiresAtMillis = Math.max(expiresAtMillis, until);
-    if (isolated) {
-      isolatedLosses.add(deathId);
+  /** Notes a lost connection; returns false when it is known already. */
+  boolean addLoss(String deathId, boolean isolated, long until) {
+    if (deaths.contains(deathId) || cleared.contains(deathId) || losses.containsKey(deathId)) {
+      return false;
     }
+    losses.put(deathId, new Loss(until, isolated));
+    expiresAtMillis = Math.max(expiresAtMillis, until);
+    changed(true);
+    return true;
   }
 
-  /** Ends the wait for news of a server. */
+  /** Ends the wait for news of a server; the loss is kept so that gossip does not revive it. */
   void resolve(String deathId) {
-    losses.remove(deathId);
-    isolatedLosses.remove(deathId);
+    Loss loss = losses.get(deathId);
+    if (loss != null) {
+      loss.resolved = true;
+    }
+  }
+
+  /**
+   * Whether the deaths prove that this request is their cause: two of them, one of which it caused
+   * alone. The deaths may become known in any order.
+   */
+  boolean provesGuilt() {
+    return !quarantined && diedAlone && deaths.size() >= DEATHS_TO_QUARANTINE;
   }
 
   void quarantine(long expiry) {
     quarantined = true;
     expiresAtMillis = expiry;
+    changed(true);
   }
 
   /** Forgets the deaths and keeps their ids, so that gossip does not bring them back. */
   void clear(long expiry) {
     cleared.addAll(deaths);
+    cleared.addAll(losses.keySet());
     deaths.clear();
     losses.clear();
-    isolatedLosses.clear();
+    diedAlone = false;
     expiresAtMillis = expiry;
+    changed(true);
   }
 
   Verdict verdict(long nowMillis) {
@@ -58,12 +108,11 @@
     if (quarantined) {
       return Verdict.QUARANTINED;
     }
-    losses.values().removeIf(until -> until <= nowMillis);
-    isolatedLosses.retainAll(losses.keySet());
-    if (!isolatedLosses.isEmpty()) {
+    losses.values().removeIf(loss -> loss.until <= nowMillis);
+    if (losses.values().stream().anyMatch(loss -> loss.isolated && !loss.resolved)) {
       return Verdict.UNRESOLVED;
     }
-    return deaths.isEmpty() && losses.isEmpty() ? Verdict.CLEAR : Verdict.SUSPECT;
+    return deaths.isEmpty() && !awaitsNews() ? Verdict.CLEAR : Verdict.SUSPECT;
   }
 
   int deathCount() {
@@ -82,27 +131,42 @@
     return expiresAtMillis;
   }
 
-  /** An entry without deaths that is not quarantined names the deaths that were cleared. */
-  SuspicionEntry toEntry(String fingerprint) {
-    boolean tellCleared = deaths.isEmpty() && !quarantined;
-    return SuspicionEntry.newBuilder()
-        .setFingerprint(fingerprint)
-        .setDeaths(deaths.size())
-        .setQuarantined(quarantined)
-        .setExpiresAtMillis(expiresAtMillis)
-        .addAllDeathIds(tellCleared ? cleared : deaths)
-        .build();
+  /** An entry without deaths and losses that is not quarantined names what was cleared. */
+  SuspicionEntry toEntry() {
+    boolean tellCleared = deaths.isEmpty() && losses.isEmpty() && !quarantined;
+    SuspicionEntry.Builder entry =
+        SuspicionEntry.newBuilder()
+            .setFingerprint(fingerprint)
+            .setDeaths(deaths.size())
+            .setQuarantined(quarantined)
+            .setExpiresAtMillis(expiresAtMillis)
+            .addAllDeathIds(tellCleared ? cleared : deaths);
+    losses.forEach(
+        (deathId, loss) -> {
+          if (!loss.resolved) {
+            entry.addLosses(loss.toEntry(deathId));
+          }
+        });
+    return entry.build();
   }
 
   /** Takes over what another instance knows; returns whether anything is new. */
-  boolean merge(SuspicionEntry entry) {
+  boolean merge(SuspicionEntry entry, long nowMillis) {
     boolean changed = false;
-    if (entry.getDeaths() == 0 && !entry.getQuarantined()) {
+    boolean tellsCleared =
+        entry.getDeaths() == 0 && entry.getLossesCount() == 0 && !entry.getQuarantined();
+    if (tellsCleared) {
       changed |= cleared.addAll(entry.getDeathIdsList());
       deaths.removeAll(cleared);
+      losses.keySet().removeAll(cleared);
     } else {
       for (String deathId : entry.getDeathIdsList()) {
-        changed |= addDeath(deathId, entry.getExpiresAtMillis());
+        changed |= addDeath(deathId, false, entry.getExpiresAtMillis());
+      }
+    }
+    for (LossEntry loss : entry.getLossesList()) {
+      if (loss.getUntilMillis() > nowMillis) {
+        changed |= addLoss(loss.getDeathId(), loss.getIsolated(), loss.getUntilMillis());
       }
     }
     if (entry.getQuarantined() && !quarantined) {
@@ -110,6 +174,33 @@
       changed = true;
     }
     expiresAtMillis = Math.max(expiresAtMillis, entry.getExpiresAtMillis());
+    changed(changed);
     return changed;
   }
+
+  private void changed(boolean news) {
+    if (news) {
+      timesTold = 0;
+    }
+  }
+
+  /** A lost connection. */
+  private static final class Loss {
+    private final long until;
+    private final boolean isolated;
+    private boolean resolved;
+
+    Loss(long until, boolean isolated) {
+      this.until = until;
+      this.isolated = isolated;
+    }
+
+    LossEntry toEntry(String deathId) {
+      return LossEntry.newBuilder()
+          .setDeathId(deathId)
+          .setUntilMillis(until)
+          .setIsolated(isolated)
+          .build();
+    }
+  }
 }
--- a/basilport-router/src/test/java/org/basilport/quarantine/CrashingRequestTest.java
+++ b/basilport-router/src/test/java/org/basilport/quarantine/CrashingRequestTest.java
@@ -10,6 +10,7 @@
 import org.basilport.error.Outcome;
 import org.basilport.fake.FakeFleet;
 import org.basilport.fake.RecordingListener;
+import org.basilport.protocol.GossipMessage;
 import org.basilport.protocol.IsolationRequest;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -98,6 +99,58 @@
     }
   }
 
+  @Nested
+  class News {
+    private final CrashTracker first =
+        new CrashTracker(fleet.scheduler, fleet.timelines.get(0), () -> {});
+    private final CrashTracker second =
+        new CrashTracker(fleet.scheduler, fleet.timelines.get(1), () -> {});
+
+    private BackendServer engine(int number) {
+      return fleet.controlPlanes.get(0).find("engine-" + number).orElseThrow();
+    }
+
+    private void gossip() {
+      GossipMessage.Builder message = GossipMessage.newBuilder();
+      first.contribute(message);
+      second.receive(message.build());
+    }
+
+    /** Guards against a third death when the death in isolation becomes known before the other. */
+    @Test
+    void deathsThatBecomeKnownInAnyOrderLeadToAQuarantine() {
+      first.begin("f", engine(0), false);
+      first.begin("f", engine(1), true);
+
+      first.onDeath(engine(1));
+      first.onDeath(engine(0));
+
+      assertThat(first.verdict("f")).isEqualTo(Verdict.QUARANTINED);
+    }
+
+    /** Guards against a resend that crashes the next server before the first death is known. */
+    @Test
+    void aLostConnectionIsToldBeforeTheDeathIsKnown() {
+      first.begin("f", engine(0), false).lost();
+      gossip();
+
+      assertThat(second.verdict("f")).isEqualTo(Verdict.SUSPECT);
+    }
+
+    /** Guards against many older suspects that keep the newest one from travelling. */
+    @Test
+    void newsTravelsBeforeOlderSuspects() {
+      for (int i = 0; i < 500; i++) {
+        first.begin("old-" + i, engine(0), false);
+      }
+      first.onDeath(engine(0));
+      first.begin("newest", engine(1), false).lost();
+      gossip();
+
+      assertThat(second.verdict("newest")).isEqualTo(Verdict.SUSPECT);
+    }
+  }
+
   /** Guards against a quarantine that ends when all instances are restarted. */
   @Test
   void aQuarantineIsReadFromThePlatformAtStart() {
