Resolve a length estimate once per generation and reuse change records; measure decision cost

Cause: each observation looked up three histograms by new keys, and each start and end copied a forecast; 10,000 histograms were too few for 4,900 workspaces with two routes and were rebuilt. Change: a generation keeps its distribution, which passes observations to its parents; ledgers reuse change records; 16,000 histograms.

--- /dev/null
+++ b/basilport-bench/src/main/java/org/basilport/bench/policy/DecisionCost.java
@@ -0,0 +1,146 @@
+package org.basilport.bench.policy;
+
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.basilport.policy.AdaptiveGenerationPolicyFactory;
+import org.basilport.policy.GenerationClass;
+import org.basilport.policy.GenerationPolicy;
+import org.basilport.policy.Placement;
+import org.basilport.policy.PolicySettings;
+import org.basilport.policy.ReplicaState;
+import org.basilport.policy.WorkItem;
+
+/** Measures time and allocation of the shipped policy's decisions at a given size. */
+final class DecisionCost {
+  private static final long CAPACITY = 120_000;
+  private static final int OWN_PER_REPLICA = 4;
+  private static final int FEEDING_INSTANCES = 6;
+  private static final int ROUTES = 2;
+  private static final int WARM_UP = 6;
+  private static final int REPORTS = 50;
+  private static final long STEP_NANOS = 1_000_000L;
+  private static final long PROMPT = 600;
+  private static final long MAX_TOKENS = 2_000;
+  private static final long LENGTH = 300;
+
+  private final int replicas;
+  private final int workspaces;
+  private final GenerationPolicy policy;
+  private final ArrayDeque<Placement> running = new ArrayDeque<>();
+  private final SplittableRandom random = new SplittableRandom(1);
+  private final ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+  private long now;
+  private long nextId;
+
+  DecisionCost(int replicas, int workspaces) {
+    this.replicas = replicas;
+    this.workspaces = workspaces;
+    PolicySettings settings = new PolicySettings("s", "m", 100_000, 0.05, 1, 1, 1, Map.of());
+    policy = new AdaptiveGenerationPolicyFactory().create(settings, random.split());
+  }
+
+  /** Returns the costs of starting, of progress, of an end and of a set of reports. */
+  List<Cost> measure(int decisions) {
+    report();
+    start(prepare(OWN_PER_REPLICA * replicas));
+    List<Cost> costs = List.of();
+    for (int i = 0; i <= WARM_UP; i++) {
+      costs = round(decisions);
+    }
+    return costs;
+  }
+
+  private List<Cost> round(int decisions) {
+    List<WorkItem> items = prepare(decisions);
+    List<Placement> placements = new ArrayList<>(running);
+    List<Cost> costs = new ArrayList<>();
+    costs.add(measure("progress", placements.size(), () -> progress(placements)));
+    costs.add(measure("end and start", decisions, () -> replace(items)));
+    costs.add(measure("reports of all replicas", REPORTS, this::reports));
+    return costs;
+  }
+
+  private Cost measure(String name, int count, Runnable work) {
+    long thread = Thread.currentThread().getId();
+    long bytes = threads.getThreadAllocatedBytes(thread);
+    long nanos = threads.getCurrentThreadCpuTime();
+    work.run();
+    nanos = threads.getCurrentThreadCpuTime() - nanos;
+    bytes = threads.getThreadAllocatedBytes(thread) - bytes;
+    return new Cost(name, nanos / 1e3 / count, (double) bytes / count);
+  }
+
+  private List<WorkItem> prepare(int count) {
+    List<WorkItem> items = new ArrayList<>(count);
+    for (int i = 0; i < count; i++) {
+      int workspace = random.nextInt(workspaces);
+      items.add(
+          new WorkItem(
+              "r" + nextId++,
+              "w" + workspace,
+              "route" + i % ROUTES,
+              "m",
+              GenerationClass.STREAMED,
+              PROMPT,
+              MAX_TOKENS,
+              workspace,
+              1));
+    }
+    return items;
+  }
+
+  private void start(List<WorkItem> items) {
+    for (WorkItem item : items) {
+      policy.submit(item, now);
+      running.addAll(policy.place(now));
+    }
+  }
+
+  private void replace(List<WorkItem> items) {
+    for (WorkItem item : items) {
+      now += STEP_NANOS;
+      Placement ended = running.poll();
+      if (ended != null) {
+        policy.finished(ended.item().requestId(), LENGTH, true, now);
+      }
+      policy.submit(item, now);
+      running.addAll(policy.place(now));
+    }
+  }
+
+  private void progress(List<Placement> placements) {
+    now += STEP_NANOS;
+    for (Placement placement : placements) {
+      policy.progressed(placement.item().requestId(), LENGTH / 2, now);
+    }
+  }
+
+  private void reports() {
+    for (int i = 0; i < REPORTS; i++) {
+      report();
+    }
+  }
+
+  private void report() {
+    List<ReplicaState> states = new ArrayList<>(replicas);
+    for (int i = 0; i < replicas; i++) {
+      states.add(
+          new ReplicaState("e" + i, i % 3 == 0, CAPACITY, CAPACITY / 2, 0, 20, 30, now, now));
+    }
+    policy.replicas(states, FEEDING_INSTANCES, now);
+  }
+
+  /**
+   * Cost of one kind of call.
+   *
+   * @param name what was called
+   * @param micros processor time per call, in microseconds
+   * @param bytes allocation per call, in bytes
+   */
+  record Cost(String name, double micros, double bytes) {}
+}
--- a/basilport-bench/src/main/java/org/basilport/bench/policy/OracleLengthEstimator.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/policy/OracleLengthEstimator.java
@@ -20,10 +20,4 @@
     long length = lengths.get(item.requestId());
     return (generated, further) -> generated + further < length ? 1 : 0;
   }
-
-  @Override
-  public void grown(WorkItem item, long before, long now) {}
-
-  @Override
-  public void ended(WorkItem item, long length) {}
 }
--- a/basilport-policy/src/main/java/org/basilport/policy/AdaptiveGenerationPolicy.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/AdaptiveGenerationPolicy.java
@@ -11,6 +11,7 @@
 import org.basilport.policy.admission.ReplicaLedger;
 import org.basilport.policy.fairness.FairQueue;
 import org.basilport.policy.fairness.WorkspaceAccount;
+import org.basilport.policy.length.LengthDistribution;
 import org.basilport.policy.length.LengthEstimator;
 import org.basilport.policy.routing.AffinitySelector;
 import org.basilport.policy.routing.OutlierEjector;
@@ -151,7 +152,8 @@
 
   private boolean placeOne(WorkItem item, List<Placement> placements, long nowNanos) {
     candidateStreamed = item.generationClass() == GenerationClass.STREAMED;
-    candidate.assign(item.promptTokens(), 0, item.maxTokens(), lengths.distribution(item));
+    LengthDistribution distribution = lengths.distribution(item);
+    candidate.assign(item.promptTokens(), 0, item.maxTokens(), distribution);
     int position = selector.select(item, ledgers, admits);
     if (position == ReplicaSelector.NONE) {
       return false;
@@ -162,7 +164,7 @@
     queue.bypass(skipped, service);
     payClass(item.generationClass(), service);
     WorkspaceAccount account = queue.start(item, service);
-    RunningWork work = new RunningWork(item, ledger, account, lengths.distribution(item), nowNanos);
+    RunningWork work = new RunningWork(item, ledger, account, distribution, nowNanos);
     work.charged = service;
     work.served = PROMPT_SERVICE * item.promptTokens();
     work.forecast.add(candidate, 1);
@@ -202,7 +204,7 @@
       return;
     }
     charge(work, generatedTokens, nowNanos);
-    lengths.grown(work.item, work.observed, generatedTokens);
+    work.lengths.grown(work.observed, generatedTokens);
     work.observed = generatedTokens;
     work.ledger.adjust(work.forecast, -1);
     admission.adjustFleet(work.forecast, -1);
@@ -233,8 +235,8 @@
     charge(work, generatedTokens, nowNanos);
     queue.charge(work.account, work.served - work.charged);
     if (completed) {
-      lengths.grown(work.item, work.observed, generatedTokens);
-      lengths.ended(work.item, generatedTokens);
+      work.lengths.grown(work.observed, generatedTokens);
+      work.lengths.ended(generatedTokens);
     }
     work.ledger.end(work.forecast, admission.credit(work.ledger), nowNanos);
     admission.adjustFleet(work.forecast, -1);
--- a/basilport-policy/src/main/java/org/basilport/policy/AdaptiveGenerationPolicyFactory.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/AdaptiveGenerationPolicyFactory.java
@@ -5,7 +5,7 @@
 
 /** Creates the shipped policy. */
 public final class AdaptiveGenerationPolicyFactory implements GenerationPolicyFactory {
-  private static final int HISTOGRAM_LIMIT = 10_000;
+  private static final int HISTOGRAM_LIMIT = 16_000;
 
   @Override
   public GenerationPolicy create(PolicySettings settings, SplittableRandom random) {
--- a/basilport-policy/src/main/java/org/basilport/policy/admission/ReplicaLedger.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/admission/ReplicaLedger.java
@@ -25,6 +25,7 @@
   private final MemoryForecast own = new MemoryForecast();
   private final MemoryForecast fresh = new MemoryForecast();
   private final ArrayDeque<Change> changes = new ArrayDeque<>();
+  private final ArrayDeque<Change> spare = new ArrayDeque<>();
   private final long[] historyNanos = new long[HISTORY];
   private final double[] historyHeld = new double[HISTORY];
   private int historyNext;
@@ -55,6 +56,7 @@
     while (!changes.isEmpty() && changes.peek().atNanos <= report.measuredAtNanos()) {
       Change seen = changes.remove();
       fresh.add(seen.forecast, -seen.sign);
+      spare.push(seen);
     }
     if (changes.isEmpty()) {
       fresh.clear();
@@ -161,9 +163,12 @@
   }
 
   private void change(MemoryForecast forecast, double sign, long nowNanos) {
-    MemoryForecast copy = new MemoryForecast();
-    copy.add(forecast, 1);
-    changes.add(new Change(copy, sign, nowNanos));
+    Change change = spare.isEmpty() ? new Change() : spare.pop();
+    change.forecast.clear();
+    change.forecast.add(forecast, 1);
+    change.sign = sign;
+    change.atNanos = nowNanos;
+    changes.add(change);
     fresh.add(forecast, sign);
   }
 
@@ -179,5 +184,10 @@
     return held;
   }
 
-  private record Change(MemoryForecast forecast, double sign, long atNanos) {}
+  /** A start or an end of own work that the report does not show yet. */
+  private static final class Change {
+    private final MemoryForecast forecast = new MemoryForecast();
+    private double sign;
+    private long atNanos;
+  }
 }
--- a/basilport-policy/src/main/java/org/basilport/policy/length/HazardHistogram.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/length/HazardHistogram.java
@@ -41,17 +41,23 @@
     this.parent = parent;
   }
 
-  /** Counts the buckets that a generation entered between two lengths; starts at -1 tokens. */
-  void grown(long before, long now) {
+  @Override
+  public void grown(long before, long now) {
     int last = LengthBuckets.indexOf(now);
     int first = before < 0 ? 0 : LengthBuckets.indexOf(before) + 1;
+    if (first > last) {
+      return;
+    }
     for (int i = first; i <= last; i++) {
       entered[i]++;
     }
+    if (parent != null) {
+      parent.grown(before, now);
+    }
   }
 
-  /** Counts the end of a generation whose growth was counted. */
-  void ended(long length) {
+  @Override
+  public void ended(long length) {
     int index = LengthBuckets.indexOf(length);
     ended[index]++;
     if (entered[index] > DECAY_AT) {
@@ -59,6 +65,9 @@
       ended[index] /= 2;
     }
     observations++;
+    if (parent != null) {
+      parent.ended(length);
+    }
   }
 
   @Override
--- a/basilport-policy/src/main/java/org/basilport/policy/length/HierarchicalLengthEstimator.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/length/HierarchicalLengthEstimator.java
@@ -28,23 +28,6 @@
     return route(item);
   }
 
-  @Override
-  public void grown(WorkItem item, long before, long now) {
-    if (before >= 0 && LengthBuckets.indexOf(before) == LengthBuckets.indexOf(now)) {
-      return;
-    }
-    model(item).grown(before, now);
-    workspace(item).grown(before, now);
-    route(item).grown(before, now);
-  }
-
-  @Override
-  public void ended(WorkItem item, long length) {
-    model(item).ended(length);
-    workspace(item).ended(length);
-    route(item).ended(length);
-  }
-
   private HazardHistogram model(WorkItem item) {
     return histogram(new Key(item.model(), "", ""), null);
   }
--- a/basilport-policy/src/main/java/org/basilport/policy/length/LengthDistribution.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/length/LengthDistribution.java
@@ -1,6 +1,6 @@
 package org.basilport.policy.length;
 
-/** Distribution of the output length of one generation. */
+/** Distribution of the output length of a generation, which learns from what it is told. */
 @FunctionalInterface
 public interface LengthDistribution {
 
@@ -12,4 +12,15 @@
    * @param further number of further tokens, at least 0
    */
   double survival(long generated, long further);
+
+  /**
+   * Tells that a running generation grew.
+   *
+   * @param before tokens at the previous observation; -1 at the first one
+   * @param now tokens produced so far
+   */
+  default void grown(long before, long now) {}
+
+  /** Tells that a generation, whose growth was told, reached its natural end. */
+  default void ended(long length) {}
 }
--- a/basilport-policy/src/test/java/org/basilport/policy/AdaptiveGenerationPolicyTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/AdaptiveGenerationPolicyTest.java
@@ -198,8 +198,8 @@
       WorkItem item = item(1, GenerationClass.STREAMED, 10, 100_000);
       for (int i = 0; i < 2_000; i++) {
         long length = 1 + random.nextInt(1_000);
-        estimator.grown(item, -1, length);
-        estimator.ended(item, length);
+        estimator.distribution(item).grown(-1, length);
+        estimator.distribution(item).ended(length);
       }
       LengthDistribution lengths = estimator.distribution(item);
       assertThat(lengths.survival(0, 250)).isWithin(0.06).of(0.75);
@@ -214,9 +214,9 @@
       HierarchicalLengthEstimator estimator = new HierarchicalLengthEstimator(10);
       WorkItem item = item(1, GenerationClass.STREAMED, 10, 100_000);
       for (int i = 0; i < 100; i++) {
-        estimator.grown(item, -1, 20);
-        estimator.ended(item, 20);
-        estimator.grown(item, -1, 600);
+        estimator.distribution(item).grown(-1, 20);
+        estimator.distribution(item).ended(20);
+        estimator.distribution(item).grown(-1, 600);
       }
       assertThat(estimator.distribution(item).survival(0, 400)).isWithin(0.1).of(0.45);
     }
@@ -229,8 +229,8 @@
       for (int i = 0; i < 3_000; i++) {
         WorkItem item = item(random.nextInt(10), GenerationClass.STREAMED, 10, 100_000);
         long length = 1 + (long) Math.exp(random.nextDouble(10));
-        estimator.grown(item, -1, length);
-        estimator.ended(item, length);
+        estimator.distribution(item).grown(-1, length);
+        estimator.distribution(item).ended(length);
         double before = 1;
         long generated = random.nextInt(5_000);
         for (long further = 0; further < 40_000; further = 2 * further + 1) {
