--- /dev/null
+++ b/basilport-bench/src/test/java/org/basilport/bench/policy/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the policy benchmark. */
+package org.basilport.bench.policy;
