Add a load generator and a run of real processes with faults

bench load drives an open-loop load through one daemon and against its engines in the same run; bench processes kills, pauses and drains real daemon processes under traffic.

--- /dev/null
+++ b/basilport-bench/src/test/java/org/basilport/bench/load/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the load generator and of the run of real processes. */
+package org.basilport.bench.load;
--- a/basilport-cli/src/main/java/org/basilport/cli/BenchCommand.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/BenchCommand.java
@@ -1,5 +1,7 @@
 package org.basilport.cli;
 
+import org.basilport.bench.load.LoadCommand;
+import org.basilport.bench.load.ProcessFaultCommand;
 import org.basilport.bench.policy.PolicyBenchmarkCommand;
 import picocli.CommandLine.Command;
 
@@ -8,5 +10,5 @@
     name = "bench",
     description = "Run benchmarks.",
     mixinStandardHelpOptions = true,
-    subcommands = {PolicyBenchmarkCommand.class})
+    subcommands = {PolicyBenchmarkCommand.class, LoadCommand.class, ProcessFaultCommand.class})
 final class BenchCommand {}
