Take work off the traffic thread for each frame

Change: one prepared Mac per thread; the event is written on the connection's event loop; the detail of an invariant on the frame path is made only when it is broken.

--- a/basilport-common/src/main/java/org/basilport/event/Invariant.java
+++ b/basilport-common/src/main/java/org/basilport/event/Invariant.java
@@ -1,5 +1,7 @@
 package org.basilport.event;
 
+import java.util.function.Supplier;
+
 /** Checks of guarantees at run time. */
 public final class Invariant {
 
@@ -12,9 +14,16 @@
    * @param detail the values that break it
    */
   public static void check(boolean condition, EventSink events, String name, String detail) {
+    check(condition, events, name, () -> detail);
+  }
+
+  /** Checks a condition of a hot path: the detail is made only when the condition does not hold. */
+  public static void check(
+      boolean condition, EventSink events, String name, Supplier<String> detail) {
     if (!condition) {
-      events.record(EventType.INVARIANT_VIOLATED, EventSubject.NONE, name, detail);
-      throw new InvariantViolation(name, detail);
+      String values = detail.get();
+      events.record(EventType.INVARIANT_VIOLATED, EventSubject.NONE, name, values);
+      throw new InvariantViolation(name, values);
     }
   }
 }
--- a/basilport-daemon/src/main/java/org/basilport/daemon/http/GenerationStream.java
+++ b/basilport-daemon/src/main/java/org/basilport/daemon/http/GenerationStream.java
@@ -55,8 +55,8 @@
 
   @Override
   public void onTokens(long offset, List<String> tokens, String resumeToken) {
-    String data = Json.write(new StreamBodies.Tokens(offset, tokens));
-    offer(new ServerSentEvent(resumeToken, "token", data), false);
+    // The router calls on its one traffic thread, so the event is written on the connection's loop.
+    loop.execute(() -> add(tokenEvent(offset, tokens, resumeToken), false));
   }
 
   @Override
@@ -105,6 +105,11 @@
     add(new ServerSentEvent("", "error", Json.write(describe.apply(failure))), true);
   }
 
+  private static ServerSentEvent tokenEvent(long offset, List<String> tokens, String resumeToken) {
+    String data = Json.write(new StreamBodies.Tokens(offset, tokens));
+    return new ServerSentEvent(resumeToken, "token", data);
+  }
+
   private void offer(ServerSentEvent event, boolean last) {
     loop.execute(() -> add(event, last));
   }
--- a/basilport-router/src/main/java/org/basilport/delivery/FrameBuffer.java
+++ b/basilport-router/src/main/java/org/basilport/delivery/FrameBuffer.java
@@ -63,8 +63,7 @@
     boolean sameGeneration =
         deliveredGenerationId == null || deliveredGenerationId.equals(frame.generationId());
     Invariant.check(sameGeneration, events, "one generation per stream", frame.generationId());
-    Invariant.check(
-        frame.offset() == deliveredOffset, events, "each token once", String.valueOf(frame));
+    Invariant.check(frame.offset() == deliveredOffset, events, "each token once", frame::toString);
     deliveredGenerationId = frame.generationId();
     deliveredOffset += frame.tokens().size();
     return frame;
--- a/basilport-router/src/main/java/org/basilport/delivery/ResumeTokenCodec.java
+++ b/basilport-router/src/main/java/org/basilport/delivery/ResumeTokenCodec.java
@@ -27,6 +27,9 @@
 
   private final SecretKeySpec key;
 
+  /** Finding a provider and setting up the key cost more than the signature of a short token. */
+  private final ThreadLocal<Mac> mac = ThreadLocal.withInitial(this::createMac);
+
   /** Creates a codec with the key that all instances share. */
   public ResumeTokenCodec(String clusterKey) {
     // The prefix separates this use of the cluster key from its use between instances.
@@ -117,10 +120,14 @@
   }
 
   private byte[] sign(byte[] body) {
+    return mac.get().doFinal(body);
+  }
+
+  private Mac createMac() {
     try {
-      Mac mac = Mac.getInstance(ALGORITHM);
-      mac.init(key);
-      return mac.doFinal(body);
+      Mac created = Mac.getInstance(ALGORITHM);
+      created.init(key);
+      return created;
     } catch (GeneralSecurityException e) {
       throw new IllegalStateException("HMAC-SHA-256 is not available", e);
     }
