--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Which models, adapters and versions should be loaded on which engine. */
+package org.basilport.policy.placement;
