--- a/basilport-router/src/main/java/org/basilport/config/Deployment.java
+++ b/basilport-router/src/main/java/org/basilport/config/Deployment.java
@@ -11,13 +11,30 @@
  * @param applicationServices plain services
  * @param workspaces customers
  * @param routes names under which callers reach services
+ * @param placements models that engines are ordered to load; a service without any gets no orders
  */
 public record Deployment(
     String site,
     List<ModelService> modelServices,
     List<ApplicationService> applicationServices,
     List<Workspace> workspaces,
-    List<Route> routes) {
+    List<Route> routes,
+    List<ModelPlacement> placements) {
+
+  /** Takes an absent list of placements as an empty one. */
+  public Deployment {
+    placements = placements == null ? List.of() : placements;
+  }
+
+  /** Creates a configuration without placements. */
+  public Deployment(
+      String site,
+      List<ModelService> modelServices,
+      List<ApplicationService> applicationServices,
+      List<Workspace> workspaces,
+      List<Route> routes) {
+    this(site, modelServices, applicationServices, workspaces, routes, List.of());
+  }
 
   /** Finds a workspace by name. */
   public Optional<Workspace> workspace(String name) {
@@ -38,4 +55,9 @@
   public Optional<ApplicationService> applicationService(String name) {
     return applicationServices.stream().filter(s -> s.name().equals(name)).findFirst();
   }
+
+  /** Returns the placements of a service. */
+  public List<ModelPlacement> placements(String service) {
+    return placements.stream().filter(p -> p.service().equals(service)).toList();
+  }
 }
--- a/basilport-router/src/main/java/org/basilport/config/DeploymentValidator.java
+++ b/basilport-router/src/main/java/org/basilport/config/DeploymentValidator.java
@@ -3,9 +3,12 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.regex.Pattern;
+import org.basilport.policy.placement.ModelName;
 
 /** Checks a merged configuration as a whole and reports all problems at once. */
 public final class DeploymentValidator {
@@ -44,6 +47,11 @@
         check(deployment, route);
       }
     }
+    for (ModelPlacement placement : items("placements", deployment.placements())) {
+      check(deployment, placement);
+    }
+    checkOwnModels(deployment);
+    duplicates("placements", deployment.placements(), ModelPlacement::name);
     duplicates("modelServices", list(deployment.modelServices()), ModelService::name);
     List<Object> services = new ArrayList<>(list(deployment.modelServices()));
     services.addAll(list(deployment.applicationServices()));
@@ -104,6 +112,58 @@
     }
   }
 
+  private void check(Deployment deployment, ModelPlacement placement) {
+    String path = "placements[" + placement.name() + "].";
+    required(path + "service", placement.service());
+    required(path + "model", placement.model());
+    range(path + "minimumReplicas", placement.minimumReplicas(), 1, MAX_REPLICAS, "replicas");
+    range(
+        path + "requestsPerReplica", placement.requestsPerReplica(), 0.001, MAX_RATE, "requests/s");
+    if (placement.service() == null || placement.model() == null) {
+      return;
+    }
+    Optional<ModelService> service =
+        list(deployment.modelServices()).stream()
+            .filter(s -> placement.service().equals(s.name()))
+            .findFirst();
+    if (service.isEmpty()) {
+      problem(path + "service", "model service " + placement.service() + " does not exist");
+    } else if (placement.minimumReplicas() > service.get().replicas()) {
+      problem(
+          path + "minimumReplicas",
+          "must be at most the " + service.get().replicas() + " replicas of the service");
+    }
+    boolean twice =
+        deployment.placements().stream()
+            .anyMatch(
+                other ->
+                    !Objects.equals(other.name(), placement.name())
+                        && placement.service().equals(other.service())
+                        && placement.model().equals(other.model()));
+    if (twice) {
+      problem(path + "model", "model " + placement.model() + " is placed twice");
+    }
+  }
+
+  /** A service with placements but without its own model would be told to unload it. */
+  private void checkOwnModels(Deployment deployment) {
+    for (ModelService service : list(deployment.modelServices())) {
+      List<ModelPlacement> placed =
+          deployment.placements().stream()
+              .filter(p -> Objects.equals(p.service(), service.name()) && p.model() != null)
+              .toList();
+      boolean own =
+          placed.stream()
+              .map(placement -> ModelName.parse(placement.model()).name())
+              .anyMatch(name -> name.equals(service.model()));
+      if (!placed.isEmpty() && !own) {
+        problem(
+            "modelServices[" + service.name() + "].model",
+            "placements of the service must include its model " + service.model());
+      }
+    }
+  }
+
   private <T> List<T> items(String list, List<T> items) {
     required(list, items);
     List<T> present = list(items);
@@ -126,6 +186,9 @@
   }
 
   private static String serviceName(Object item) {
+    if (item instanceof ModelPlacement) {
+      return ((ModelPlacement) item).name();
+    }
     if (item instanceof ModelService) {
       return ((ModelService) item).name();
     }
--- /dev/null
+++ b/basilport-router/src/main/java/org/basilport/order/Reconciler.java
@@ -0,0 +1,300 @@
+package org.basilport.order;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedSet;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.basilport.backend.BackendServer;
+import org.basilport.config.AcceptedConfiguration;
+import org.basilport.config.ModelPlacement;
+import org.basilport.engine.EngineOrder;
+import org.basilport.error.BasilportException;
+import org.basilport.error.ConflictException;
+import org.basilport.error.FailureCode;
+import org.basilport.error.Outcome;
+import org.basilport.error.Step;
+import org.basilport.error.UnavailableException;
+import org.basilport.event.EventSubject;
+import org.basilport.event.EventType;
+import org.basilport.event.Invariant;
+import org.basilport.misc.Cancellable;
+import org.basilport.misc.Deadline;
+import org.basilport.misc.Scheduler;
+import org.basilport.policy.limit.FullJitterBackoff;
+import org.basilport.policy.placement.EngineState;
+import org.basilport.policy.placement.ModelName;
+import org.basilport.policy.placement.ModelNeed;
+import org.basilport.policy.placement.PlacementPlan;
+import org.basilport.policy.placement.PlacementPlanner;
+import org.basilport.policy.placement.PlacementSettings;
+
+/**
+ * Brings the engines of a service to their targets while this instance holds the duty. Runs on the
+ * control thread.
+ *
+ * <p>An order states the full target of an engine, so a repeated or late one is corrected by the
+ * next. An engine that ignores fencing tokens can take an old order at any time. The holder notices
+ * it with the next report and the next round, and orders the target again at once, or at the latest
+ * when the patience with an order that the engine had accepted ends. Until then the engine may have
+ * the wrong models: at most patience, one round, the age of the report, the wait for the weight
+ * store and the load.
+ */
+public final class Reconciler {
+  private static final String ROLE = "decode";
+  private static final int MAX_OPEN_ORDERS = 4;
+  private static final long BACKOFF_BASE_MILLIS = 1_000;
+  private static final long BACKOFF_LIMIT_MILLIS = 30_000;
+
+  private final String service;
+  private final DutyLease lease;
+  private final OrderEnvironment environment;
+  private final FleetDemand demand;
+  private final OrderTiming timing;
+  private final PlacementSettings placement;
+  private final Scheduler control;
+  private final SplittableRandom random;
+  private final FullJitterBackoff backoff;
+  private final Map<String, EngineProgress> engines = new TreeMap<>();
+  private Cancellable rounds = () -> {};
+  private Optional<PlacementPlanner> planner = Optional.empty();
+  private long startAt;
+  private long fetchNotBefore;
+  private boolean fetching;
+  private int openOrders;
+  private volatile OrderStatus status;
+
+  /** Creates a reconciler that does nothing yet. */
+  public Reconciler(
+      String service,
+      DutyLease lease,
+      OrderEnvironment environment,
+      FleetDemand demand,
+      OrderTiming timing,
+      PlacementSettings placement,
+      SplittableRandom random) {
+    this.service = service;
+    this.lease = lease;
+    this.environment = environment;
+    this.demand = demand;
+    this.timing = timing;
+    this.placement = placement;
+    this.control = environment.control();
+    this.random = random;
+    this.backoff = new FullJitterBackoff(BACKOFF_BASE_MILLIS, BACKOFF_LIMIT_MILLIS, random.split());
+    this.fetchNotBefore = control.nanoTime();
+    this.status = new OrderStatus(service, "", false, 0, List.of());
+  }
+
+  /** Starts the rounds. */
+  public void start() {
+    rounds = control.scheduleRepeating(timing.round(), this::round);
+  }
+
+  /** Gives no more orders. */
+  public void stop() {
+    rounds.cancel();
+    forget();
+  }
+
+  /** The state after the latest round; any thread. */
+  public OrderStatus status() {
+    return status;
+  }
+
+  private void round() {
+    List<ModelNeed> needs = needs();
+    if (lease.token().isEmpty() || needs.isEmpty()) {
+      forget();
+    } else {
+      reconcile(needs);
+    }
+    status =
+        new OrderStatus(
+            service,
+            lease.latest().map(LeaseRecord::holder).orElse(""),
+            lease.token().isPresent(),
+            lease.token().orElse(0),
+            engines.values().stream().filter(e -> !e.reached).map(e -> e.describe()).toList());
+  }
+
+  private List<ModelNeed> needs() {
+    List<ModelPlacement> placements =
+        environment
+            .configuration()
+            .inForce()
+            .map(AcceptedConfiguration::deployment)
+            .map(deployment -> deployment.placements(service))
+            .orElse(List.of());
+    return placements.stream()
+        .map(p -> new ModelNeed(p.model(), p.minimumReplicas(), p.requestsPerReplica()))
+        .toList();
+  }
+
+  /** A later holder may have changed the engines, so nothing is carried over to the next duty. */
+  private void forget() {
+    planner = Optional.empty();
+    engines.clear();
+  }
+
+  private void reconcile(List<ModelNeed> needs) {
+    long now = control.nanoTime();
+    if (planner.isEmpty()) {
+      planner = Optional.of(new PlacementPlanner(placement, now));
+      startAt = now + random.nextLong(timing.startSpread().toNanos() + 1);
+    }
+    if (now - startAt < 0) {
+      return;
+    }
+    List<BackendServer> servers = environment.backends().candidates(service);
+    Map<String, EngineState> reported = new TreeMap<>();
+    for (BackendServer server : servers) {
+      environment
+          .backends()
+          .latestReport(server.id())
+          .filter(report -> report.incarnation() == server.incarnation())
+          .map(report -> new EngineState(server.id(), new TreeSet<>(report.loadedModels())))
+          .ifPresent(state -> reported.put(server.id(), state));
+    }
+    PlacementPlan plan = planner.get().plan(needs, demand.rates(), reported.values(), now);
+    engines.keySet().retainAll(reported.keySet());
+    servers.stream()
+        .filter(server -> reported.containsKey(server.id()))
+        .forEach(server -> update(server, plan, reported.get(server.id()), now));
+    engines.values().forEach(this::advance);
+  }
+
+  private void update(BackendServer server, PlacementPlan plan, EngineState state, long now) {
+    EngineProgress known = engines.get(server.id());
+    if (known == null || known.server.incarnation() != server.incarnation()) {
+      known = new EngineProgress(server, now);
+      engines.put(server.id(), known);
+    }
+    known.update(server, plan.targets().get(server.id()), state.loaded());
+  }
+
+  private void advance(EngineProgress engine) {
+    long now = control.nanoTime();
+    long token = lease.token().orElse(0);
+    boolean waits = engine.reached || engine.busy || now - engine.notBefore < 0;
+    // A newer token makes an enforcing engine refuse the unanswered order if it comes later.
+    if (waits || token == 0 || engine.unansweredToken >= token) {
+      return;
+    }
+    SortedSet<String> missing = engine.missing();
+    missing.removeAll(engine.reserved);
+    if (!missing.isEmpty()) {
+      reserve(engine, missing.first());
+    } else if (openOrders < MAX_OPEN_ORDERS) {
+      send(engine, token);
+    }
+  }
+
+  private void reserve(EngineProgress engine, String model) {
+    if (fetching || control.nanoTime() - fetchNotBefore < 0) {
+      return;
+    }
+    fetching = true;
+    engine.busy = true;
+    ModelName name = ModelName.parse(model);
+    Deadline.limit(
+            environment.weights().reserveFetch(name.name(), name.version()),
+            control,
+            timing.answerLimit(),
+            () -> late("the weight store"))
+        .whenCompleteAsync((done, failure) -> reserved(engine, model, failure), control);
+  }
+
+  private void reserved(EngineProgress engine, String model, Throwable failure) {
+    fetching = false;
+    engine.busy = false;
+    if (failure == null) {
+      engine.reserved.add(model);
+      if (current(engine)) {
+        advance(engine);
+      }
+      return;
+    }
+    BasilportException cause = BasilportException.unwrap(failure, Outcome.MAY_HAVE_RUN, Step.STORE);
+    engine.attempts++;
+    long jitter = backoff.delayMillis(engine.attempts);
+    long delay = cause.retryAfter().map(Duration::toMillis).orElse(0L) + 1 + jitter;
+    // The limit is that of the whole store, so all fetches wait and not only that of this engine.
+    fetchNotBefore = control.nanoTime() + Duration.ofMillis(delay).toNanos();
+    environment
+        .events()
+        .record(
+            EventType.FETCH_REFUSED,
+            EventSubject.server(engine.server.id()),
+            model,
+            engine.server.id(),
+            delay);
+  }
+
+  private boolean current(EngineProgress engine) {
+    return engines.get(engine.server.id()) == engine;
+  }
+
+  private void send(EngineProgress engine, long token) {
+    SortedSet<String> missing = engine.missing();
+    Invariant.check(
+        engine.reserved.containsAll(missing),
+        environment.events(),
+        "loads-are-reserved",
+        engine.server.id() + " would load " + missing + ", reserved " + engine.reserved);
+    engine.reserved.removeAll(missing);
+    List<String> models = new ArrayList<>(engine.target);
+    BackendServer server = engine.server;
+    engine.busy = true;
+    engine.attempts++;
+    openOrders++;
+    environment
+        .events()
+        .record(EventType.ORDER_SENT, EventSubject.server(server.id()), models, server.id(), token);
+    Deadline.limit(
+            environment
+                .engines()
+                .connect(server.address())
+                .order(new EngineOrder(token, ROLE, models)),
+            control,
+            timing.answerLimit(),
+            () -> late(server.id()))
+        .whenCompleteAsync((done, failure) -> answered(engine, models, token, failure), control);
+  }
+
+  private void answered(EngineProgress engine, List<String> models, long token, Throwable failure) {
+    openOrders--;
+    engine.busy = false;
+    if (failure == null) {
+      engine.unansweredToken = 0;
+      engine.notBefore = control.nanoTime() + timing.patience().toNanos();
+      return;
+    }
+    BasilportException cause = BasilportException.unwrap(failure, Outcome.MAY_HAVE_RUN, Step.SEND);
+    engine.unansweredToken = cause.outcome() == Outcome.NOT_RUN ? 0 : token;
+    long delay = backoff.delayMillis(engine.attempts);
+    engine.notBefore = control.nanoTime() + Duration.ofMillis(delay).toNanos();
+    if (cause instanceof ConflictException) {
+      lease.recheck();
+    }
+    String id = engine.server.id();
+    environment
+        .events()
+        .record(EventType.ORDER_REFUSED, EventSubject.server(id), models, id, cause.getMessage());
+  }
+
+  private static UnavailableException late(String peer) {
+    return new UnavailableException(
+        FailureCode.TIMEOUT,
+        Outcome.MAY_HAVE_RUN,
+        Step.SEND,
+        peer,
+        null,
+        peer + " did not answer in time",
+        null);
+  }
+}
