--- a/basilport-daemon/src/main/java/org/basilport/daemon/DaemonAssembly.java
+++ b/basilport-daemon/src/main/java/org/basilport/daemon/DaemonAssembly.java
@@ -24,6 +24,7 @@
 import org.basilport.misc.ThreadScheduler;
 import org.basilport.platform.http.HttpInstanceDirectory;
 import org.basilport.platform.http.HttpObjectStore;
+import org.basilport.platform.http.HttpWeightStore;
 import org.basilport.policy.AdaptiveGenerationPolicyFactory;
 import org.basilport.router.DefaultControlPlane;
 import org.basilport.router.DefaultRouter;
@@ -95,6 +96,7 @@
         instance,
         controlPlane,
         controlPlane.platformStore(),
+        new HttpWeightStore(http, settings.platformAddress(), id),
         engines,
         services,
         new AdaptiveGenerationPolicyFactory(),
--- a/basilport-daemon/src/main/java/org/basilport/daemon/http/OperatorHandlers.java
+++ b/basilport-daemon/src/main/java/org/basilport/daemon/http/OperatorHandlers.java
@@ -61,6 +61,7 @@
         .get("config/history", this::history)
         .get("instances", context -> responder.send(context, router.membership().members()))
         .get("engines", this::engines)
+        .get("orders", context -> responder.send(context, router.orders()))
         .get("requests", context -> responder.send(context, router.activeRequests()))
         .get("timeline", this::timeline)
         .post("drain", this::drain);
--- a/basilport-policy/src/main/java/org/basilport/policy/placement/PlacementPlanner.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/placement/PlacementPlanner.java
@@ -114,14 +114,14 @@
   private void removeSurplus(ModelNeed need) {
     int wanted = counts.get(need.model()).wanted();
     List<String> holders = holders(need.model());
-    if (holders.size() <= wanted || ready(need.model()::equals, "") <= wanted) {
+    if (holders.size() <= wanted || ready(need.model()::equals, "", "") <= wanted) {
       return;
     }
     holders.stream()
         .max(
             Comparator.comparing((String id) -> assigned.get(id).size())
                 .thenComparing(id -> score(need.model(), id)))
-        .filter(id -> ready(need.model()::equals, id) >= wanted)
+        .filter(id -> ready(need.model()::equals, id, need.model()) >= wanted)
         .filter(id -> changes.tryTake(1, now))
         .ifPresent(id -> assigned.get(id).remove(need.model()));
   }
@@ -150,7 +150,7 @@
         needs.values().stream().filter(need -> need.name().equals(name)).findFirst();
     int required = successor.map(need -> counts.get(need.model()).wanted() - 1).orElse(1);
     // Versions of one model stand in for each other while a new version is brought in.
-    return ready(other -> ModelName.parse(other).name().equals(name), engine)
+    return ready(other -> ModelName.parse(other).name().equals(name), engine, model)
         >= Math.max(1, required);
   }
 
@@ -183,17 +183,23 @@
     return assigned.keySet().stream().filter(id -> assigned.get(id).contains(model)).toList();
   }
 
-  /** Number of engines other than one that have a matching model loaded and keep it. */
-  private int ready(Predicate<String> model, String except) {
-    return (int)
-        assigned.entrySet().stream()
-            .filter(entry -> !entry.getKey().equals(except))
-            .filter(
-                entry ->
-                    entry.getValue().stream()
-                        .filter(model)
-                        .anyMatch(engines.get(entry.getKey()).loaded()::contains))
-            .count();
+  /**
+   * Number of engines that have a matching model loaded and keep it, apart from one model of one
+   * engine.
+   */
+  private int ready(Predicate<String> matches, String engine, String spared) {
+    int count = 0;
+    for (Map.Entry<String, SortedSet<String>> entry : assigned.entrySet()) {
+      Set<String> loaded = engines.get(entry.getKey()).loaded();
+      boolean other = !entry.getKey().equals(engine);
+      boolean ready =
+          entry.getValue().stream()
+              .filter(model -> other || !model.equals(spared))
+              .filter(matches)
+              .anyMatch(loaded::contains);
+      count += ready ? 1 : 0;
+    }
+    return count;
   }
 
   /**
@@ -218,7 +224,7 @@
   private boolean maySpareLast(String model, String engine) {
     String name = ModelName.parse(model).name();
     return rate(name) < settings.idleRate() && !needs.containsKey(model)
-        || ready(other -> ModelName.parse(other).name().equals(name), engine) >= 1;
+        || ready(other -> ModelName.parse(other).name().equals(name), engine, model) >= 1;
   }
 
   private double rate(String name) {
--- /dev/null
+++ b/basilport-policy/src/test/java/org/basilport/policy/placement/PlacementPlannerTest.java
@@ -0,0 +1,189 @@
+package org.basilport.policy.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.basilport.error.FailureCode;
+import org.basilport.error.RejectedException;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class PlacementPlannerTest {
+  private static final long SECOND = 1_000_000_000L;
+  private static final PlacementSettings SETTINGS =
+      new PlacementSettings(2, 60, Duration.ofSeconds(10), 0.001);
+
+  private final Map<String, Set<String>> loaded = new TreeMap<>();
+  private final Map<String, Double> demand = new TreeMap<>();
+  private final List<String> changes = new ArrayList<>();
+  private final PlacementPlanner planner = new PlacementPlanner(SETTINGS, 0);
+  private long now;
+
+  private void engines(int count, String... models) {
+    for (int i = 0; i < count; i++) {
+      loaded.put("e" + i, new HashSet<>(Set.of(models)));
+    }
+  }
+
+  /** Plans once a second; engines follow at once, and changes are recorded. */
+  private void run(int seconds, ModelNeed... needs) {
+    for (int i = 0; i < seconds; i++) {
+      now += SECOND;
+      List<EngineState> states = new ArrayList<>();
+      loaded.forEach((id, models) -> states.add(new EngineState(id, Set.copyOf(models))));
+      planner
+          .plan(List.of(needs), demand, states, now)
+          .targets()
+          .forEach(
+              (id, target) -> {
+                if (!target.equals(loaded.get(id))) {
+                  changes.add(id + " " + target);
+                  loaded.put(id, new HashSet<>(target));
+                }
+              });
+    }
+  }
+
+  private long replicas(String model) {
+    return loaded.values().stream().filter(models -> models.contains(model)).count();
+  }
+
+  @Nested
+  class Demand {
+    /** Guards against a load that stays where it was when field seasons move it elsewhere. */
+    @Test
+    void movesPlacementsOnceWhenDemandShifts() {
+      engines(4);
+      ModelNeed llm = new ModelNeed("llm", 1, 1);
+      ModelNeed verdicts = new ModelNeed("verdicts", 1, 1);
+      demand.put("llm", 3.5);
+      demand.put("verdicts", 0.5);
+      run(300, llm, verdicts);
+      assertThat(replicas("llm")).isEqualTo(4);
+      demand.put("llm", 0.5);
+      demand.put("verdicts", 3.5);
+      changes.clear();
+      run(1_200, llm, verdicts);
+      assertThat(replicas("llm")).isEqualTo(1);
+      assertThat(replicas("verdicts")).isEqualTo(4);
+      assertThat(changes.size()).isAtMost(6);
+    }
+
+    /** Guards against loads and unloads that follow each other around a threshold. */
+    @ParameterizedTest
+    @CsvSource({"5, 0.8, 1.2", "5, 0.1, 5", "60, 0.9, 2.0", "60, 1.1, 1.9"})
+    void doesNotFlapWhenDemandSwings(int period, double low, double high) {
+      engines(4);
+      ModelNeed llm = new ModelNeed("llm", 1, 1);
+      for (int i = 0; i < 40; i++) {
+        demand.put("llm", i % 2 == 0 ? low : high);
+        run(period, llm);
+      }
+      assertThat(changes.size()).isAtMost(4);
+    }
+
+    /** Guards against rates that never fall after a season ends. */
+    @Test
+    void forgetsArrivals() {
+      DemandTracker tracker = new DemandTracker(Duration.ofSeconds(10));
+      for (int i = 0; i < 1_000; i++) {
+        tracker.arrived("llm@2", i * SECOND / 10);
+      }
+      assertThat(tracker.rates(100 * SECOND).get("llm")).isWithin(1).of(10);
+      assertThat(tracker.rates(200 * SECOND).get("llm")).isLessThan(0.01);
+    }
+  }
+
+  @Nested
+  class Limits {
+    /** Guards against more loads than the weight store allows. */
+    @Test
+    void boundsTheChangesOfAMinute() {
+      engines(8);
+      PlacementPlanner slow =
+          new PlacementPlanner(new PlacementSettings(2, 6, Duration.ofSeconds(10), 0.001), 0);
+      List<EngineState> states =
+          loaded.keySet().stream().map(id -> new EngineState(id, Set.of())).toList();
+      List<ModelNeed> needs = List.of(new ModelNeed("llm", 8, 1));
+      long placed = 0;
+      for (int second = 0; second <= 25; second++) {
+        PlacementPlan plan = slow.plan(needs, Map.of(), states, second * SECOND);
+        placed = plan.targets().values().stream().filter(t -> !t.isEmpty()).count();
+      }
+      assertThat(placed).isEqualTo(3);
+    }
+
+    /** Guards against an engine that is told to hold more than fits. */
+    @Test
+    void keepsToTheRoomOfEngines() {
+      engines(2);
+      run(100, new ModelNeed("a", 2, 1), new ModelNeed("b", 2, 1), new ModelNeed("c", 2, 1));
+      assertThat(loaded.get("e0")).hasSize(2);
+      assertThat(loaded.get("e1")).hasSize(2);
+    }
+  }
+
+  @Nested
+  class LastReplica {
+    /** Guards against an outage of a model while its version is changed. */
+    @ParameterizedTest
+    @CsvSource({"1", "2", "4"})
+    void changesVersionsWithoutAGap(int engineCount) {
+      engines(engineCount, "llm@1");
+      demand.put("llm", 0.5);
+      ModelNeed next = new ModelNeed("llm@2", 1, 1);
+      for (int i = 0; i < 300; i++) {
+        run(1, next);
+        assertThat(replicas("llm@1") + replicas("llm@2")).isAtLeast(1);
+      }
+      assertThat(replicas("llm@1")).isEqualTo(0);
+      assertThat(replicas("llm@2")).isAtLeast(1);
+    }
+
+    /** Guards against unloading a replica because of another one that died in the meantime. */
+    @Test
+    void keepsAReplicaWhoseReplacementDied() {
+      engines(2, "llm");
+      demand.put("llm", 0.1);
+      ModelNeed llm = new ModelNeed("llm", 1, 1);
+      run(200, llm);
+      assertThat(replicas("llm")).isEqualTo(1);
+      String empty = loaded.get("e0").isEmpty() ? "e0" : "e1";
+      String holder = empty.equals("e0") ? "e1" : "e0";
+      loaded.remove(holder);
+      loaded.get(empty).add("llm");
+      run(1, llm);
+      assertThat(replicas("llm")).isEqualTo(1);
+    }
+  }
+
+  /** Guards against targets that cannot be met and silently order nothing or everything. */
+  @ParameterizedTest
+  @CsvSource({
+    "'', 1, 1, without a name",
+    "llm, 0, 1, at least 1 replica",
+    "llm, -3, 1, at least 1 replica",
+    "llm, 1, 0, above 0",
+    "llm, 1, NaN, above 0",
+    "other, 1, 1, placed twice"
+  })
+  void refusesBadTargets(String model, int replicas, double rate, String message) {
+    engines(1);
+    ModelNeed other = new ModelNeed("other", 1, 1);
+    RejectedException refusal =
+        assertThrows(
+            RejectedException.class, () -> run(1, other, new ModelNeed(model, replicas, rate)));
+    assertThat(refusal.code()).isEqualTo(FailureCode.INVALID_CONFIGURATION);
+    assertThat(refusal).hasMessageThat().contains(message);
+    assertThat(changes).isEmpty();
+  }
+}
--- /dev/null
+++ b/basilport-policy/src/test/java/org/basilport/policy/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of placement. */
+package org.basilport.policy.placement;
--- a/basilport-router/src/main/java/org/basilport/config/Deployment.java
+++ b/basilport-router/src/main/java/org/basilport/config/Deployment.java
@@ -1,5 +1,7 @@
 package org.basilport.config;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.databind.annotation.JsonDeserialize;
 import java.util.List;
 import java.util.Optional;
 
@@ -13,13 +15,14 @@
  * @param routes names under which callers reach services
  * @param placements models that engines are ordered to load; a service without any gets no orders
  */
+@JsonDeserialize(using = DeploymentDeserializer.class)
 public record Deployment(
     String site,
     List<ModelService> modelServices,
     List<ApplicationService> applicationServices,
     List<Workspace> workspaces,
     List<Route> routes,
-    List<ModelPlacement> placements) {
+    @JsonInclude(JsonInclude.Include.NON_EMPTY) List<ModelPlacement> placements) {
 
   /** Takes an absent list of placements as an empty one. */
   public Deployment {
--- a/basilport-router/src/main/java/org/basilport/config/DeploymentCodec.java
+++ b/basilport-router/src/main/java/org/basilport/config/DeploymentCodec.java
@@ -2,17 +2,14 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
 /** The canonical JSON form of configurations, with fields in the order of the records. */
 public final class DeploymentCodec {
-  private static final String PLACEMENTS = "placements";
   private static final ObjectMapper MAPPER =
       JsonMapper.builder()
           .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
@@ -29,19 +26,11 @@
 
   /** Decodes a configuration; fails with {@link InvalidConfigurationException}. */
   public static Deployment decode(byte[] json) {
-    JsonNode tree = decodeValue(json, JsonNode.class);
-    if (tree == null || tree.isNull()) {
+    Deployment deployment = decodeValue(json, Deployment.class);
+    if (deployment == null) {
       throw invalid("the configuration is null");
     }
-    // Configurations that were accepted before placements existed have no such field.
-    if (tree instanceof ObjectNode && !tree.has(PLACEMENTS)) {
-      ((ObjectNode) tree).putArray(PLACEMENTS);
-    }
-    try {
-      return MAPPER.treeToValue(tree, Deployment.class);
-    } catch (JsonProcessingException e) {
-      throw invalid(e.getOriginalMessage());
-    }
+    return deployment;
   }
 
   /** Encodes a configuration as text. */
--- a/basilport-router/src/main/java/org/basilport/order/DutyLease.java
+++ b/basilport-router/src/main/java/org/basilport/order/DutyLease.java
@@ -223,6 +223,12 @@
   private void writeAnswer(LeaseRecord record, long expected, Long version, Throwable failure) {
     calling = false;
     if (failure == null) {
+      if (version <= expected) {
+        // Without growing versions there are no fencing tokens, so this instance stops for good.
+        lose("the platform repeated a version");
+        running = false;
+        rounds.cancel();
+      }
       Invariant.check(
           version > expected,
           events,
--- a/basilport-router/src/main/java/org/basilport/order/EngineOrders.java
+++ b/basilport-router/src/main/java/org/basilport/order/EngineOrders.java
@@ -82,6 +82,12 @@
     return reconcilers.values().stream().map(Reconciler::status).toList();
   }
 
+  /** Whether this instance may order the engines of a service now; on the control thread. */
+  boolean mayOrder(String service) {
+    DutyLease lease = duties.get(service);
+    return lease != null && lease.token().isPresent();
+  }
+
   private void follow() {
     TreeSet<String> services = new TreeSet<>();
     environment
--- a/basilport-router/src/main/java/org/basilport/order/EngineProgress.java
+++ b/basilport-router/src/main/java/org/basilport/order/EngineProgress.java
@@ -30,13 +30,16 @@
   }
 
   /** Takes over what a plan and a report say. */
-  void update(BackendServer current, SortedSet<String> planned, Set<String> reported) {
+  void update(
+      BackendServer current, SortedSet<String> planned, Set<String> reported, long nowNanos) {
     server = current;
     target = planned;
     loaded = reported;
     reached = planned.equals(reported);
     if (reached) {
       attempts = 0;
+      // A late old order can undo the target from now on, and is then corrected without a wait.
+      notBefore = nowNanos;
     }
   }
 
--- a/basilport-router/src/main/java/org/basilport/order/Reconciler.java
+++ b/basilport-router/src/main/java/org/basilport/order/Reconciler.java
@@ -174,7 +174,7 @@
       known = new EngineProgress(server, now);
       engines.put(server.id(), known);
     }
-    known.update(server, plan.targets().get(server.id()), state.loaded());
+    known.update(server, plan.targets().get(server.id()), state.loaded(), now);
   }
 
   private void advance(EngineProgress engine) {
--- a/basilport-router/src/main/java/org/basilport/router/DefaultRouter.java
+++ b/basilport-router/src/main/java/org/basilport/router/DefaultRouter.java
@@ -36,8 +36,10 @@
 import org.basilport.membership.Location;
 import org.basilport.membership.MembershipView;
 import org.basilport.misc.Scheduler;
+import org.basilport.order.OrderStatus;
 import org.basilport.peer.PeerClient;
 import org.basilport.platform.ObjectStore;
+import org.basilport.platform.WeightStore;
 import org.basilport.policy.GenerationClass;
 import org.basilport.policy.GenerationPolicyFactory;
 import org.basilport.quarantine.RequestFingerprint;
@@ -58,9 +60,38 @@
   private final DrainCoordinator drains;
   private volatile boolean stopped;
 
+  /** Creates a router without a weight store, which orders no engine to load anything. */
+  public DefaultRouter(
+      InstanceSettings settings,
+      ControlPlane controlPlane,
+      ObjectStore store,
+      ModelEngineConnector engines,
+      PlainServiceConnector services,
+      GenerationPolicyFactory policies,
+      Scheduler control,
+      Scheduler traffic,
+      Timeline timeline,
+      SplittableRandom random,
+      MetricRegistry metrics) {
+    this(
+        settings,
+        controlPlane,
+        store,
+        (model, version) -> CompletableFuture.failedFuture(noWeights()),
+        engines,
+        services,
+        policies,
+        control,
+        traffic,
+        timeline,
+        random,
+        metrics);
+  }
+
   /**
    * Creates a router that has not started.
    *
+   * @param weights limits the loads that engines are ordered to make
    * @param control runs all control work
    * @param traffic runs all callbacks of requests
    */
@@ -68,6 +99,7 @@
       InstanceSettings settings,
       ControlPlane controlPlane,
       ObjectStore store,
+      WeightStore weights,
       ModelEngineConnector engines,
       PlainServiceConnector services,
       GenerationPolicyFactory policies,
@@ -87,6 +119,7 @@
             settings,
             controlPlane,
             store,
+            weights,
             engines,
             services,
             policies,
@@ -274,6 +307,11 @@
     return active;
   }
 
+  @Override
+  public List<OrderStatus> orders() {
+    return components.orders().status();
+  }
+
   @Override
   public CompletableFuture<Void> drain(String reason) {
     return drains.drain(reason);
@@ -299,6 +337,11 @@
         .orElseThrow(() -> unknownService(route.service()));
   }
 
+  private static RejectedException noWeights() {
+    return new RejectedException(
+        FailureCode.PLATFORM_UNAVAILABLE, Step.STORE, "no weight store is set up");
+  }
+
   private static RejectedException unknownService(String name) {
     return new RejectedException(
         FailureCode.UNKNOWN_ROUTE, Step.ADMIT, "the route's service " + name + " is not known");
--- a/basilport-router/src/main/java/org/basilport/router/Router.java
+++ b/basilport-router/src/main/java/org/basilport/router/Router.java
@@ -15,6 +15,7 @@
 import org.basilport.membership.Location;
 import org.basilport.membership.MembershipView;
 import org.basilport.misc.Service;
+import org.basilport.order.OrderStatus;
 import org.basilport.peer.PeerClient;
 
 /**
@@ -74,6 +75,11 @@
   /** Requests that wait or run, for the drain page. */
   List<String> activeRequests();
 
+  /** Duties and pending orders to engines as this instance sees them. */
+  default List<OrderStatus> orders() {
+    return List.of();
+  }
+
   /** Starts a graceful shutdown; the result completes when no request is left. */
   CompletableFuture<Void> drain(String reason);
 }
--- a/basilport-router/src/main/java/org/basilport/router/RouterComponents.java
+++ b/basilport-router/src/main/java/org/basilport/router/RouterComponents.java
@@ -27,6 +27,8 @@
 import org.basilport.error.RejectedException;
 import org.basilport.error.Step;
 import org.basilport.misc.Cancellable;
+import org.basilport.order.EngineOrders;
+import org.basilport.order.OrderEnvironment;
 import org.basilport.platform.ObjectStore;
 import org.basilport.policy.GenerationClass;
 import org.basilport.policy.PolicySettings;
@@ -52,6 +54,7 @@
   private final QuarantineArchive archive;
   private final ClaimSweeper sweeper;
   private final ObjectStore store;
+  private final EngineOrders orders;
   private Cancellable loadReports = () -> {};
 
   RouterComponents(RouterResources resources, RequestGate gate, RequestIds ids) {
@@ -91,24 +94,11 @@
     this.generations =
         new GenerationService(
             delivery, controlPlane.membership(), resources.policies(), random.split());
-    ClaimRegistry claims =
-        new ClaimRegistry(store, resources.control(), resources.timeline(), random.split());
-    this.calls =
-        new PlainCallExecutor(
-            new PlainCallEnvironment(
-                resources.traffic(),
-                resources.timeline(),
-                metrics,
-                resources.services(),
-                controlPlane.backends(),
-                claims,
-                budget,
-                delays,
-                crashes,
-                isolation));
+    this.calls = newCalls(metrics, budget, delays, crashes, isolation, random.split());
     this.jobs = newJobs(ids);
     this.archive = new QuarantineArchive(store, resources.control(), crashes);
     this.sweeper = new ClaimSweeper(store, resources.control(), controlPlane.membership());
+    this.orders = newOrders();
     // Suspicion is recorded before the sessions of a dead backend server look for another one.
     controlPlane.backends().addListener(crashes);
     controlPlane.backends().addListener(generations);
@@ -119,6 +109,7 @@
     jobs.start();
     archive.start();
     sweeper.start();
+    orders.start();
     loadReports =
         resources
             .control()
@@ -127,15 +118,17 @@
                 () -> resources.controlPlane().reportActiveStreams(generations.active().size()));
   }
 
-  /** Starts no more jobs, and gives up the shards whose jobs have ended. */
+  /** Starts no more jobs, and gives up the shards whose jobs have ended and the duties. */
   void drainJobs() {
     jobs.drain();
+    orders.stop();
   }
 
   void stop() {
     jobs.stop();
     archive.stop();
     sweeper.stop();
+    orders.stop();
     loadReports.cancel();
   }
 
@@ -159,11 +152,16 @@
     return jobs;
   }
 
+  EngineOrders orders() {
+    return orders;
+  }
+
   GenerationHandle generate(
       AcceptedConfiguration configuration,
       SessionWork work,
       GenerationListener listener,
       Runnable onDone) {
+    orders.arrived(work.model());
     PolicySettings settings = policySettings.settings(configuration, work.service());
     return generations.generate(work, settings, listener, onDone);
   }
@@ -183,6 +181,44 @@
     return generations.resume(token, settings, generationClass, listener, onDone);
   }
 
+  private PlainCallExecutor newCalls(
+      TrafficMetrics metrics,
+      RetryBudget budget,
+      FullJitter delays,
+      CrashTracker crashes,
+      IsolationGate isolation,
+      SplittableRandom random) {
+    ClaimRegistry claims =
+        new ClaimRegistry(store, resources.control(), resources.timeline(), random);
+    return new PlainCallExecutor(
+        new PlainCallEnvironment(
+            resources.traffic(),
+            resources.timeline(),
+            metrics,
+            resources.services(),
+            resources.controlPlane().backends(),
+            claims,
+            budget,
+            delays,
+            crashes,
+            isolation));
+  }
+
+  private EngineOrders newOrders() {
+    ControlPlane controlPlane = resources.controlPlane();
+    OrderEnvironment environment =
+        new OrderEnvironment(
+            store,
+            resources.weights(),
+            resources.engines(),
+            controlPlane.membership(),
+            controlPlane.backends(),
+            controlPlane.configuration(),
+            resources.control(),
+            resources.timeline());
+    return new EngineOrders(environment, resources.random().split());
+  }
+
   private DeferredJobs newJobs(RequestIds ids) {
     InstanceSettings settings = resources.settings();
     return new DeferredJobs(
--- a/basilport-router/src/main/java/org/basilport/router/RouterResources.java
+++ b/basilport-router/src/main/java/org/basilport/router/RouterResources.java
@@ -6,6 +6,7 @@
 import org.basilport.event.Timeline;
 import org.basilport.misc.Scheduler;
 import org.basilport.platform.ObjectStore;
+import org.basilport.platform.WeightStore;
 import org.basilport.policy.GenerationPolicyFactory;
 import org.basilport.service.PlainServiceConnector;
 
@@ -14,6 +15,7 @@
     InstanceSettings settings,
     ControlPlane controlPlane,
     ObjectStore store,
+    WeightStore weights,
     ModelEngineConnector engines,
     PlainServiceConnector services,
     GenerationPolicyFactory policies,
--- a/basilport-router/src/test/java/org/basilport/config/ConfigurationLoaderTest.java
+++ b/basilport-router/src/test/java/org/basilport/config/ConfigurationLoaderTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.nio.charset.StandardCharsets;
 import org.basilport.config.ConfigurationDifference.Kind;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -73,6 +74,15 @@
     }
   }
 
+  /** Guards against an upgrade that cannot read what was accepted before placements existed. */
+  @Test
+  void readsConfigurationsWithoutPlacements() {
+    Deployment deployment = load("site: andino");
+    String text = DeploymentCodec.encodeText(deployment).replace(",\"placements\":[]", "");
+    assertThat(text).doesNotContain("placements");
+    assertThat(DeploymentCodec.decode(text.getBytes(StandardCharsets.UTF_8))).isEqualTo(deployment);
+  }
+
   @Nested
   class Problems {
     // Guards against a fault that is accepted, or reported at another line or field.
@@ -105,6 +115,24 @@
             | site.yaml:1: applicationServices[new].replicas: is missing
             'site: [' \
             | site.yaml:
+            'placements: [{name: p, service: lost, \
+            model: a, minimumReplicas: 1, \
+            requestsPerReplica: 1}]' \
+            | site.yaml:1: placements[p].service: model service lost does not exist
+            'placements: [{name: p, service: geo-llm, \
+            model: geo-7b, minimumReplicas: 9, \
+            requestsPerReplica: 1}]' \
+            | placements[p].minimumReplicas: must be at most the 8 replicas of the service
+            'placements: [{name: p, service: geo-llm, \
+            model: geo-7b, minimumReplicas: 1, \
+            requestsPerReplica: 0}]' \
+            | placements[p].requestsPerReplica: must be from 0.001 to 1000000 requests/s, was 0
+            'placements: [{name: p, service: geo-llm, \
+            model: a, minimumReplicas: 1, \
+            requestsPerReplica: 1}]' \
+            | modelServices[geo-llm].model: placements of the service must include its model geo-7b
+            'placements: [{name: p, service: geo-llm, model: geo-7b}]' \
+            | site.yaml:1: placements[p].minimumReplicas: is missing
             """)
     void namesFileLineAndField(String overlay, String expected) {
       InvalidConfigurationException refused =
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/order/EngineOrdersTest.java
@@ -0,0 +1,214 @@
+package org.basilport.order;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.Map;
+import java.util.TreeSet;
+import org.basilport.engine.EngineOrder;
+import org.basilport.event.EventType;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class EngineOrdersTest {
+  /** Report age, a round, the wait for the weight store and a load, for two engines in turn. */
+  private static final int CORRECTION_SECONDS = 30;
+
+  @Nested
+  class TwoHolders {
+    /** Guards against an old order that stays in effect, or takes effect at an enforcing engine. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void enginesReachTheTargetOfTheNewestHolder(boolean enforces) {
+      OrderFleet fleet = new OrderFleet(2, 2);
+      fleet.engines.values().forEach(engine -> engine.enforces = enforces);
+      fleet.place(Map.of("base", 2));
+      fleet.run(60);
+      assertThat(fleet.replicas("base")).isEqualTo(2);
+
+      OrderInstance old = fleet.instances.get(0);
+      old.holdsOrders = true;
+      fleet.place(Map.of("base", 2, "old", 2));
+      fleet.run(4);
+      old.pause();
+      fleet.owner = "i1";
+      fleet.place(Map.of("base", 2, "new", 2));
+      fleet.run(90);
+      assertThat(fleet.loadedModels()).containsExactly("base", "new");
+
+      long sent = old.events(EventType.ORDER_SENT);
+      old.resume();
+      assertThat(old.releaseOrders()).isAtLeast(1);
+      fleet.run(6);
+      assertThat(fleet.loadedModels().contains("old")).isEqualTo(!enforces);
+      fleet.run(CORRECTION_SECONDS);
+      assertThat(fleet.loadedModels()).containsExactly("base", "new");
+      assertThat(fleet.replicas("new")).isEqualTo(2);
+      assertThat(old.events(EventType.ORDER_SENT)).isEqualTo(sent);
+      if (enforces) {
+        fleet.engines.values().forEach(EngineOrdersTest::assertTokensNeverFall);
+        assertThat(fleet.engines.values().stream().mapToInt(e -> e.refused).sum()).isAtLeast(1);
+      }
+    }
+
+    /** Guards against two holders, and against a duty that nobody takes, after platform faults. */
+    @ParameterizedTest
+    @CsvSource({
+      "1, 0, false, false",
+      "3, 0, false, false",
+      "0, 1, false, false",
+      "0, 3, false, false",
+      "0, 0, true, false",
+      "2, 1, true, true",
+      "0, 0, false, true"
+    })
+    void oneInstanceHoldsTheDutyAfterFaults(
+        int lostAnswers, int lateWrites, boolean outage, boolean ownerChanges) {
+      OrderFleet fleet = new OrderFleet(3, 1);
+      for (int fault = 0; fault < 5; fault++) {
+        fleet.store.lostAnswers = lostAnswers;
+        fleet.store.lateWrites = lateWrites;
+        fleet.store.down = outage;
+        fleet.owner = ownerChanges ? "i" + fault % 3 : "i0";
+        fleet.run(7);
+        fleet.instances.get(fault % 3).pause();
+        fleet.run(15);
+        fleet.store.down = false;
+        fleet.instances.get(fault % 3).resume();
+        fleet.run(40);
+        assertThat(fleet.instances.stream().filter(OrderInstance::mayOrder).count()).isEqualTo(1);
+      }
+    }
+
+    /** Guards against a duty that stays free while its owner cannot use the platform. */
+    @Test
+    void anotherInstanceTakesALeaseThatItsOwnerDoesNotTake() {
+      OrderFleet fleet = new OrderFleet(2, 1);
+      fleet.instances.get(0).pause();
+      fleet.run(95);
+      assertThat(fleet.instances.get(1).mayOrder()).isTrue();
+    }
+
+    /** Guards against a handover that waits for the lease to lapse. */
+    @Test
+    void releasesTheDutyOnStop() {
+      OrderFleet fleet = new OrderFleet(2, 1);
+      fleet.run(10);
+      fleet.instances.get(0).orders.stop();
+      fleet.owner = "i1";
+      fleet.run(3);
+      assertThat(fleet.instances.get(1).mayOrder()).isTrue();
+    }
+  }
+
+  @Nested
+  class Broken {
+    /** Shows that the check of holders notices a store that does not compare versions. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void twoHoldersAreNoticedWhenVersionsAreIgnored(boolean ignoresVersions) {
+      OrderFleet fleet = new OrderFleet(2, 1);
+      fleet.owner = OrderFleet.EACH;
+      fleet.store.ignoresVersions = ignoresVersions;
+      if (ignoresVersions) {
+        assertThrows(AssertionError.class, () -> fleet.run(60));
+      } else {
+        fleet.run(60);
+      }
+    }
+
+    /** Shows that the program notices a token that does not grow. */
+    @Test
+    void aTokenThatDoesNotGrowIsAViolation() {
+      OrderFleet fleet = new OrderFleet(1, 1);
+      fleet.store.repeatsVersions = true;
+      fleet.run(10);
+      assertThat(fleet.events(EventType.INVARIANT_VIOLATED)).isAtLeast(1);
+      assertThat(fleet.events(EventType.ORDER_SENT)).isEqualTo(0);
+    }
+  }
+
+  /** Guards against orders without a duty, and against a rush when the platform is back. */
+  @Test
+  void givesNoOrdersInAnOutageAndReturnsWithoutARush() {
+    OrderFleet fleet = new OrderFleet(2, 8);
+    fleet.place(Map.of("base", 8));
+    fleet.run(200);
+    assertThat(fleet.replicas("base")).isEqualTo(8);
+    fleet.store.down = true;
+    fleet.run(11);
+    fleet.engines.values().forEach(OrderedEngine::restart);
+    long before = fleet.events(EventType.ORDER_SENT);
+    fleet.run(120);
+    assertThat(fleet.events(EventType.ORDER_SENT)).isEqualTo(before);
+    fleet.store.down = false;
+    for (int second = 0; second < 200; second++) {
+      long sent = fleet.events(EventType.ORDER_SENT);
+      fleet.run(1);
+      assertThat(fleet.events(EventType.ORDER_SENT) - sent).isAtMost(4);
+    }
+    assertThat(fleet.replicas("base")).isEqualTo(8);
+  }
+
+  /** Guards against more fetches than the weight store granted, over all instances. */
+  @Test
+  void fetchesOnlyWhatTheWeightStoreGranted() {
+    OrderFleet fleet = new OrderFleet(3, 8);
+    fleet.place(Map.of("base", 8, "extra", 8));
+    for (int i = 0; i < 40; i++) {
+      fleet.owner = "i" + i / 10 % 3;
+      fleet.instances.get(i % 3).pause();
+      fleet.run(8);
+      fleet.instances.get(i % 3).resume();
+      assertThat(fleet.fetches()).isAtMost(fleet.grants);
+    }
+    fleet.run(200);
+    assertThat(fleet.replicas("base")).isEqualTo(8);
+    assertThat(fleet.replicas("extra")).isEqualTo(8);
+    assertThat(fleet.events(EventType.FETCH_REFUSED)).isAtLeast(1);
+    assertThat(fleet.fetches()).isAtMost(fleet.grants);
+    assertThat(fleet.events(EventType.INVARIANT_VIOLATED)).isEqualTo(0);
+  }
+
+  /** Guards against an engine that stays empty after a restart. */
+  @Test
+  void loadsTheModelsOfARestartedEngineAgain() {
+    OrderFleet fleet = new OrderFleet(1, 2);
+    fleet.place(Map.of("base", 2));
+    fleet.run(60);
+    fleet.engines.get("e0").restart();
+    fleet.run(20);
+    assertThat(fleet.replicas("base")).isEqualTo(2);
+    int orders = fleet.engines.get("e0").taken.size();
+    fleet.run(120);
+    assertThat(fleet.engines.get("e0").taken).hasSize(orders);
+  }
+
+  /** Guards against demand that moves targets to and fro once it is met. */
+  @Test
+  void followsDemandWithoutFlapping() {
+    OrderFleet fleet = new OrderFleet(1, 4);
+    fleet.place(Map.of("base", 1, "verdicts", 1));
+    for (int second = 0; second < 600; second++) {
+      for (int i = 0; i < 3; i++) {
+        fleet.instances.get(0).orders.arrived(second < 300 ? "base" : "verdicts");
+      }
+      fleet.run(1);
+    }
+    assertThat(fleet.replicas("verdicts")).isEqualTo(3);
+    assertThat(fleet.events(EventType.ORDER_SENT)).isAtMost(12);
+    TreeSet<String> models = fleet.loadedModels();
+    assertThat(models).containsExactly("base", "verdicts");
+  }
+
+  private static void assertTokensNeverFall(OrderedEngine engine) {
+    long last = 0;
+    for (EngineOrder order : engine.taken) {
+      assertThat(order.fencingToken()).isAtLeast(last);
+      last = order.fencingToken();
+    }
+  }
+}
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/order/OrderInstance.java
@@ -0,0 +1,214 @@
+package org.basilport.order;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.basilport.backend.BackendListener;
+import org.basilport.backend.BackendServer;
+import org.basilport.backend.BackendView;
+import org.basilport.engine.EngineOrder;
+import org.basilport.engine.EngineReport;
+import org.basilport.engine.EngineRequest;
+import org.basilport.engine.ModelEngine;
+import org.basilport.engine.TokenListener;
+import org.basilport.engine.TokenStream;
+import org.basilport.event.EventType;
+import org.basilport.event.HybridClock;
+import org.basilport.event.Timeline;
+import org.basilport.membership.Member;
+import org.basilport.membership.MembershipView;
+import org.basilport.misc.Cancellable;
+import org.basilport.misc.Scheduler;
+
+/** One instance of an {@link OrderFleet}; it can be paused, and its orders can be delayed. */
+final class OrderInstance implements Scheduler, MembershipView, BackendView {
+  final String id;
+  final EngineOrders orders;
+  final Timeline timeline;
+  boolean holdsOrders;
+
+  private final OrderFleet fleet;
+  private final List<Runnable> heldTasks = new ArrayList<>();
+  private final List<Runnable> heldOrders = new ArrayList<>();
+  private boolean paused;
+
+  OrderInstance(OrderFleet fleet, String id, SplittableRandom random) {
+    this.fleet = fleet;
+    this.id = id;
+    this.timeline = new Timeline(id, new HybridClock(() -> now().toEpochMilli()), 5_000);
+    OrderEnvironment environment =
+        new OrderEnvironment(
+            fleet.store,
+            (model, version) -> fleet.reserve(),
+            OrderedClient::new,
+            this,
+            this,
+            fleet::inForce,
+            this,
+            timeline);
+    this.orders = new EngineOrders(environment, random);
+    orders.start();
+  }
+
+  void pause() {
+    paused = true;
+  }
+
+  /** Runs what was held, as after a pause of the process; its clock went on. */
+  void resume() {
+    paused = false;
+    heldTasks.forEach(fleet.scheduler::execute);
+    heldTasks.clear();
+  }
+
+  /** Delivers the orders that were delayed; returns their number. */
+  int releaseOrders() {
+    int count = heldOrders.size();
+    holdsOrders = false;
+    heldOrders.forEach(Runnable::run);
+    heldOrders.clear();
+    return count;
+  }
+
+  boolean mayOrder() {
+    return orders.mayOrder(OrderFleet.SERVICE);
+  }
+
+  long events(EventType type) {
+    return timeline.events(event -> event.type() == type, 5_000).size();
+  }
+
+  @Override
+  public long nanoTime() {
+    return fleet.scheduler.nanoTime();
+  }
+
+  @Override
+  public Instant now() {
+    return fleet.scheduler.now();
+  }
+
+  @Override
+  public void execute(Runnable task) {
+    schedule(Duration.ZERO, task);
+  }
+
+  @Override
+  public Cancellable schedule(Duration delay, Runnable task) {
+    return fleet.scheduler.schedule(
+        delay,
+        () -> {
+          if (paused) {
+            heldTasks.add(task);
+          } else {
+            task.run();
+          }
+        });
+  }
+
+  @Override
+  public Member self() {
+    return fleet.member(id);
+  }
+
+  @Override
+  public List<Member> members() {
+    return fleet.instances.stream().map(OrderInstance::self).toList();
+  }
+
+  @Override
+  public Optional<Member> owner(String key) {
+    return Optional.of(fleet.member(fleet.owner.equals(OrderFleet.EACH) ? id : fleet.owner));
+  }
+
+  @Override
+  public List<BackendServer> candidates(String service) {
+    return servers();
+  }
+
+  @Override
+  public Optional<BackendServer> find(String serverId) {
+    return servers().stream().filter(server -> server.id().equals(serverId)).findFirst();
+  }
+
+  @Override
+  public List<BackendServer> servers() {
+    return fleet.engines.entrySet().stream()
+        .map(
+            e ->
+                new BackendServer(
+                    e.getKey(),
+                    e.getValue().incarnation,
+                    OrderFleet.SERVICE,
+                    "r",
+                    "dc",
+                    e.getKey(),
+                    false))
+        .toList();
+  }
+
+  @Override
+  public Optional<EngineReport> latestReport(String serverId) {
+    return Optional.of(fleet.engines.get(serverId).report);
+  }
+
+  @Override
+  public void addListener(BackendListener listener) {}
+
+  private final class OrderedClient implements ModelEngine {
+    private final String engineId;
+
+    OrderedClient(String engineId) {
+      this.engineId = engineId;
+    }
+
+    @Override
+    public CompletableFuture<Void> order(EngineOrder order) {
+      CompletableFuture<Void> answer = new CompletableFuture<>();
+      Runnable delivery =
+          () ->
+              fleet
+                  .engines
+                  .get(engineId)
+                  .order(order)
+                  .whenComplete(
+                      (done, failure) -> {
+                        if (failure == null) {
+                          answer.complete(null);
+                        } else {
+                          answer.completeExceptionally(failure);
+                        }
+                      });
+      if (holdsOrders) {
+        heldOrders.add(delivery);
+      } else {
+        fleet.scheduler.schedule(Duration.ofMillis(1), delivery);
+      }
+      return answer;
+    }
+
+    @Override
+    public TokenStream generate(EngineRequest request, TokenListener listener) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public TokenStream resume(String generationId, long offset, TokenListener listener) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<Boolean> cancel(String generationId, boolean onlyIfUnattached) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<EngineReport> report() {
+      throw new UnsupportedOperationException();
+    }
+  }
+}
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/order/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of orders to engines. */
+package org.basilport.order;
