--- a/basilport-router/src/main/java/org/basilport/config/Deployment.java
+++ b/basilport-router/src/main/java/org/basilport/config/Deployment.java
@@ -1,5 +1,7 @@
 package org.basilport.config;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.databind.annotation.JsonDeserialize;
 import java.util.List;
 import java.util.Optional;
 
@@ -11,13 +13,31 @@
  * @param applicationServices plain services
  * @param workspaces customers
  * @param routes names under which callers reach services
+ * @param placements models that engines are ordered to load; a service without any gets no orders
  */
+@JsonDeserialize(using = DeploymentDeserializer.class)
 public record Deployment(
     String site,
     List<ModelService> modelServices,
     List<ApplicationService> applicationServices,
     List<Workspace> workspaces,
-    List<Route> routes) {
+    List<Route> routes,
+    @JsonInclude(JsonInclude.Include.NON_EMPTY) List<ModelPlacement> placements) {
+
+  /** Takes an absent list of placements as an empty one. */
+  public Deployment {
+    placements = placements == null ? List.of() : placements;
+  }
+
+  /** Creates a configuration without placements. */
+  public Deployment(
+      String site,
+      List<ModelService> modelServices,
+      List<ApplicationService> applicationServices,
+      List<Workspace> workspaces,
+      List<Route> routes) {
+    this(site, modelServices, applicationServices, workspaces, routes, List.of());
+  }
 
   /** Finds a workspace by name. */
   public Optional<Workspace> workspace(String name) {
@@ -38,4 +58,9 @@
   public Optional<ApplicationService> applicationService(String name) {
     return applicationServices.stream().filter(s -> s.name().equals(name)).findFirst();
   }
+
+  /** Returns the placements of a service. */
+  public List<ModelPlacement> placements(String service) {
+    return placements.stream().filter(p -> p.service().equals(service)).toList();
+  }
 }
