Measure the cost of control work at several fleet sizes

Adds 'basilport bench capacity', which runs the real control planes over an in-process network and the in-memory platform on a virtual clock.

--- a/basilport-cli/src/main/java/org/basilport/cli/BenchCommand.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/BenchCommand.java
@@ -1,5 +1,6 @@
 package org.basilport.cli;
 
+import org.basilport.bench.capacity.CapacityCommand;
 import org.basilport.bench.policy.PolicyBenchmarkCommand;
 import picocli.CommandLine.Command;
 
@@ -8,5 +9,5 @@
     name = "bench",
     description = "Run benchmarks.",
     mixinStandardHelpOptions = true,
-    subcommands = {PolicyBenchmarkCommand.class})
+    subcommands = {PolicyBenchmarkCommand.class, CapacityCommand.class})
 final class BenchCommand {}
--- a/basilport-router/src/main/java/org/basilport/peer/InProcessPeerNetwork.java
+++ b/basilport-router/src/main/java/org/basilport/peer/InProcessPeerNetwork.java
@@ -36,6 +36,7 @@
   private final Set<String> cuts = new HashSet<>();
   private long messages;
   private long bytes;
+  private long configurationBytes;
 
   /** Creates a network whose one-way latency is drawn from a range. */
   public InProcessPeerNetwork(
@@ -114,6 +115,11 @@
     return bytes;
   }
 
+  /** Total size of the configurations that were sent between instances, in bytes. */
+  public long configurationBytes() {
+    return configurationBytes;
+  }
+
   private PausableScheduler pausable(String address) {
     return schedulers.computeIfAbsent(address, ignored -> new PausableScheduler(scheduler));
   }
@@ -133,6 +139,11 @@
     return message;
   }
 
+  private ConfigurationMessage countConfiguration(ConfigurationMessage message) {
+    configurationBytes += message.getSerializedSize();
+    return message;
+  }
+
   private <T> CompletableFuture<T> send(
       String from, String to, Function<PeerClient, CompletableFuture<T>> call) {
     CompletableFuture<T> result = new CompletableFuture<>();
@@ -203,7 +214,12 @@
     @Override
     public CompletableFuture<ConfigurationMessage> fetchConfiguration(
         FetchConfigurationRequest request) {
-      return send(from, to, peer -> peer.fetchConfiguration(request));
+      return send(
+          from,
+          to,
+          peer ->
+              peer.fetchConfiguration(request)
+                  .thenApply(InProcessPeerNetwork.this::countConfiguration));
     }
 
     @Override
