Bound the gossip of an instance and send configuration changes as differences

Messages of at most 64 member entries of 28 bytes and 10 server entries of 100 bytes grew with the fleet to more than the 21 KB/s for control traffic. A budget now sets the room of each message and asserts the bytes of the last 10 s. Heartbeats travel as a hash and a number, and unchanged servers without their addresses. Unknown members take their addresses from the instance list. A silent member is suspected later the more members there are, because each heartbeat then arrives less often.

--- a/basilport-router/src/main/java/org/basilport/backend/BackendRecord.java
+++ b/basilport-router/src/main/java/org/basilport/backend/BackendRecord.java
@@ -11,6 +11,7 @@
   private int missingReads;
   private boolean refused;
   private boolean polling;
+  private int tellings;
   private EngineReport report;
 
   BackendRecord(BackendServer server, long listedAtMillis) {
@@ -54,6 +55,16 @@
     polling = inFlight;
   }
 
+  /** How often peers were told of this server since it was added or marked as leaving. */
+  int tellings() {
+    return tellings;
+  }
+
+  /** Counts that a peer was told. */
+  void told() {
+    tellings++;
+  }
+
   Optional<EngineReport> report() {
     return Optional.ofNullable(report);
   }
@@ -63,6 +74,7 @@
   }
 
   void markLeaving() {
+    tellings = 0;
     server =
         new BackendServer(
             server.id(),
@@ -74,6 +86,16 @@
             true);
   }
 
+  /** What changes: receivers that know the incarnation have the rest. */
+  BackendEntry briefEntry() {
+    return BackendEntry.newBuilder()
+        .setServerId(server.id())
+        .setIncarnation(server.incarnation())
+        .setLeaving(server.leaving())
+        .setListedAtMillis(listedAtMillis)
+        .build();
+  }
+
   BackendEntry entry() {
     return BackendEntry.newBuilder()
         .setServerId(server.id())
--- a/basilport-router/src/main/java/org/basilport/backend/CommonBackendView.java
+++ b/basilport-router/src/main/java/org/basilport/backend/CommonBackendView.java
@@ -1,7 +1,6 @@
 package org.basilport.backend;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -37,17 +36,19 @@
   /** How far behind the newest list an entry may be at instances that do not read the list. */
   private static final long UNLISTED_MILLIS = 30_000;
 
-  private static final int MAX_ENTRIES = 10;
+  /** Gossip of the list takes longer the more servers there are. */
+  private static final long UNLISTED_MILLIS_PER_SERVER = 100;
 
   private final GossipMembership membership;
   private final InstanceDirectory directory;
   private final BackendRegistry registry;
   private final BackendPoller poller;
   private final Scheduler control;
-  private final SplittableRandom random;
+  private final BackendGossip backendGossip;
   private final EventSink events;
   private boolean reading;
   private boolean everRead;
+  private boolean publishPending;
   private long lastRead;
   private long newestListMillis;
   private volatile BackendSnapshot snapshot = BackendSnapshot.empty();
@@ -66,7 +67,6 @@
     this.membership = membership;
     this.directory = directory;
     this.control = control;
-    this.random = random;
     this.events = events;
     this.registry = new BackendRegistry(control, events);
     this.poller =
@@ -77,7 +77,8 @@
             services,
             control,
             server -> registry.learn(server, newestListMillis, "its report"),
-            this::publish);
+            this::publishSoon);
+    this.backendGossip = new BackendGossip(registry, random);
     registry.addListener(
         new BackendListener() {
           @Override
@@ -151,12 +152,12 @@
 
   @Override
   public void contribute(GossipMessage.Builder message) {
-    List<BackendRecord> leaving = new ArrayList<>();
-    List<BackendRecord> others = new ArrayList<>();
-    registry.records().forEach(r -> (r.server().leaving() ? leaving : others).add(r));
-    // Leaving marks come first because they protect a guarantee; the rest only saves list reads.
-    addRandom(message, leaving);
-    addRandom(message, others);
+    contribute(message, Integer.MAX_VALUE);
+  }
+
+  @Override
+  public void contribute(GossipMessage.Builder message, int roomBytes) {
+    backendGossip.contribute(message, roomBytes);
   }
 
   @Override
@@ -165,12 +166,26 @@
       newestListMillis = Math.max(newestListMillis, entry.getListedAtMillis());
       if (!registry.removed(
           entry.getServerId(), entry.getIncarnation(), entry.getListedAtMillis())) {
-        registry.learn(server(entry), entry.getListedAtMillis(), message.getSenderId());
+        learn(entry, message.getSenderId());
       }
     }
     publish();
   }
 
+  private void learn(BackendEntry entry, String source) {
+    boolean known =
+        registry
+            .find(entry.getServerId())
+            .filter(record -> record.server().incarnation() == entry.getIncarnation())
+            .isPresent();
+    if (known || !entry.getAddress().isEmpty()) {
+      registry.learn(server(entry), entry.getListedAtMillis(), source);
+    } else if (entry.getLeaving()) {
+      // The mark outlives the missing record, so the server is no candidate when it is learned.
+      registry.markLeaving(entry.getServerId(), entry.getIncarnation(), source);
+    }
+  }
+
   private void readList() {
     if (reading) {
       return;
@@ -212,21 +227,23 @@
   }
 
   private void dropUnlisted() {
+    long limit = UNLISTED_MILLIS + UNLISTED_MILLIS_PER_SERVER * registry.records().size();
     for (BackendRecord record : List.copyOf(registry.records())) {
-      if (newestListMillis - record.listedAtMillis() > UNLISTED_MILLIS) {
+      if (newestListMillis - record.listedAtMillis() > limit) {
         registry.removeListed(record, newestListMillis);
       }
     }
   }
 
-  private void addRandom(GossipMessage.Builder message, List<BackendRecord> records) {
-    int room = Math.min(records.size(), MAX_ENTRIES - message.getBackendsCount());
-    for (int i = 0; i < room; i++) {
-      int j = i + random.nextInt(records.size() - i);
-      BackendRecord chosen = records.get(j);
-      records.set(j, records.get(i));
-      records.set(i, chosen);
-      message.addBackends(chosen.entry());
+  /** Publishes once for all reports that arrive at the same time. */
+  private void publishSoon() {
+    if (!publishPending) {
+      publishPending = true;
+      control.execute(
+          () -> {
+            publishPending = false;
+            publish();
+          });
     }
   }
 
--- a/basilport-router/src/main/java/org/basilport/config/ConfigurationPropagation.java
+++ b/basilport-router/src/main/java/org/basilport/config/ConfigurationPropagation.java
@@ -38,6 +38,7 @@
   private static final Duration POLL_INTERVAL = Duration.ofSeconds(1);
   private static final Duration FETCH_LIMIT = Duration.ofSeconds(1);
   private static final int MAX_FETCHES = 2;
+  private static final byte[] NO_BODY = {};
 
   private final String selfId;
   private final CommonConfigurationStore store;
@@ -53,7 +54,12 @@
   private boolean platformCall;
   private long lastPoll;
   private boolean polled;
-  private byte[] body = new byte[0];
+  private byte[] body = NO_BODY;
+  private byte[] previousBody = NO_BODY;
+  private long previousNumber;
+  private byte[] transfer = NO_BODY;
+  private long transferBase;
+  private boolean fetchWhole;
   private volatile AcceptedConfiguration current;
   private volatile long confirmedAt;
 
@@ -127,10 +133,20 @@
         .setApplyId(configuration.applyId())
         .setAuthor(configuration.author())
         .setAcceptedAtMillis(configuration.acceptedAt().toEpochMilli())
-        .setBody(ByteString.copyFrom(body))
+        .setBody(ByteString.copyFrom(transfer(request.getLargerThan())))
         .build();
   }
 
+  /** The body in the form for a peer that has a number in force; the last form is kept. */
+  private byte[] transfer(long baseNumber) {
+    long base = baseNumber == previousNumber ? previousNumber : 0;
+    if (transfer.length == 0 || transferBase != base) {
+      transferBase = base;
+      transfer = ConfigurationTransfer.encode(body, base == 0 ? NO_BODY : previousBody);
+    }
+    return transfer;
+  }
+
   /** Asks peers and the platform for a newer configuration; ends when one of them is sure. */
   public CompletableFuture<Void> recheck(List<String> peerAddresses) {
     CompletableFuture<?>[] asked =
@@ -179,6 +195,10 @@
         events,
         "configuration-number-grows",
         "number " + configuration.number() + " from " + source + " would replace " + number());
+    previousBody = body;
+    previousNumber = number();
+    transfer = NO_BODY;
+    fetchWhole = false;
     body = DeploymentCodec.encode(configuration.deployment());
     current = configuration;
     confirmedAt = control.nanoTime();
@@ -204,8 +224,13 @@
 
   private CompletableFuture<Void> fetch(String address) {
     fetchingFrom.add(address);
+    byte[] base = fetchWhole ? NO_BODY : body;
+    long baseNumber = fetchWhole ? 0 : number();
     FetchConfigurationRequest request =
-        FetchConfigurationRequest.newBuilder().setSenderId(selfId).setLargerThan(number()).build();
+        FetchConfigurationRequest.newBuilder()
+            .setSenderId(selfId)
+            .setLargerThan(baseNumber)
+            .build();
     return Deadline.limit(
             peers.connect(address).fetchConfiguration(request),
             control,
@@ -215,7 +240,7 @@
             (message, failure) -> {
               fetchingFrom.remove(address);
               if (failure == null && message.getNumber() > 0) {
-                adoptFrom(message, address);
+                adoptFrom(message, base, address);
               }
               fetchOffered();
               return null;
@@ -223,7 +248,7 @@
             control);
   }
 
-  private void adoptFrom(ConfigurationMessage message, String source) {
+  private void adoptFrom(ConfigurationMessage message, byte[] base, String source) {
     try {
       AcceptedConfiguration configuration =
           new AcceptedConfiguration(
@@ -231,9 +256,12 @@
               message.getApplyId(),
               message.getAuthor(),
               Instant.ofEpochMilli(message.getAcceptedAtMillis()),
-              DeploymentCodec.decode(message.getBody().toByteArray()));
+              DeploymentCodec.decode(
+                  ConfigurationTransfer.decode(message.getBody().toByteArray(), base)));
       adopt(configuration, source);
     } catch (InvalidConfigurationException e) {
+      // Instances of different versions may have different bodies of the same number.
+      fetchWhole = true;
       events.record(EventType.CONFIGURATION_REFUSED, EventSubject.NONE, source, e.getMessage());
     }
   }
--- a/basilport-router/src/main/java/org/basilport/membership/GossipMembership.java
+++ b/basilport-router/src/main/java/org/basilport/membership/GossipMembership.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -28,6 +29,9 @@
  * <p>A message carries a bounded sample of the members. Only entries whose heartbeat advanced
  * lately are passed on, and a forgotten member leaves a tombstone for a while; otherwise two
  * instances could keep a dead member alive by telling each other of it.
+ *
+ * <p>Because the bytes per second are fixed, a heartbeat arrives less often the more members there
+ * are. The times after which a silent member is suspect and dead grow accordingly.
  */
 public final class GossipMembership implements MembershipView, GossipParticipant {
   private static final Duration SUSPECT_AFTER = Duration.ofSeconds(3);
@@ -35,10 +39,31 @@
   private static final Duration FORGET_AFTER = Duration.ofMinutes(5);
   private static final Duration LIST_VALID = Duration.ofSeconds(10);
   private static final Duration TOMBSTONE_KEPT = Duration.ofMinutes(1);
+  private static final Duration SUSPECT_AFTER_PER_MEMBER = Duration.ofMillis(40);
+  private static final Duration DEAD_AFTER_PER_MEMBER = SUSPECT_AFTER_PER_MEMBER.multipliedBy(2);
   private static final int MAX_ENTRIES = 64;
 
-  /** Entries per message with addresses; the others carry only what changes. */
-  private static final int MAX_FULL_ENTRIES = 6;
+  /** Part of a message for members when there are backend servers to tell of as well. */
+  private static final double MEMBERS_SHARE = 0.7;
+
+  /** How often a new member or a changed state is told with addresses and before others. */
+  private static final int FRESH_TELLINGS = 4;
+
+  private static final int FRESH_SELF_TELLINGS = 16;
+
+  /** Other members per message whose values are told without addresses. */
+  private static final int BRIEF_ENTRIES = 4;
+
+  private static final int MAX_HEARTBEATS = 512;
+  private static final int HEARTBEAT_BYTES = 7;
+
+  /** Of how many messages one carries the own entry with addresses. */
+  private static final int FULL_SELF_PERIOD = 4;
+
+  /** A sender with fewer heartbeats is told more entries with addresses. */
+  private static final int NEWCOMER_HEARTBEATS = 60;
+
+  private static final int FULL_ENTRIES_FOR_NEWCOMER = 3;
 
   private static final int COLD_CONTACT_ROUNDS = 4;
 
@@ -52,6 +77,8 @@
   private Map<String, ListedInstance> listed = Map.of();
   private long listedAt;
   private MemberEntry self;
+  private int selfTellings;
+  private boolean answersNewcomer;
   private volatile Snapshot snapshot;
 
   /**
@@ -126,6 +153,7 @@
               .setState(MemberRecord.state(status))
               .setHeartbeat(self.getHeartbeat() + 1)
               .build();
+      selfTellings = 0;
       publish();
     }
   }
@@ -194,40 +222,120 @@
 
   @Override
   public void contribute(GossipMessage.Builder message) {
-    message.addMembers(self);
-    List<MemberEntry> sample = sample();
-    shuffle(sample);
-    for (int i = 0; i < sample.size(); i++) {
-      message.addMembers(i < MAX_FULL_ENTRIES - 1 ? sample.get(i) : brief(sample.get(i)));
+    contribute(message, Integer.MAX_VALUE);
+  }
+
+  @Override
+  public void contribute(GossipMessage.Builder message, int roomBytes) {
+    boolean fullSelf = selfTellings < FRESH_SELF_TELLINGS || selfTellings % FULL_SELF_PERIOD == 0;
+    selfTellings++;
+    MemberEntry own = fullSelf ? self : brief(self);
+    message.addMembers(own);
+    int room = (int) (roomBytes * MEMBERS_SHARE) - size(own);
+    List<MemberRecord> alive = aliveRecords();
+    room = contributeFresh(message, alive, room);
+    room = contributeOthers(message, alive, room);
+    contributeHeartbeats(message, alive, room);
+    answersNewcomer = false;
+  }
+
+  /** Adds members that few peers were told of; uses at most half of the room. */
+  private int contributeFresh(GossipMessage.Builder message, List<MemberRecord> alive, int room) {
+    int left = room;
+    for (int i = alive.size() - 1; i >= 0 && left > room / 2; i--) {
+      MemberRecord record = alive.get(i);
+      if (record.tellings() < FRESH_TELLINGS && message.getMembersCount() < MAX_ENTRIES) {
+        record.told();
+        message.addMembers(record.entry());
+        left -= size(record.entry());
+      }
+    }
+    return left;
+  }
+
+  /** Adds a few other members with addresses and a few without. */
+  private int contributeOthers(GossipMessage.Builder message, List<MemberRecord> alive, int room) {
+    int left = room;
+    int full = answersNewcomer ? FULL_ENTRIES_FOR_NEWCOMER : 1;
+    for (int i = 0; i < Math.min(full + BRIEF_ENTRIES, alive.size()); i++) {
+      MemberEntry entry = alive.get(i).entry();
+      MemberEntry told = i < full ? entry : brief(entry);
+      if (size(told) <= left) {
+        message.addMembers(told);
+        left -= size(told);
+      }
+    }
+    return left;
+  }
+
+  /** Adds the heartbeats that advanced last within a random choice of twice the room. */
+  private void contributeHeartbeats(
+      GossipMessage.Builder message, List<MemberRecord> alive, int room) {
+    int heartbeats = Math.max(0, Math.min(MAX_HEARTBEATS, room / HEARTBEAT_BYTES));
+    List<MemberRecord> chosen = alive;
+    if (heartbeats < alive.size()) {
+      long now = control.nanoTime();
+      chosen = new ArrayList<>(alive.subList(0, Math.min(alive.size(), 2 * heartbeats)));
+      chosen.sort(Comparator.comparingLong(record -> record.silentNanos(now)));
     }
+    chosen.stream()
+        .limit(heartbeats)
+        .forEach(
+            record -> {
+              message.addHeartbeatMembers(record.hash());
+              message.addHeartbeats((int) record.latestHeartbeat());
+            });
   }
 
-  /** The entries that advanced last within a random choice of twice the room. */
-  private List<MemberEntry> sample() {
+  private List<MemberRecord> aliveRecords() {
     List<MemberRecord> alive = new ArrayList<>();
     for (MemberRecord record : records.values()) {
       if (record.health() == MemberHealth.ALIVE) {
         alive.add(record);
       }
     }
-    int room = MAX_ENTRIES - 1;
-    if (alive.size() > room) {
-      shuffle(alive);
-      long now = control.nanoTime();
-      alive = new ArrayList<>(alive.subList(0, Math.min(alive.size(), 2 * room)));
-      alive.sort(Comparator.comparingLong(record -> record.silentNanos(now)));
-    }
-    List<MemberEntry> sample = new ArrayList<>();
-    alive.stream().limit(room).forEach(record -> sample.add(record.entry()));
-    return sample;
+    shuffle(alive);
+    return alive;
+  }
+
+  /** Size of an entry within a message, with its tag and length. */
+  private static int size(MemberEntry entry) {
+    int bytes = entry.getSerializedSize();
+    return bytes + (bytes < 128 ? 2 : 3);
   }
 
   @Override
   public void receive(GossipMessage message) {
     message.getMembersList().stream().limit(MAX_ENTRIES).forEach(this::learn);
+    learnHeartbeats(message);
+    MemberRecord sender = records.get(message.getSenderId());
+    answersNewcomer = sender == null || sender.entry().getHeartbeat() < NEWCOMER_HEARTBEATS;
     publish();
   }
 
+  private void learnHeartbeats(GossipMessage message) {
+    int count = Math.min(message.getHeartbeatMembersCount(), message.getHeartbeatsCount());
+    if (count == 0) {
+      return;
+    }
+    long now = control.nanoTime();
+    Map<Integer, MemberRecord> byHash = new HashMap<>();
+    Set<Integer> ambiguous = new HashSet<>();
+    for (MemberRecord record : records.values()) {
+      if (byHash.put(record.hash(), record) != null) {
+        ambiguous.add(record.hash());
+      }
+    }
+    // A hash of two members proves nothing of either; their entries are told in turn.
+    byHash.keySet().removeAll(ambiguous);
+    for (int i = 0; i < Math.min(count, MAX_HEARTBEATS); i++) {
+      MemberRecord record = byHash.get(message.getHeartbeatMembers(i));
+      if (record != null) {
+        record.heartbeat(message.getHeartbeats(i), now);
+      }
+    }
+  }
+
   private void learn(MemberEntry entry) {
     String id = entry.getInstanceId();
     Tombstone stone = tombstones.get(id);
@@ -238,9 +346,10 @@
     MemberRecord known = records.get(id);
     boolean restarted = known != null && entry.getIncarnation() > known.entry().getIncarnation();
     if (known == null || restarted) {
+      MemberEntry complete = entry.getPeerAddress().isEmpty() ? withListedAddresses(entry) : entry;
       // Without its addresses a new member or incarnation cannot be used yet.
-      if (!entry.getPeerAddress().isEmpty()) {
-        records.put(id, new MemberRecord(entry, now));
+      if (!complete.getPeerAddress().isEmpty()) {
+        records.put(id, new MemberRecord(complete, now));
         tombstones.remove(id);
         events.record(EventType.MEMBER_JOINED, EventSubject.NONE, id, entry.getIncarnation());
       }
@@ -255,10 +364,24 @@
     }
   }
 
+  /** Adds the addresses that the instance list has for the same incarnation, if any. */
+  private MemberEntry withListedAddresses(MemberEntry entry) {
+    ListedInstance instance = listed.get(entry.getInstanceId());
+    if (instance == null || instance.incarnation() != entry.getIncarnation()) {
+      return entry;
+    }
+    return entry.toBuilder()
+        .setRegion(instance.region())
+        .setDataCentre(instance.dataCentre())
+        .setAddress(instance.address())
+        .setPeerAddress(instance.peerAddress())
+        .build();
+  }
+
   private void judge(MemberRecord record, long now) {
     String id = record.entry().getInstanceId();
     long silent = record.silentNanos(now);
-    if (silent > DEAD_AFTER.toNanos()) {
+    if (silent > limit(DEAD_AFTER, DEAD_AFTER_PER_MEMBER)) {
       if (record.health() != MemberHealth.DEAD) {
         record.health(MemberHealth.DEAD);
         events.record(EventType.MEMBER_DEAD, EventSubject.NONE, id);
@@ -266,15 +389,23 @@
       boolean listKnown = listedAt != 0 && now - listedAt < LIST_VALID.toNanos();
       if ((listKnown && !listed.containsKey(id)) || silent > FORGET_AFTER.toNanos()) {
         records.remove(id);
-        tombstones.put(id, new Tombstone(record.entry(), now));
+        MemberEntry last =
+            record.entry().toBuilder().setHeartbeat(record.latestHeartbeat()).build();
+        tombstones.put(id, new Tombstone(last, now));
       }
-    } else if (silent > SUSPECT_AFTER.toNanos() && record.health() == MemberHealth.ALIVE) {
+    } else if (silent > limit(SUSPECT_AFTER, SUSPECT_AFTER_PER_MEMBER)
+        && record.health() == MemberHealth.ALIVE) {
       record.health(MemberHealth.SUSPECTED);
       long millis = Duration.ofNanos(silent).toMillis();
       events.record(EventType.MEMBER_SUSPECTED, EventSubject.NONE, id, millis);
     }
   }
 
+  /** The larger of a fixed time and one that grows with the number of members, in nanoseconds. */
+  private long limit(Duration least, Duration perMember) {
+    return Math.max(least.toNanos(), perMember.toNanos() * records.size());
+  }
+
   private List<String> coldAddresses() {
     Set<String> cold = new LinkedHashSet<>(seedPeers);
     listed.values().forEach(entry -> cold.add(entry.peerAddress()));
--- a/basilport-router/src/main/java/org/basilport/membership/MemberRecord.java
+++ b/basilport-router/src/main/java/org/basilport/membership/MemberRecord.java
@@ -1,17 +1,30 @@
 package org.basilport.membership;
 
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
 import org.basilport.protocol.MemberEntry;
 import org.basilport.protocol.MemberState;
 
-/** What gossip told of one member, and when its heartbeat last advanced here. */
+/**
+ * What gossip told of one member, and when its heartbeat last advanced here.
+ *
+ * <p>The heartbeat of the entry versions its values. The latest heartbeat is kept apart, because it
+ * may arrive without values, and must not make an entry with a changed state look old.
+ */
 final class MemberRecord {
   private MemberEntry entry;
   private long advancedAt;
   private MemberHealth health = MemberHealth.ALIVE;
+  private final int hash;
+  private long latestHeartbeat;
+  private int tellings;
 
   MemberRecord(MemberEntry entry, long now) {
     this.entry = entry;
     this.advancedAt = now;
+    this.latestHeartbeat = entry.getHeartbeat();
+    String key = entry.getInstanceId() + '@' + entry.getIncarnation();
+    this.hash = Hashing.farmHashFingerprint64().hashString(key, StandardCharsets.UTF_8).asInt();
   }
 
   MemberEntry entry() {
@@ -26,6 +39,35 @@
     health = newHealth;
   }
 
+  /** Stands for id and incarnation in lists of heartbeats. */
+  int hash() {
+    return hash;
+  }
+
+  /** The largest heartbeat that was told, with values or without. */
+  long latestHeartbeat() {
+    return latestHeartbeat;
+  }
+
+  /** Takes over a larger heartbeat of the same incarnation. */
+  void heartbeat(long heartbeat, long now) {
+    if (heartbeat > latestHeartbeat) {
+      latestHeartbeat = heartbeat;
+      advancedAt = now;
+      health = MemberHealth.ALIVE;
+    }
+  }
+
+  /** How often peers were told of this member since it joined or changed its state. */
+  int tellings() {
+    return tellings;
+  }
+
+  /** Counts that a peer was told. */
+  void told() {
+    tellings++;
+  }
+
   long silentNanos(long now) {
     return now - advancedAt;
   }
@@ -53,9 +95,11 @@
               .setPeerAddress(entry.getPeerAddress())
               .build();
     }
+    if (newer.getState() != entry.getState()) {
+      tellings = 0;
+    }
     entry = complete;
-    advancedAt = now;
-    health = MemberHealth.ALIVE;
+    heartbeat(newer.getHeartbeat(), now);
   }
 
   Member member() {
--- a/basilport-router/src/main/java/org/basilport/peer/GossipExchange.java
+++ b/basilport-router/src/main/java/org/basilport/peer/GossipExchange.java
@@ -3,6 +3,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.basilport.error.FailureCode;
+import org.basilport.error.RejectedException;
+import org.basilport.error.Step;
+import org.basilport.event.EventSink;
 import org.basilport.event.HybridClock;
 import org.basilport.misc.Deadline;
 import org.basilport.misc.Scheduler;
@@ -16,16 +20,19 @@
   private final HybridClock clock;
   private final PeerConnector peers;
   private final Scheduler control;
+  private final GossipBudget budget;
   private final List<GossipParticipant> participants = new ArrayList<>();
   private long lastHeard;
   private boolean heard;
 
   /** Creates an exchange without participants. */
-  public GossipExchange(String selfId, HybridClock clock, PeerConnector peers, Scheduler control) {
+  public GossipExchange(
+      String selfId, HybridClock clock, PeerConnector peers, Scheduler control, EventSink events) {
     this.selfId = selfId;
     this.clock = clock;
     this.peers = peers;
     this.control = control;
+    this.budget = new GossipBudget(events, control.nanoTime());
   }
 
   /** Adds a participant; participants are called in the order in which they were added. */
@@ -43,13 +50,23 @@
     peerAddresses.forEach(this::exchangeWith);
   }
 
-  /** Takes over a peer's message and returns the answer. */
+  /**
+   * Takes over a peer's message and returns the answer. Fails with NOT_RUN when the answer would
+   * exceed the limit of this instance's gossip; what the peer told was taken over nevertheless.
+   */
   public GossipMessage answer(GossipMessage message) {
     receive(message);
+    if (budget.overdrawn(control.nanoTime())) {
+      throw new RejectedException(
+          FailureCode.OVER_LIMIT, Step.PEER, selfId + " has sent too much gossip");
+    }
     return message();
   }
 
   private void exchangeWith(String address) {
+    if (budget.spent(control.nanoTime())) {
+      return;
+    }
     Deadline.limit(
             peers.connect(address).exchange(message()),
             control,
@@ -68,8 +85,15 @@
   private GossipMessage message() {
     GossipMessage.Builder message =
         GossipMessage.newBuilder().setSenderId(selfId).setHybridTime(clock.tick());
-    participants.forEach(participant -> participant.contribute(message));
-    return message.build();
+    long now = control.nanoTime();
+    int room = budget.room(now);
+    for (GossipParticipant participant : participants) {
+      int size = message.buildPartial().getSerializedSize();
+      participant.contribute(message, Math.max(0, room - size));
+    }
+    GossipMessage complete = message.build();
+    budget.sent(complete.getSerializedSize(), now);
+    return complete;
   }
 
   private void receive(GossipMessage message) {
--- a/basilport-router/src/main/java/org/basilport/router/DefaultControlPlane.java
+++ b/basilport-router/src/main/java/org/basilport/router/DefaultControlPlane.java
@@ -115,7 +115,8 @@
             settings.fleetReadsPerSecond());
     this.platformStore = new BudgetedObjectStore(store, gate);
     this.configurationStore = new CommonConfigurationStore(platformStore, control::now, timeline);
-    this.gossip = new GossipExchange(settings.instanceId(), timeline.clock(), peers, control);
+    this.gossip =
+        new GossipExchange(settings.instanceId(), timeline.clock(), peers, control, timeline);
     this.configuration =
         new ConfigurationPropagation(
             configurationStore, membership, peers, control, timeline, this::push);
