--- a/basilport-policy/src/main/java/org/basilport/policy/AdaptiveGenerationPolicy.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/AdaptiveGenerationPolicy.java
@@ -53,6 +53,13 @@
   /** Claimed service at which deferred work goes before streamed work. */
   private static final double DEFERRED_DEBT_LIMIT = 20_000;
 
+  /**
+   * Claimed service at which no streamed work starts until deferred work has started. Going first
+   * is not enough: a large deferred generation would never fit while small streamed ones refill the
+   * memory.
+   */
+  private static final double DEFERRED_KEEP_LIMIT = 40_000;
+
   /**
    * Share of the replicas that is never ejected for being slow. Deferred work still uses ejected
    * replicas, since nobody reads its tokens while they are generated.
@@ -121,8 +128,12 @@
     if (deferredDebt > DEFERRED_DEBT_LIMIT) {
       placeClass(GenerationClass.DEFERRED, placements, nowNanos);
     }
-    placeClass(GenerationClass.STREAMED, placements, nowNanos);
-    placeClass(GenerationClass.DEFERRED, placements, nowNanos);
+    boolean keepsMemory =
+        deferredDebt > DEFERRED_KEEP_LIMIT && queue.waits(GenerationClass.DEFERRED);
+    if (!keepsMemory) {
+      placeClass(GenerationClass.STREAMED, placements, nowNanos);
+      placeClass(GenerationClass.DEFERRED, placements, nowNanos);
+    }
     return placements;
   }
 
--- a/basilport-policy/src/main/java/org/basilport/policy/fairness/FairQueue.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/fairness/FairQueue.java
@@ -21,7 +21,8 @@
  * workspace with the smallest counter starts work, so at that moment it is not ahead. Afterwards it
  * gets ahead by the one charge and by what its running work turns out to need beyond the charge; it
  * falls behind by what is given back, and by what passes it while its own next generation does not
- * fit. Waiting work is never held back by the counters: what fits starts.
+ * fit. The counters hold no work back: what fits starts, except after the limit on bypassing, when
+ * memory is kept for the workspace that was passed.
  */
 public final class FairQueue {
   /** Generations of one workspace that are looked through for one of another route. */
--- a/basilport-policy/src/test/java/org/basilport/policy/AdaptiveGenerationPolicyTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/AdaptiveGenerationPolicyTest.java
@@ -188,6 +188,36 @@
     }
   }
 
+  @Nested
+  class Classes {
+    /** Guards against deferred work that waits for ever behind a steady stream of questions. */
+    @Test
+    void deferredWorkIsNotStarved() {
+      GenerationPolicy policy =
+          new AdaptiveGenerationPolicyFactory().create(settings(), new SplittableRandom(1));
+      long now = 0;
+      policy.replicas(List.of(state("a", 0, 0, now)), 1, now);
+      int deferred = 0;
+      List<String> running = new ArrayList<>();
+      policy.submit(item(0, GenerationClass.DEFERRED, 3_000, 3_000), now);
+      for (int i = 1; i < 2_000 && deferred == 0; i++) {
+        now += 100 * MILLI;
+        while (policy.waiting() < QUEUE_LIMIT) {
+          policy.submit(item(i * 100 + policy.waiting(), GenerationClass.STREAMED, 900, 900), now);
+        }
+        if (!running.isEmpty()) {
+          policy.finished(running.remove(0), 300, true, now);
+        }
+        policy.replicas(List.of(state("a", 900L * running.size(), running.size(), now)), 1, now);
+        for (Placement placement : policy.place(now)) {
+          running.add(placement.item().requestId());
+          deferred += placement.item().requestId().equals("r0") ? 1 : 0;
+        }
+      }
+      assertThat(deferred).isEqualTo(1);
+    }
+  }
+
   @Nested
   class Lengths {
     /** Guards against estimates that are far from the lengths that were observed. */
