Bound the calls of a duty lease and number its writes from a random start

Cause: a platform call without an answer would have kept an instance from trying again, and a new lease of the same process could have taken an older write for its own.

--- a/basilport-router/src/main/java/org/basilport/order/DutyLease.java
+++ b/basilport-router/src/main/java/org/basilport/order/DutyLease.java
@@ -4,10 +4,13 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import org.basilport.error.BasilportException;
 import org.basilport.error.ConflictException;
+import org.basilport.error.FailureCode;
 import org.basilport.error.Outcome;
 import org.basilport.error.Step;
+import org.basilport.error.UnavailableException;
 import org.basilport.event.EventSink;
 import org.basilport.event.EventSubject;
 import org.basilport.event.EventType;
@@ -15,6 +18,7 @@
 import org.basilport.membership.Member;
 import org.basilport.membership.MembershipView;
 import org.basilport.misc.Cancellable;
+import org.basilport.misc.Deadline;
 import org.basilport.misc.Scheduler;
 import org.basilport.platform.ObjectStore;
 import org.basilport.platform.StoredObject;
@@ -38,6 +42,7 @@
   private static final String PREFIX = "duty/";
   private static final Duration OBSERVER_READ_SHARE = Duration.ofSeconds(1);
   private static final Duration SHORTEST_OBSERVER_INTERVAL = Duration.ofSeconds(30);
+  private static final Duration CALL_LIMIT = Duration.ofSeconds(4);
   private static final long BACKOFF_BASE_MILLIS = 500;
   private static final long BACKOFF_LIMIT_MILLIS = 5_000;
 
@@ -80,6 +85,8 @@
     this.events = events;
     this.timing = timing;
     this.backoff = new FullJitterBackoff(BACKOFF_BASE_MILLIS, BACKOFF_LIMIT_MILLIS, random);
+    // An earlier lease of this process may have used small numbers in writes that came late.
+    this.renewal = random.nextLong(Long.MAX_VALUE / 2);
     this.notBefore = control.nanoTime();
     this.heldUntil = control.nanoTime();
     this.lastRead = control.nanoTime();
@@ -150,8 +157,7 @@
   private void read() {
     calling = true;
     lastRead = control.nanoTime();
-    store
-        .read(PREFIX + service)
+    limited(store.read(PREFIX + service))
         .whenCompleteAsync((found, failure) -> readAnswer(found, failure), control);
   }
 
@@ -214,8 +220,7 @@
     LeaseRecord record =
         new LeaseRecord(
             self.id(), self.incarnation(), renewal, control.now().plus(duration).toEpochMilli());
-    store
-        .write(PREFIX + service, record.encode(), expected)
+    limited(store.write(PREFIX + service, record.encode(), expected))
         .whenCompleteAsync(
             (version, failure) -> writeAnswer(record, expected, version, failure), control);
   }
@@ -253,6 +258,23 @@
     }
   }
 
+  /** A call that never ends must not keep this instance from trying again. */
+  private <T> CompletableFuture<T> limited(CompletableFuture<T> call) {
+    return Deadline.limit(
+        call,
+        control,
+        CALL_LIMIT,
+        () ->
+            new UnavailableException(
+                FailureCode.TIMEOUT,
+                Outcome.MAY_HAVE_RUN,
+                Step.STORE,
+                PREFIX + service,
+                null,
+                "the platform did not answer in time",
+                null));
+  }
+
   private void readIfIdle() {
     if (running && !calling) {
       read();
