--- a/basilport-router/src/test/java/org/basilport/order/EngineOrdersTest.java
+++ b/basilport-router/src/test/java/org/basilport/order/EngineOrdersTest.java
@@ -83,6 +83,24 @@
       }
     }
 
+    /** Guards against a holder that goes on, or never comes back, when its calls get no answer. */
+    @Test
+    void aHolderWithoutAnswersStopsBeforeAnotherOneStarts() {
+      OrderFleet fleet = new OrderFleet(2, 1);
+      fleet.run(10);
+      fleet.instances.get(0).cutOff = true;
+      fleet.owner = "i1";
+      fleet.run(9);
+      assertThat(fleet.instances.get(0).mayOrder()).isFalse();
+      fleet.run(12);
+      assertThat(fleet.instances.get(1).mayOrder()).isTrue();
+      fleet.instances.get(1).orders.stop();
+      fleet.instances.get(0).cutOff = false;
+      fleet.owner = "i0";
+      fleet.run(15);
+      assertThat(fleet.instances.get(0).mayOrder()).isTrue();
+    }
+
     /** Guards against a duty that stays free while its owner cannot use the platform. */
     @Test
     void anotherInstanceTakesALeaseThatItsOwnerDoesNotTake() {
--- a/basilport-router/src/test/java/org/basilport/order/OrderInstance.java
+++ b/basilport-router/src/test/java/org/basilport/order/OrderInstance.java
@@ -1,5 +1,7 @@
 package org.basilport.order;
 
+import java.lang.reflect.InvocationHandler;
+import java.lang.reflect.Proxy;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -12,10 +14,7 @@
 import org.basilport.backend.BackendView;
 import org.basilport.engine.EngineOrder;
 import org.basilport.engine.EngineReport;
-import org.basilport.engine.EngineRequest;
 import org.basilport.engine.ModelEngine;
-import org.basilport.engine.TokenListener;
-import org.basilport.engine.TokenStream;
 import org.basilport.event.EventType;
 import org.basilport.event.HybridClock;
 import org.basilport.event.Timeline;
@@ -23,6 +22,7 @@
 import org.basilport.membership.MembershipView;
 import org.basilport.misc.Cancellable;
 import org.basilport.misc.Scheduler;
+import org.basilport.platform.ObjectStore;
 
 /** One instance of an {@link OrderFleet}; it can be paused, and its orders can be delayed. */
 final class OrderInstance implements Scheduler, MembershipView, BackendView {
@@ -31,6 +31,9 @@
   final Timeline timeline;
   boolean holdsOrders;
 
+  /** Whether the platform never answers this instance. */
+  boolean cutOff;
+
   private final OrderFleet fleet;
   private final List<Runnable> heldTasks = new ArrayList<>();
   private final List<Runnable> heldOrders = new ArrayList<>();
@@ -42,9 +45,11 @@
     this.timeline = new Timeline(id, new HybridClock(() -> now().toEpochMilli()), 5_000);
     OrderEnvironment environment =
         new OrderEnvironment(
-            fleet.store,
+            proxy(
+                ObjectStore.class,
+                (p, m, a) -> cutOff ? new CompletableFuture<>() : m.invoke(fleet.store, a)),
             (model, version) -> fleet.reserve(),
-            OrderedClient::new,
+            engine -> proxy(ModelEngine.class, (p, m, a) -> deliver(engine, (EngineOrder) a[0])),
             this,
             this,
             fleet::inForce,
@@ -159,56 +164,29 @@
   @Override
   public void addListener(BackendListener listener) {}
 
-  private final class OrderedClient implements ModelEngine {
-    private final String engineId;
-
-    OrderedClient(String engineId) {
-      this.engineId = engineId;
-    }
-
-    @Override
-    public CompletableFuture<Void> order(EngineOrder order) {
-      CompletableFuture<Void> answer = new CompletableFuture<>();
-      Runnable delivery =
-          () ->
-              fleet
-                  .engines
-                  .get(engineId)
-                  .order(order)
-                  .whenComplete(
-                      (done, failure) -> {
-                        if (failure == null) {
-                          answer.complete(null);
-                        } else {
-                          answer.completeExceptionally(failure);
-                        }
-                      });
-      if (holdsOrders) {
-        heldOrders.add(delivery);
-      } else {
-        fleet.scheduler.schedule(Duration.ofMillis(1), delivery);
-      }
-      return answer;
-    }
-
-    @Override
-    public TokenStream generate(EngineRequest request, TokenListener listener) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public TokenStream resume(String generationId, long offset, TokenListener listener) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<Boolean> cancel(String generationId, boolean onlyIfUnattached) {
-      throw new UnsupportedOperationException();
+  private CompletableFuture<Void> deliver(String engineId, EngineOrder order) {
+    CompletableFuture<Void> answer = new CompletableFuture<>();
+    Runnable delivery =
+        () ->
+            fleet
+                .engines
+                .get(engineId)
+                .order(order)
+                .thenAccept(answer::complete)
+                .exceptionally(
+                    failure -> {
+                      answer.completeExceptionally(failure);
+                      return null;
+                    });
+    if (holdsOrders) {
+      heldOrders.add(delivery);
+    } else {
+      fleet.scheduler.schedule(Duration.ofMillis(1), delivery);
     }
+    return answer;
+  }
 
-    @Override
-    public CompletableFuture<EngineReport> report() {
-      throw new UnsupportedOperationException();
-    }
+  private <T> T proxy(Class<T> type, InvocationHandler handler) {
+    return type.cast(Proxy.newProxyInstance(type.getClassLoader(), new Class<?>[] {type}, handler));
   }
 }
