--- /dev/null
+++ b/basilport-bench/src/test/java/org/basilport/bench/capacity/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the cost of control work. */
+package org.basilport.bench.capacity;
--- a/basilport-router/src/main/java/org/basilport/backend/CommonBackendView.java
+++ b/basilport-router/src/main/java/org/basilport/backend/CommonBackendView.java
@@ -30,6 +30,9 @@
   private static final int READERS_PER_DATA_CENTRE = 2;
   private static final Duration LIST_INTERVAL = Duration.ofSeconds(2);
 
+  /** How often an instance that does not read the list may do so to find members' addresses. */
+  private static final Duration CATCH_UP_INTERVAL = Duration.ofSeconds(20);
+
   /** A single list without a server may be a fault of the list. */
   private static final int MISSING_READS_TO_REMOVE = 2;
 
@@ -136,7 +139,9 @@
     registry.expire();
     boolean reader = !hasPeers || membership.onDuty(LIST_DUTY, READERS_PER_DATA_CENTRE);
     boolean due = !everRead || control.nanoTime() - lastRead >= LIST_INTERVAL.toNanos();
-    if ((reader || !everRead) && due) {
+    boolean catchUp =
+        membership.missesMembers() && control.nanoTime() - lastRead >= CATCH_UP_INTERVAL.toNanos();
+    if (((reader || !everRead) && due) || catchUp) {
       readList();
     }
     dropUnlisted();
--- a/basilport-router/src/main/java/org/basilport/membership/GossipMembership.java
+++ b/basilport-router/src/main/java/org/basilport/membership/GossipMembership.java
@@ -21,6 +21,7 @@
 import org.basilport.platform.ListedInstance;
 import org.basilport.protocol.GossipMessage;
 import org.basilport.protocol.MemberEntry;
+import org.basilport.protocol.MemberState;
 
 /**
  * Membership by gossip of heartbeats. All methods but those of {@link MembershipView} run on the
@@ -47,7 +48,7 @@
   private static final double MEMBERS_SHARE = 0.7;
 
   /** How often a new member or a changed state is told with addresses and before others. */
-  private static final int FRESH_TELLINGS = 4;
+  private static final int FRESH_TELLINGS = 5;
 
   private static final int FRESH_SELF_TELLINGS = 16;
 
@@ -75,7 +76,9 @@
   private final Map<String, MemberRecord> records = new LinkedHashMap<>();
   private final Map<String, Tombstone> tombstones = new HashMap<>();
   private Map<String, ListedInstance> listed = Map.of();
+  private Map<Integer, ListedInstance> listedByHash = Map.of();
   private long listedAt;
+  private boolean missesMembers;
   private MemberEntry self;
   private int selfTellings;
   private boolean answersNewcomer;
@@ -175,10 +178,19 @@
     Map<String, ListedInstance> byId = new LinkedHashMap<>();
     entries.forEach(entry -> byId.put(entry.id(), entry));
     byId.remove(selfId);
+    Map<Integer, ListedInstance> byHash = new HashMap<>();
+    byId.forEach((id, entry) -> byHash.put(MemberRecord.hash(id, entry.incarnation()), entry));
     listed = byId;
+    listedByHash = byHash;
+    missesMembers = false;
     listedAt = control.nanoTime();
   }
 
+  /** Whether gossip told of a member whose addresses are neither known nor listed. */
+  public boolean missesMembers() {
+    return missesMembers;
+  }
+
   /** Returns peers for a round of gossip; now and then one that is not known to be alive. */
   public List<String> partners(int count) {
     List<String> partners = new ArrayList<>(randomPeers(count));
@@ -332,10 +344,27 @@
       MemberRecord record = byHash.get(message.getHeartbeatMembers(i));
       if (record != null) {
         record.heartbeat(message.getHeartbeats(i), now);
+      } else if (!ambiguous.contains(message.getHeartbeatMembers(i))) {
+        learnListed(message.getHeartbeatMembers(i), message.getHeartbeats(i));
       }
     }
   }
 
+  /** Takes over a member of which only the heartbeat was told; its state follows later. */
+  private void learnListed(int hash, long heartbeat) {
+    ListedInstance instance = listedByHash.get(hash);
+    if (instance == null) {
+      missesMembers |= hash != MemberRecord.hash(selfId, self.getIncarnation());
+      return;
+    }
+    MemberEntry.Builder entry =
+        MemberEntry.newBuilder()
+            .setInstanceId(instance.id())
+            .setIncarnation(instance.incarnation())
+            .setHeartbeat(heartbeat);
+    learn(entry.build());
+  }
+
   private void learn(MemberEntry entry) {
     String id = entry.getInstanceId();
     Tombstone stone = tombstones.get(id);
@@ -349,7 +378,13 @@
       MemberEntry complete = entry.getPeerAddress().isEmpty() ? withListedAddresses(entry) : entry;
       // Without its addresses a new member or incarnation cannot be used yet.
       if (!complete.getPeerAddress().isEmpty()) {
-        records.put(id, new MemberRecord(complete, now));
+        // A state that was not told yet must not make the entry that tells it look old.
+        boolean stateKnown = entry.getState() != MemberState.MEMBER_STATE_UNSPECIFIED;
+        MemberEntry versioned =
+            stateKnown ? complete : complete.toBuilder().setHeartbeat(0).build();
+        MemberRecord record = new MemberRecord(versioned, now);
+        record.heartbeat(entry.getHeartbeat(), now);
+        records.put(id, record);
         tombstones.remove(id);
         events.record(EventType.MEMBER_JOINED, EventSubject.NONE, id, entry.getIncarnation());
       }
--- a/basilport-router/src/main/java/org/basilport/membership/MemberRecord.java
+++ b/basilport-router/src/main/java/org/basilport/membership/MemberRecord.java
@@ -23,8 +23,7 @@
     this.entry = entry;
     this.advancedAt = now;
     this.latestHeartbeat = entry.getHeartbeat();
-    String key = entry.getInstanceId() + '@' + entry.getIncarnation();
-    this.hash = Hashing.farmHashFingerprint64().hashString(key, StandardCharsets.UTF_8).asInt();
+    this.hash = hash(entry.getInstanceId(), entry.getIncarnation());
   }
 
   MemberEntry entry() {
@@ -40,6 +39,11 @@
   }
 
   /** Stands for id and incarnation in lists of heartbeats. */
+  static int hash(String id, long incarnation) {
+    String key = id + '@' + incarnation;
+    return Hashing.farmHashFingerprint64().hashString(key, StandardCharsets.UTF_8).asInt();
+  }
+
   int hash() {
     return hash;
   }
--- /dev/null
+++ b/basilport-router/src/test/java/org/basilport/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the exchange of gossip. */
+package org.basilport.peer;
