--- a/basilport-standin/src/test/java/org/basilport/standin/contract/PlainServiceContract.java
+++ b/basilport-standin/src/test/java/org/basilport/standin/contract/PlainServiceContract.java
@@ -78,7 +78,8 @@
   })
   void faultsHaveAnOutcome(
       ServiceFault fault, boolean repeatable, Outcome outcome, int executions) {
-    // A pooled connection that the server closed unnoticed may have carried the request, so a client
+    // A pooled connection that the server closed unnoticed may have carried the request, so a
+    // client
     // must not call that refused; the first call therefore leaves no connection in the pool.
     boolean pooled = repeatable && fault != ServiceFault.REFUSED_CONNECT;
     timing.await(service.call(request("r-0", pooled)));
