--- a/basilport-policy/src/main/java/org/basilport/policy/admission/MemoryAdmission.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/admission/MemoryAdmission.java
@@ -18,10 +18,13 @@
  */
 public final class MemoryAdmission {
   /**
-   * Share of the memory that is filled. The rest absorbs placements of other instances that no
-   * report shows yet, which the forecast's variance does not cover.
+   * Share of the memory that is kept free when reports are at most one second old. It absorbs
+   * placements of other instances that no report shows yet, which the forecast's variance does not
+   * cover.
    */
-  private static final double USABLE = 0.975;
+  private static final double RESERVE = 0.025;
+
+  private static final double LARGEST_RESERVE = 0.1;
 
   /** A generation whose memory stays below this share of a replica's is small. */
   private static final double SMALL = 0.01;
@@ -62,7 +65,7 @@
     if (ledger.empty() || admitsSmall(ledger, candidate)) {
       return true;
     }
-    double capacity = USABLE * ledger.state().capacityTokens();
+    double capacity = usable(ledger) * ledger.state().capacityTokens();
     double held = Math.max(1, fleet.mean(0));
     double others = ledger.othersHeld() / held;
     for (int i = 0; i < MemoryForecast.SIZE; i++) {
@@ -117,6 +120,15 @@
     return over ? CREDIT_OVER_PART : 1;
   }
 
+  /**
+   * Returns the share of a replica's memory that is filled. Independent placements add up like a
+   * random walk, so the reserve grows with the root of the report's age.
+   */
+  private static double usable(ReplicaLedger ledger) {
+    double reserve = RESERVE * Math.sqrt(Math.max(1, ledger.ageSeconds()));
+    return 1 - Math.min(LARGEST_RESERVE, reserve);
+  }
+
   private double growth(int index, double others, ReplicaLedger ledger) {
     return fleet.mean(0) < 1
         ? ledger.othersHeld()
--- a/basilport-policy/src/main/java/org/basilport/policy/admission/ReplicaLedger.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/admission/ReplicaLedger.java
@@ -16,6 +16,7 @@
   private static final int HISTORY = 128;
 
   private static final double NANOS_PER_MILLI = 1e6;
+  private static final double NANOS_PER_SECOND = 1e9;
   private static final long SHORTEST_TURN_NANOS = 100_000_000L;
 
   /** Index of the future step at which {@link #load} looks. */
@@ -31,6 +32,7 @@
   private int historyNext;
   private ReplicaState state;
   private double othersHeld;
+  private double ageSeconds;
   private double ageSteps;
   private int outstanding;
   private boolean turn;
@@ -70,6 +72,7 @@
         (double) report.usedTokens() / Math.max(1, report.running()) * report.waiting();
     othersHeld =
         Math.max(0, report.usedTokens() + waitingTokens - heldAt(report.measuredAtNanos()));
+    ageSeconds = (nowNanos - report.measuredAtNanos()) / NANOS_PER_SECOND;
     ageSteps =
         report.medianTokenMillis() <= 0
             ? 0
@@ -112,7 +115,12 @@
     return fresh;
   }
 
-  /** Returns the age of the latest report in decode steps. */
+  /** Returns the age that the latest report had on arrival, in seconds. */
+  public double ageSeconds() {
+    return ageSeconds;
+  }
+
+  /** Returns the age that the latest report had on arrival, in decode steps. */
   public double ageSteps() {
     return ageSteps;
   }
