--- /dev/null
+++ b/basilport-bench/src/test/java/org/basilport/bench/load/ChildProcessTest.java
@@ -0,0 +1,43 @@
+package org.basilport.bench.load;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.File;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Guards against children that are cut off in their drain, and against children left behind. */
+class ChildProcessTest {
+  private static final long LIMIT_SECONDS = 60;
+
+  @TempDir private File directory;
+
+  @Test
+  void terminationLetsTheChildFinishItsDrain() throws Exception {
+    try (ChildProcess child = startReady()) {
+      assertThat(child.terminate(LIMIT_SECONDS)).isEqualTo(0);
+    }
+  }
+
+  @Test
+  void theChildEndsWhenItsParentsPipeCloses() throws Exception {
+    try (ChildProcess child = startReady()) {
+      child.process().getOutputStream().close();
+
+      assertThat(child.process().waitFor(LIMIT_SECONDS, TimeUnit.SECONDS)).isTrue();
+    }
+  }
+
+  private ChildProcess startReady() throws Exception {
+    ChildProcess child =
+        ChildProcess.start(
+            new File(directory, "log"),
+            ChildMain.class.getName(),
+            List.of(SlowToStop.class.getName()));
+    // The first line tells that the shutdown hook is installed.
+    assertThat(child.process().inputReader().readLine()).isEqualTo("ready");
+    return child;
+  }
+}
