--- a/basilport-bench/src/main/java/org/basilport/bench/soak/SimulatedInstance.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/soak/SimulatedInstance.java
@@ -48,6 +48,7 @@
   private long runningSinceNanos;
   private long highestNumber;
   private boolean partitioned;
+  private boolean partitionedFromPeers;
   private boolean draining;
 
   SimulatedInstance(SoakWorld world, int index) {
@@ -68,7 +69,9 @@
     highestNumber = 0;
     draining = false;
     partitioned = false;
+    partitionedFromPeers = false;
     network().heal(peerAddress);
+    world.platform.faults().partition(id, false);
     router = createRouter();
     network().register(peerAddress, router.peerEndpoint());
     list(InstanceState.LIVE);
@@ -170,6 +173,7 @@
   /** Cuts the instance off from its peers and from the platform, or one of them. */
   void partition(boolean fromPeers, boolean fromPlatform) {
     partitioned = true;
+    partitionedFromPeers = fromPeers;
     if (fromPeers) {
       network().isolate(peerAddress);
     }
@@ -179,6 +183,7 @@
 
   void heal() {
     partitioned = false;
+    partitionedFromPeers = false;
     runningSinceNanos = world.scheduler.nanoTime();
     network().heal(peerAddress);
     world.platform.faults().partition(id, false);
@@ -235,6 +240,13 @@
     return number;
   }
 
+  /** Throws when an invariant inside the program was violated, also where a callback hid it. */
+  void checkInvariants() {
+    for (Event violation : router.timeline().violations()) {
+      throw new SoakViolation("invariant", id + " " + violation.text());
+    }
+  }
+
   /** Whether the process has run without a pause or a partition since a time. */
   boolean undisturbedSince(long nanos) {
     return running() && !partitioned && runningSinceNanos <= nanos;
@@ -256,6 +268,10 @@
     return partitioned;
   }
 
+  boolean partitionedFromPeers() {
+    return partitionedFromPeers;
+  }
+
   boolean draining() {
     return draining;
   }
--- a/basilport-cli/src/main/java/org/basilport/cli/BenchCommand.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/BenchCommand.java
@@ -1,13 +1,20 @@
 package org.basilport.cli;
 
 import org.basilport.bench.capacity.CapacityCommand;
+import org.basilport.bench.load.LoadCommand;
+import org.basilport.bench.load.ProcessFaultCommand;
 import org.basilport.bench.policy.PolicyBenchmarkCommand;
 import picocli.CommandLine.Command;
 
-/** Groups the benchmarks. */
+/** Groups the benchmark commands; each one lives in the benchmark module. */
 @Command(
     name = "bench",
     description = "Run benchmarks.",
     mixinStandardHelpOptions = true,
-    subcommands = {PolicyBenchmarkCommand.class, CapacityCommand.class})
+    subcommands = {
+      PolicyBenchmarkCommand.class,
+      LoadCommand.class,
+      ProcessFaultCommand.class,
+      CapacityCommand.class
+    })
 final class BenchCommand {}
