--- a/basilport-cli/src/main/java/org/basilport/cli/BenchCommand.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/BenchCommand.java
@@ -4,6 +4,7 @@
 import org.basilport.bench.load.LoadCommand;
 import org.basilport.bench.load.ProcessFaultCommand;
 import org.basilport.bench.policy.PolicyBenchmarkCommand;
+import org.basilport.bench.policy.PolicyCostCommand;
 import picocli.CommandLine.Command;
 
 /** Groups the benchmark commands; each one lives in the benchmark module. */
@@ -13,6 +14,7 @@
     mixinStandardHelpOptions = true,
     subcommands = {
       PolicyBenchmarkCommand.class,
+      PolicyCostCommand.class,
       LoadCommand.class,
       ProcessFaultCommand.class,
       CapacityCommand.class
--- a/basilport-router/src/main/java/org/basilport/backend/CommonBackendView.java
+++ b/basilport-router/src/main/java/org/basilport/backend/CommonBackendView.java
@@ -155,11 +155,6 @@
     poller.poll();
   }
 
-  @Override
-  public void contribute(GossipMessage.Builder message) {
-    contribute(message, Integer.MAX_VALUE);
-  }
-
   @Override
   public void contribute(GossipMessage.Builder message, int roomBytes) {
     backendGossip.contribute(message, roomBytes);
--- a/basilport-router/src/main/java/org/basilport/config/ConfigurationPropagation.java
+++ b/basilport-router/src/main/java/org/basilport/config/ConfigurationPropagation.java
@@ -167,7 +167,7 @@
   }
 
   @Override
-  public void contribute(GossipMessage.Builder message) {
+  public void contribute(GossipMessage.Builder message, int roomBytes) {
     message.setConfigurationNumber(number());
   }
 
--- a/basilport-router/src/main/java/org/basilport/membership/GossipMembership.java
+++ b/basilport-router/src/main/java/org/basilport/membership/GossipMembership.java
@@ -232,11 +232,6 @@
     return RendezvousHash.among(duty + "/" + self.getDataCentre(), ids, selfId, count);
   }
 
-  @Override
-  public void contribute(GossipMessage.Builder message) {
-    contribute(message, Integer.MAX_VALUE);
-  }
-
   @Override
   public void contribute(GossipMessage.Builder message, int roomBytes) {
     boolean fullSelf = selfTellings < FRESH_SELF_TELLINGS || selfTellings % FULL_SELF_PERIOD == 0;
--- a/basilport-router/src/main/java/org/basilport/peer/GossipBudget.java
+++ b/basilport-router/src/main/java/org/basilport/peer/GossipBudget.java
@@ -23,7 +23,7 @@
   /** An instance that owes more than this answers no peers until it has caught up. */
   private static final int MAX_DEBT_BYTES = 2_000;
 
-  /** Suspicions have their own bound and do not respect the room of a message. */
+  /** News of crashing requests may take some room in a message that is full otherwise. */
   private static final int OVERRUN_BYTES = 8_000;
 
   private static final int ROOM_SHARE = 4;
--- a/basilport-router/src/main/java/org/basilport/peer/GossipParticipant.java
+++ b/basilport-router/src/main/java/org/basilport/peer/GossipParticipant.java
@@ -5,17 +5,12 @@
 /** A component whose state travels with gossip; called on the control thread only. */
 public interface GossipParticipant {
 
-  /** Adds what this component wants to tell to an outgoing message. */
-  void contribute(GossipMessage.Builder message);
-
   /**
    * Adds the most important of what this component wants to tell.
    *
-   * @param roomBytes how much the message may grow; by default the component has its own bound
+   * @param roomBytes how much the message should grow at most
    */
-  default void contribute(GossipMessage.Builder message, int roomBytes) {
-    contribute(message);
-  }
+  void contribute(GossipMessage.Builder message, int roomBytes);
 
   /** Takes over what another instance told. */
   void receive(GossipMessage message);
--- a/basilport-router/src/main/java/org/basilport/quarantine/CrashTracker.java
+++ b/basilport-router/src/main/java/org/basilport/quarantine/CrashTracker.java
@@ -113,11 +113,10 @@
   }
 
   @Override
-  public synchronized void contribute(GossipMessage.Builder message) {
+  public synchronized void contribute(GossipMessage.Builder message, int roomBytes) {
     long now = nowMillis();
     records.values().removeIf(suspicion -> suspicion.expired(now));
-    SuspicionNews.select(records.values())
-        .forEach(suspicion -> message.addSuspicions(suspicion.toEntry()));
+    message.addAllSuspicions(SuspicionNews.select(records.values(), roomBytes));
   }
 
   @Override
--- a/basilport-router/src/main/java/org/basilport/quarantine/SuspicionNews.java
+++ b/basilport-router/src/main/java/org/basilport/quarantine/SuspicionNews.java
@@ -1,9 +1,11 @@
 package org.basilport.quarantine;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Stream;
+import org.basilport.protocol.SuspicionEntry;
 
 /**
  * Selects the suspicions that travel with a gossip message.
@@ -15,15 +17,17 @@
  * engine.
  */
 final class SuspicionNews {
-  static final int MAX_NEWS = 48;
-  static final int MAX_REPEATED = 4;
+  /** Room that news has in a message that is full otherwise; about ten entries. */
+  static final int MIN_ROOM_BYTES = 1_200;
+
+  private static final int MAX_REPEATED = 2;
   // With two exchanges in each of two rounds a second, news spreads for three seconds.
   private static final int TOLD_OFTEN_ENOUGH = 12;
 
   private SuspicionNews() {}
 
-  /** Returns the records to tell and counts them as told. */
-  static List<SuspicionRecord> select(Collection<SuspicionRecord> records) {
+  /** Returns the entries to tell and counts their records as told. */
+  static List<SuspicionEntry> select(Collection<SuspicionRecord> records, int roomBytes) {
     Stream<SuspicionRecord> news =
         records.stream()
             .filter(suspicion -> suspicion.timesTold() < TOLD_OFTEN_ENOUGH)
@@ -31,8 +35,7 @@
                 Comparator.comparing(SuspicionRecord::awaitsNews)
                     .reversed()
                     .thenComparing(SuspicionRecord::timesTold)
-                    .thenComparing(SuspicionRecord::fingerprint))
-            .limit(MAX_NEWS);
+                    .thenComparing(SuspicionRecord::fingerprint));
     Stream<SuspicionRecord> repeated =
         records.stream()
             .filter(suspicion -> suspicion.timesTold() >= TOLD_OFTEN_ENOUGH)
@@ -40,8 +43,17 @@
                 Comparator.comparing(SuspicionRecord::timesTold)
                     .thenComparing(SuspicionRecord::fingerprint))
             .limit(MAX_REPEATED);
-    List<SuspicionRecord> selected = Stream.concat(news, repeated).toList();
-    selected.forEach(SuspicionRecord::told);
+    List<SuspicionEntry> selected = new ArrayList<>();
+    int room = Math.max(MIN_ROOM_BYTES, roomBytes);
+    for (SuspicionRecord suspicion : Stream.concat(news, repeated).toList()) {
+      SuspicionEntry entry = suspicion.toEntry();
+      room -= entry.getSerializedSize();
+      if (room < 0) {
+        break;
+      }
+      selected.add(entry);
+      suspicion.told();
+    }
     return selected;
   }
 }
--- a/basilport-router/src/test/java/org/basilport/fake/FakeControlPlane.java
+++ b/basilport-router/src/test/java/org/basilport/fake/FakeControlPlane.java
@@ -30,6 +30,8 @@
 
 /** The control plane of one instance of a {@link FakeFleet}, which sees the truth at once. */
 public final class FakeControlPlane implements ControlPlane, BackendView, MembershipView {
+  private static final int GOSSIP_ROOM_BYTES = 2_500;
+
   /** What the instance says of itself. */
   public MemberStatus status = MemberStatus.SERVING;
 
@@ -130,7 +132,7 @@
     fleet.scheduler.execute(
         () -> {
           GossipMessage.Builder message = GossipMessage.newBuilder();
-          participants.forEach(participant -> participant.contribute(message));
+          participants.forEach(participant -> participant.contribute(message, GOSSIP_ROOM_BYTES));
           GossipMessage built = message.build();
           fleet.controlPlanes.forEach(
               plane -> plane.participants.forEach(participant -> participant.receive(built)));
--- a/basilport-router/src/test/java/org/basilport/peer/GossipExchangeTest.java
+++ b/basilport-router/src/test/java/org/basilport/peer/GossipExchangeTest.java
@@ -30,11 +30,6 @@
   /** Adds as many bytes as there is room for, or a fixed number that ignores the room. */
   private static GossipParticipant filling(int ignoringRoom) {
     return new GossipParticipant() {
-      @Override
-      public void contribute(GossipMessage.Builder message) {
-        throw new AssertionError("the exchange tells how much room there is");
-      }
-
       @Override
       public void contribute(GossipMessage.Builder message, int roomBytes) {
         int length = ignoringRoom > 0 ? ignoringRoom : Math.max(0, roomBytes - 10);
--- a/basilport-router/src/test/java/org/basilport/quarantine/CrashingRequestTest.java
+++ b/basilport-router/src/test/java/org/basilport/quarantine/CrashingRequestTest.java
@@ -112,7 +112,7 @@
 
     private void gossip() {
       GossipMessage.Builder message = GossipMessage.newBuilder();
-      first.contribute(message);
+      first.contribute(message, 0);
       second.receive(message.build());
     }
 
@@ -137,6 +137,21 @@
       assertThat(second.verdict("f")).isEqualTo(Verdict.SUSPECT);
     }
 
+    /** Guards against suspicions that use up the bytes for heartbeats after a busy engine died. */
+    @Test
+    void newsKeepsToItsRoom() {
+      for (int i = 0; i < 500; i++) {
+        first.begin("victim-" + i, engine(0), false);
+      }
+      first.onDeath(engine(0));
+      GossipMessage.Builder message = GossipMessage.newBuilder();
+      first.contribute(message, 0);
+
+      assertThat(message.getSuspicionsCount()).isGreaterThan(0);
+      assertThat(message.build().getSerializedSize())
+          .isAtMost(SuspicionNews.MIN_ROOM_BYTES + 4 * message.getSuspicionsCount());
+    }
+
     /** Guards against many older suspects that keep the newest one from travelling. */
     @Test
     void newsTravelsBeforeOlderSuspects() {
