--- a/basilport-bench/src/main/java/org/basilport/bench/soak/FaultInjector.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/soak/FaultInjector.java
@@ -116,9 +116,12 @@
 
   private void replaceDrained(SimulatedInstance instance) {
     SoakCaller.require(
-        instance.openConnections() == 0,
+        instance.connectionsFromBeforeDrain() == 0,
         "G6",
-        instance.id() + " ended its drain with " + instance.openConnections() + " streams");
+        instance.id()
+            + " ended its drain with "
+            + instance.connectionsFromBeforeDrain()
+            + " streams");
     world.counts.add("instance.drained");
     instance.kill();
     after(RESTART_DELAY, instance::start);
--- a/basilport-bench/src/main/java/org/basilport/bench/soak/SimulatedInstance.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/soak/SimulatedInstance.java
@@ -41,6 +41,7 @@
   private final String address;
   private final String peerAddress;
   private final Set<Runnable> connections = new LinkedHashSet<>();
+  private Set<Runnable> connectionsAtDrain = Set.of();
   private long incarnation;
   private ProcessScheduler process;
   private ProcessModelEngine.ConnectionRegistry engineConnections;
@@ -193,6 +194,7 @@
   /** Starts a graceful shutdown; the result completes when the instance has nothing left to do. */
   CompletableFuture<Void> drain() {
     draining = true;
+    connectionsAtDrain = Set.copyOf(connections);
     list(InstanceState.LEAVING);
     CompletableFuture<Void> done = new CompletableFuture<>();
     process.execute(
@@ -219,8 +221,9 @@
     connections.remove(onBroken);
   }
 
-  int openConnections() {
-    return connections.size();
+  /** Connections from before the drain that are still open; later ones are refused, not cut. */
+  long connectionsFromBeforeDrain() {
+    return connections.stream().filter(connectionsAtDrain::contains).count();
   }
 
   private void breakConnections() {
--- a/basilport-router/src/main/java/org/basilport/quarantine/CrashTracker.java
+++ b/basilport-router/src/main/java/org/basilport/quarantine/CrashTracker.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -82,19 +83,21 @@
     flights.remove(deathId);
     events.record(
         EventType.BACKEND_DEAD, EventSubject.server(server.id()), server.id(), victims.size());
-    long isolated = victims.stream().filter(flight -> flight.isolated).count();
-    for (Flight victim : victims) {
-      SuspicionRecord suspicion = suspicion(victim.fingerprint);
-      boolean alone = victim.isolated && isolated == 1;
-      long expiry = nowMillis() + SUSPICION.toMillis();
-      if (suspicion.addDeath(deathId, alone, expiry)) {
-        record(EventType.REQUEST_SUSPECTED, victim.fingerprint, suspicion.deathCount());
-      }
-      if (suspicion.provesGuilt()) {
-        quarantine(victim.fingerprint, suspicion);
-      }
-    }
-    if (!victims.isEmpty()) {
+    Map<String, Boolean> suspects = suspects(deathId, victims);
+    long isolated = suspects.values().stream().filter(alone -> alone).count();
+    suspects.forEach(
+        (fingerprint, inIsolation) -> {
+          SuspicionRecord suspicion = suspicion(fingerprint);
+          boolean alone = inIsolation && isolated == 1;
+          long expiry = nowMillis() + SUSPICION.toMillis();
+          if (suspicion.addDeath(deathId, alone, expiry)) {
+            record(EventType.REQUEST_SUSPECTED, fingerprint, suspicion.deathCount());
+          }
+          if (suspicion.provesGuilt()) {
+            quarantine(fingerprint, suspicion);
+          }
+        });
+    if (!suspects.isEmpty()) {
       gossipSoon.run();
     }
   }
@@ -142,6 +145,23 @@
     }
   }
 
+  /**
+   * Returns the requests that were in flight at a death, and whether each ran in isolation. Those
+   * of other instances are known by their losses: the instance that saw a loss may be replaced
+   * before the death is known, and nobody else would count it.
+   */
+  private Map<String, Boolean> suspects(String deathId, List<Flight> victims) {
+    Map<String, Boolean> suspects = new LinkedHashMap<>();
+    victims.forEach(
+        victim -> suspects.merge(victim.fingerprint, victim.isolated, Boolean::logicalOr));
+    records.forEach(
+        (fingerprint, suspicion) ->
+            suspicion
+                .lossAt(deathId)
+                .ifPresent(alone -> suspects.merge(fingerprint, alone, Boolean::logicalOr)));
+    return suspects;
+  }
+
   private void quarantine(String fingerprint, SuspicionRecord suspicion) {
     suspicion.quarantine(nowMillis() + QUARANTINE.toMillis());
     record(EventType.REQUEST_QUARANTINED, fingerprint, suspicion.deathCount());
--- a/basilport-router/src/main/java/org/basilport/quarantine/SuspicionRecord.java
+++ b/basilport-router/src/main/java/org/basilport/quarantine/SuspicionRecord.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.basilport.protocol.LossEntry;
 import org.basilport.protocol.SuspicionEntry;
@@ -68,6 +69,11 @@
     return true;
   }
 
+  /** Returns whether the request ran in isolation when it lost its connection at a server. */
+  Optional<Boolean> lossAt(String deathId) {
+    return Optional.ofNullable(losses.get(deathId)).map(loss -> loss.isolated);
+  }
+
   /** Ends the wait for news of a server; the loss is kept so that gossip does not revive it. */
   void resolve(String deathId) {
     Loss loss = losses.get(deathId);
--- a/basilport-router/src/test/java/org/basilport/quarantine/CrashingRequestTest.java
+++ b/basilport-router/src/test/java/org/basilport/quarantine/CrashingRequestTest.java
@@ -137,6 +137,20 @@
       assertThat(second.verdict("f")).isEqualTo(Verdict.SUSPECT);
     }
 
+    /**
+     * Guards against a death that nobody counts when the instance that saw the loss is replaced.
+     */
+    @Test
+    void aLossThatWasToldBecomesADeathAtOtherInstances() {
+      first.begin("f", engine(0), false).lost();
+      gossip();
+
+      second.onDeath(engine(0));
+      fleet.run(CrashTracker.DEATH_NEWS.toMillis() + 1);
+
+      assertThat(second.verdict("f")).isEqualTo(Verdict.SUSPECT);
+    }
+
     /** Guards against suspicions that use up the bytes for heartbeats after a busy engine died. */
     @Test
     void newsKeepsToItsRoom() {
