Do not blame a request for deaths that a quarantined one explains

The first death was already explained by the other request's quarantine. Such deaths no longer count, and a request whose deaths are all explained is no suspect any more.

--- a/basilport-router/src/main/java/org/basilport/quarantine/CrashTracker.java
+++ b/basilport-router/src/main/java/org/basilport/quarantine/CrashTracker.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.basilport.backend.BackendListener;
 import org.basilport.backend.BackendServer;
@@ -65,7 +67,7 @@
   /** Tells how a request may run. */
   public synchronized Verdict verdict(String fingerprint) {
     SuspicionRecord suspicion = records.get(fingerprint);
-    return suspicion == null ? Verdict.CLEAR : suspicion.verdict(nowMillis());
+    return suspicion == null ? Verdict.CLEAR : suspicion.verdict(nowMillis(), explained());
   }
 
   /** Notes that a backend server receives a request now. */
@@ -93,7 +95,7 @@
           if (suspicion.addDeath(deathId, alone, expiry)) {
             record(EventType.REQUEST_SUSPECTED, fingerprint, suspicion.deathCount());
           }
-          if (suspicion.provesGuilt()) {
+          if (suspicion.provesGuilt(explained())) {
             quarantine(fingerprint, suspicion);
           }
         });
@@ -135,7 +137,7 @@
       if (entry.getExpiresAtMillis() > now) {
         SuspicionRecord suspicion = suspicion(entry.getFingerprint());
         changed |= suspicion.merge(entry, now);
-        if (suspicion.provesGuilt()) {
+        if (suspicion.provesGuilt(explained())) {
           quarantine(entry.getFingerprint(), suspicion);
         }
       }
@@ -162,6 +164,18 @@
     return suspects;
   }
 
+  /**
+   * Returns the deaths that quarantined requests caused. They do not count against requests that
+   * were in flight beside them, which would otherwise be blamed at the next unrelated death.
+   */
+  private Set<String> explained() {
+    Set<String> explained = new HashSet<>();
+    records.values().stream()
+        .filter(SuspicionRecord::quarantined)
+        .forEach(suspicion -> explained.addAll(suspicion.deaths()));
+    return explained;
+  }
+
   private void quarantine(String fingerprint, SuspicionRecord suspicion) {
     suspicion.quarantine(nowMillis() + QUARANTINE.toMillis());
     record(EventType.REQUEST_QUARANTINED, fingerprint, suspicion.deathCount());
--- a/basilport-router/src/main/java/org/basilport/quarantine/SuspicionRecord.java
+++ b/basilport-router/src/main/java/org/basilport/quarantine/SuspicionRecord.java
@@ -17,7 +17,7 @@
   // Losses of a server that is not known to be dead, by death id.
   private final Map<String, Loss> losses = new HashMap<>();
   private final String fingerprint;
-  private boolean diedAlone;
+  private final Set<String> deathsAlone = new HashSet<>();
   private int timesTold;
   private boolean quarantined;
   private long expiresAtMillis;
@@ -53,7 +53,9 @@
     resolve(deathId);
     expiresAtMillis = Math.max(expiresAtMillis, expiry);
     boolean added = !cleared.contains(deathId) && deaths.add(deathId);
-    diedAlone |= added && alone;
+    if (added && alone) {
+      deathsAlone.add(deathId);
+    }
     changed(added);
     return added;
   }
@@ -85,9 +87,18 @@
   /**
    * Whether the deaths prove that this request is their cause: two of them, one of which it caused
    * alone. The deaths may become known in any order.
+   *
+   * @param explained deaths whose cause is a request that was quarantined before
    */
-  boolean provesGuilt() {
-    return !quarantined && diedAlone && deaths.size() >= DEATHS_TO_QUARANTINE;
+  boolean provesGuilt(Set<String> explained) {
+    long unexplained = deaths.stream().filter(death -> !explained.contains(death)).count();
+    boolean alone = deathsAlone.stream().anyMatch(death -> !explained.contains(death));
+    return !quarantined && alone && unexplained >= DEATHS_TO_QUARANTINE;
+  }
+
+  /** Returns the ids of the deaths at which the request was in flight. */
+  Set<String> deaths() {
+    return Set.copyOf(deaths);
   }
 
   void quarantine(long expiry) {
@@ -102,12 +113,12 @@
     cleared.addAll(losses.keySet());
     deaths.clear();
     losses.clear();
-    diedAlone = false;
+    deathsAlone.clear();
     expiresAtMillis = expiry;
     changed(true);
   }
 
-  Verdict verdict(long nowMillis) {
+  Verdict verdict(long nowMillis, Set<String> explained) {
     if (expired(nowMillis)) {
       return Verdict.CLEAR;
     }
@@ -118,7 +129,7 @@
     if (losses.values().stream().anyMatch(loss -> loss.isolated && !loss.resolved)) {
       return Verdict.UNRESOLVED;
     }
-    return deaths.isEmpty() && !awaitsNews() ? Verdict.CLEAR : Verdict.SUSPECT;
+    return explained.containsAll(deaths) && !awaitsNews() ? Verdict.CLEAR : Verdict.SUSPECT;
   }
 
   int deathCount() {
--- a/basilport-router/src/test/java/org/basilport/quarantine/CrashingRequestTest.java
+++ b/basilport-router/src/test/java/org/basilport/quarantine/CrashingRequestTest.java
@@ -137,6 +137,23 @@
       assertThat(second.verdict("f")).isEqualTo(Verdict.SUSPECT);
     }
 
+    /** Guards against an innocent request that is blamed for the deaths that another one caused. */
+    @Test
+    void deathsOfAQuarantinedRequestDoNotCountAgainstOthers() {
+      first.begin("crashing", engine(0), false);
+      first.onDeath(engine(0));
+      first.begin("crashing", engine(1), true);
+      first.begin("innocent", engine(1), false);
+      first.onDeath(engine(1));
+      assertThat(first.verdict("innocent")).isEqualTo(Verdict.CLEAR);
+
+      first.begin("innocent", engine(2), true);
+      first.onDeath(engine(2));
+
+      assertThat(first.verdict("innocent")).isEqualTo(Verdict.SUSPECT);
+      assertThat(first.verdict("crashing")).isEqualTo(Verdict.QUARANTINED);
+    }
+
     /**
      * Guards against a death that nobody counts when the instance that saw the loss is replaced.
      */
