Attribute the death of an engine to the suspect whose slot its holder left behind

The instance that ran it in isolation was killed 0.4 s later, before it could tell of the loss, so that only the first death was known. The owner of the slot knows which suspect ran there; it now counts the death. The timeline of a violation also names deaths by their cause.

--- a/basilport-bench/src/main/java/org/basilport/bench/soak/SoakRun.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/soak/SoakRun.java
@@ -141,7 +141,9 @@
   private void noteDeath(SimulatedBackend backend) {
     restarting.add(backend);
     world.counts.add("backend.down");
-    if (!backend.diedAsPlanned()) {
+    boolean planned = backend.diedAsPlanned();
+    world.noteFault(planned ? "death-planned" : "death-by-request", backend.id());
+    if (!planned) {
       world.counts.add("backend.poisoned");
     }
     world.scheduler.schedule(
--- a/basilport-bench/src/main/java/org/basilport/bench/soak/SoakWorld.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/soak/SoakWorld.java
@@ -22,7 +22,7 @@
 /** All simulated processes of one run: platform, backend servers and entry instances. */
 final class SoakWorld {
   static final String CRASH_MARKER = "CRASH";
-  private static final int TIMELINE_EVENTS = 1_500;
+  private static final int TIMELINE_EVENTS = 4_000;
   private static final int FAULT_NOTES = 400;
   private static final long ENGINE_CAPACITY_TOKENS = 20_000;
 
--- a/basilport-router/src/main/java/org/basilport/quarantine/CrashTracker.java
+++ b/basilport-router/src/main/java/org/basilport/quarantine/CrashTracker.java
@@ -43,6 +43,7 @@
 
   private final Scheduler control;
   private final EventSink events;
+  private final IsolationSlots slots;
   private final Runnable gossipSoon;
   private final Map<String, SuspicionRecord> records = new HashMap<>();
   private final Map<String, List<Flight>> flights = new HashMap<>();
@@ -51,11 +52,15 @@
   /**
    * Creates a tracker.
    *
+   * @param slots the slots that this instance grants; a holder that dies with its suspect cannot
+   *     tell of the loss, and the slot is then all that is known
    * @param gossipSoon asks for gossip before the next round
    */
-  public CrashTracker(Scheduler control, EventSink events, Runnable gossipSoon) {
+  public CrashTracker(
+      Scheduler control, EventSink events, IsolationSlots slots, Runnable gossipSoon) {
     this.control = control;
     this.events = events;
+    this.slots = slots;
     this.gossipSoon = gossipSoon;
   }
 
@@ -85,7 +90,7 @@
     flights.remove(deathId);
     events.record(
         EventType.BACKEND_DEAD, EventSubject.server(server.id()), server.id(), victims.size());
-    Map<String, Boolean> suspects = suspects(deathId, victims);
+    Map<String, Boolean> suspects = suspects(server, victims);
     long isolated = suspects.values().stream().filter(alone -> alone).count();
     suspects.forEach(
         (fingerprint, inIsolation) -> {
@@ -152,7 +157,8 @@
    * of other instances are known by their losses: the instance that saw a loss may be replaced
    * before the death is known, and nobody else would count it.
    */
-  private Map<String, Boolean> suspects(String deathId, List<Flight> victims) {
+  private Map<String, Boolean> suspects(BackendServer server, List<Flight> victims) {
+    String deathId = deathId(server);
     Map<String, Boolean> suspects = new LinkedHashMap<>();
     victims.forEach(
         victim -> suspects.merge(victim.fingerprint, victim.isolated, Boolean::logicalOr));
@@ -161,6 +167,7 @@
             suspicion
                 .lossAt(deathId)
                 .ifPresent(alone -> suspects.merge(fingerprint, alone, Boolean::logicalOr)));
+    slots.suspectAt(server.id()).ifPresent(fingerprint -> suspects.put(fingerprint, true));
     return suspects;
   }
 
--- a/basilport-router/src/main/java/org/basilport/quarantine/IsolationSlots.java
+++ b/basilport-router/src/main/java/org/basilport/quarantine/IsolationSlots.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.basilport.misc.Scheduler;
 import org.basilport.protocol.IsolationReply;
 import org.basilport.protocol.IsolationRequest;
@@ -57,5 +58,13 @@
     return IsolationReply.newBuilder().setGranted(held).build();
   }
 
+  /** Returns the suspect that holds the slot of a backend server. */
+  synchronized Optional<String> suspectAt(String serverId) {
+    long now = clock.nanoTime();
+    return Optional.ofNullable(slots.get(serverId))
+        .filter(slot -> slot.expiresNanos - now > 0)
+        .map(Slot::fingerprint);
+  }
+
   private record Slot(String holderId, String fingerprint, long expiresNanos) {}
 }
--- a/basilport-router/src/main/java/org/basilport/router/RouterComponents.java
+++ b/basilport-router/src/main/java/org/basilport/router/RouterComponents.java
@@ -67,9 +67,10 @@
     this.store = new MeteredObjectStore(resources.store(), metrics);
     RetryBudget budget = new RetryBudget();
     FullJitter delays = new FullJitter(SHORTEST_BOUND, LONGEST_BOUND, random.split());
-    CrashTracker crashes =
-        new CrashTracker(resources.control(), resources.timeline(), controlPlane::gossipSoon);
     this.slots = new IsolationSlots(resources.control());
+    CrashTracker crashes =
+        new CrashTracker(
+            resources.control(), resources.timeline(), slots, controlPlane::gossipSoon);
     IsolationGate isolation =
         new IsolationGate(
             settings.instanceId(),
--- a/basilport-router/src/test/java/org/basilport/quarantine/CrashingRequestTest.java
+++ b/basilport-router/src/test/java/org/basilport/quarantine/CrashingRequestTest.java
@@ -17,6 +17,11 @@
 
 class CrashingRequestTest {
   private final FakeFleet fleet = new FakeFleet(2, 5);
+  private final IsolationSlots granted = new IsolationSlots(fleet.scheduler);
+
+  private CrashTracker tracker(int instance) {
+    return new CrashTracker(fleet.scheduler, fleet.timelines.get(instance), granted, () -> {});
+  }
 
   private RecordingListener send(int router, String prompt) {
     RecordingListener caller = new RecordingListener();
@@ -84,7 +89,7 @@
     /** Guards against a quarantine that lasts for ever. */
     @Test
     void aQuarantineExpires() {
-      CrashTracker tracker = new CrashTracker(fleet.scheduler, fleet.timelines.get(0), () -> {});
+      CrashTracker tracker = tracker(0);
       BackendServer server = fleet.controlPlanes.get(0).find("engine-0").orElseThrow();
       tracker.begin("f", server, false);
       tracker.onDeath(server);
@@ -101,10 +106,8 @@
 
   @Nested
   class News {
-    private final CrashTracker first =
-        new CrashTracker(fleet.scheduler, fleet.timelines.get(0), () -> {});
-    private final CrashTracker second =
-        new CrashTracker(fleet.scheduler, fleet.timelines.get(1), () -> {});
+    private final CrashTracker first = tracker(0);
+    private final CrashTracker second = tracker(1);
 
     private BackendServer engine(int number) {
       return fleet.controlPlanes.get(0).find("engine-" + number).orElseThrow();
@@ -154,6 +157,23 @@
       assertThat(first.verdict("crashing")).isEqualTo(Verdict.QUARANTINED);
     }
 
+    /** Guards against a death that nobody counts when the holder of the slot dies with it. */
+    @Test
+    void theOwnerOfTheSlotCountsTheDeathOfItsHolder() {
+      first.begin("f", engine(0), false);
+      first.onDeath(engine(0));
+      granted.acquire(
+          IsolationRequest.newBuilder()
+              .setServerId("engine-1")
+              .setFingerprint("f")
+              .setHolderId("killed-instance")
+              .build());
+
+      first.onDeath(engine(1));
+
+      assertThat(first.verdict("f")).isEqualTo(Verdict.QUARANTINED);
+    }
+
     /**
      * Guards against a death that nobody counts when the instance that saw the loss is replaced.
      */
@@ -207,7 +227,7 @@
     }
     fleet.run(5_000);
 
-    CrashTracker restarted = new CrashTracker(fleet.scheduler, fleet.timelines.get(0), () -> {});
+    CrashTracker restarted = tracker(0);
     new QuarantineArchive(fleet.store, fleet.scheduler, restarted).start();
     fleet.run(1_000);
     String fingerprint = RequestFingerprint.of("w", "chat", "crash");
