Remove three methods of the randomised runs that nothing calls

Reading the whole change again showed them: a failure for an unanswered request, the list of running instances and the drain flag's accessor. Formatter, linter, compiler and SoakRunTest pass; behaviour is unchanged.

--- a/basilport-bench/src/main/java/org/basilport/bench/soak/GenerationCaller.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/soak/GenerationCaller.java
@@ -9,7 +9,6 @@
 import org.basilport.error.BasilportException;
 import org.basilport.error.FailureCode;
 import org.basilport.error.Outcome;
-import org.basilport.error.Step;
 import org.basilport.router.Credentials;
 import org.basilport.router.Router;
 
@@ -237,10 +236,4 @@
       deliver(() -> fail(failure, this));
     }
   }
-
-  /** A failure for a request that a killed process never answered. */
-  static BasilportException noAnswer(String instance) {
-    return new BasilportException(
-        FailureCode.TIMEOUT, Outcome.MAY_HAVE_RUN, Step.SEND, instance, "no answer");
-  }
 }
--- a/basilport-bench/src/main/java/org/basilport/bench/soak/SimulatedInstance.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/soak/SimulatedInstance.java
@@ -282,10 +282,6 @@
     return killedAtNanos;
   }
 
-  boolean draining() {
-    return draining;
-  }
-
   String id() {
     return id;
   }
--- a/basilport-bench/src/main/java/org/basilport/bench/soak/SoakWorld.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/soak/SoakWorld.java
@@ -70,11 +70,6 @@
     return backends.stream().filter(b -> b.engine().isPresent()).collect(Collectors.toList());
   }
 
-  /** Instances that run and that callers may be sent to. */
-  List<SimulatedInstance> running() {
-    return instances.stream().filter(SimulatedInstance::running).collect(Collectors.toList());
-  }
-
   /** Adds what a caller saw to the hash of the run. */
   void trace(String entry) {
     trace = trace * 31 + entry.hashCode();
