--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -0,0 +1,205 @@
+package org.basilport.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.time.Duration;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.basilport.event.EventSink;
+import org.basilport.event.EventSubject;
+import org.basilport.event.EventType;
+import org.basilport.gateway.backend.ServerEntry;
+import org.basilport.gateway.backend.ServerTable;
+import org.basilport.gateway.config.ForwardingConfiguration;
+import org.basilport.gateway.config.TrafficLimits;
+import org.basilport.gateway.forward.RequestForwarder;
+import org.basilport.gateway.forward.TrafficState;
+import org.basilport.gateway.frontend.FrontendServer;
+import org.basilport.gateway.message.MessageCodec;
+import org.basilport.gateway.peer.InstanceEntry;
+import org.basilport.gateway.peer.LoadExchange;
+import org.basilport.misc.Service;
+
+/**
+ * The forwarding path of an instance. What the instance learns of its surroundings is handed in
+ * from any thread and takes effect on the traffic thread.
+ */
+public final class Gateway implements Service {
+  /** Interval of checks that follow the clock: readiness, idle connections, waiting requests. */
+  private static final long HOUSEKEEPING_MILLIS = 100;
+
+  /** Interval at which a draining instance checks whether it may end. */
+  private static final long DRAIN_CHECK_MILLIS = 50;
+
+  private final GatewaySettings settings;
+  private final EventSink events;
+  private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(1);
+  private final EventLoop eventLoop = eventLoops.next();
+  private final TrafficState state;
+  private final RequestForwarder forwarder;
+  private final FrontendServer frontend;
+  private final LoadExchange loads;
+  private boolean draining;
+  private boolean proven;
+  private volatile boolean ready;
+  private volatile List<String> readyAddresses = List.of();
+
+  /** Creates a gateway; it serves after its start. */
+  public Gateway(
+      GatewaySettings settings, MessageCodec codec, EventSink events, MetricRegistry metrics) {
+    this.settings = settings;
+    this.events = events;
+    ServerTable servers = new ServerTable(eventLoop, codec, events);
+    this.state =
+        new TrafficState(
+            settings.dataCentre(), settings.retryLimits(), servers, events, new SplittableRandom());
+    this.forwarder =
+        new RequestForwarder(
+            eventLoop,
+            codec,
+            state,
+            events,
+            metrics,
+            settings.proofLimit(),
+            settings.maxEventPause());
+    this.frontend =
+        new FrontendServer(
+            settings.frontend(),
+            eventLoop,
+            forwarder,
+            () ->
+                state
+                    .configuration()
+                    .map(ForwardingConfiguration::limits)
+                    .orElse(TrafficLimits.INITIAL));
+    this.loads =
+        new LoadExchange(
+            settings.loadAddress(),
+            eventLoop,
+            settings.instanceId(),
+            settings.frontendAddress(),
+            state,
+            events);
+    metrics.gauge("forward.open", () -> forwarder::open);
+    metrics.gauge("forward.waiting", () -> state::waiting);
+  }
+
+  @Override
+  public CompletableFuture<Void> start() {
+    return loads
+        .start()
+        .thenCompose(done -> frontend.start())
+        .thenRun(
+            () ->
+                eventLoop.scheduleWithFixedDelay(
+                    this::housekeeping,
+                    HOUSEKEEPING_MILLIS,
+                    HOUSEKEEPING_MILLIS,
+                    TimeUnit.MILLISECONDS));
+  }
+
+  private void housekeeping() {
+    long age = state.proof().ageMillis(System.nanoTime(), System.currentTimeMillis());
+    boolean nowProven = age <= settings.readinessProofLimit().toMillis();
+    if (nowProven != proven && state.configuration().isPresent()) {
+      long version = state.configuration().get().version();
+      events.record(
+          nowProven ? EventType.CONFIGURATION_PROVEN : EventType.CONFIGURATION_UNPROVEN,
+          EventSubject.NONE,
+          version,
+          age);
+      proven = nowProven;
+    }
+    ready = proven && !draining && state.configuration().isPresent();
+    loads.setReady(ready);
+    readyAddresses = List.copyOf(loads.readyAddresses());
+    state.endHold();
+    state.closeIdleConnections();
+    state.pumpAll();
+  }
+
+  /** Whether the instance takes new requests. */
+  public boolean ready() {
+    return ready;
+  }
+
+  /** Addresses that callers may connect to, the ready ones of the whole fleet. */
+  public List<String> readyAddresses() {
+    return readyAddresses;
+  }
+
+  /** Takes a configuration into force. */
+  public void applyConfiguration(ForwardingConfiguration configuration, String source) {
+    eventLoop.execute(() -> state.apply(configuration, source));
+  }
+
+  /** Records that the configuration in force was the newest when a read of it started. */
+  public void proveFresh(long startNanos, long startWallMillis) {
+    eventLoop.execute(() -> state.proof().prove(startNanos, startWallMillis));
+  }
+
+  /** Takes over the backend servers that the directory lists. */
+  public void updateServers(List<ServerEntry> servers, String source) {
+    eventLoop.execute(() -> state.updateServers(servers, source));
+  }
+
+  /** The directory is back after an outage, during which entries of living servers may lapse. */
+  public void serversMayReturn() {
+    eventLoop.execute(state::serversMayReturn);
+  }
+
+  /** Takes over the instances that registered themselves. */
+  public void updateInstances(List<InstanceEntry> instances) {
+    eventLoop.execute(() -> loads.updateInstances(instances));
+  }
+
+  /**
+   * Stops taking new work and completes when the requests in progress have ended.
+   *
+   * @param atLeast time during which callers with an old list of addresses are still served
+   * @param atMost time after which requests in progress are cut off
+   */
+  public CompletableFuture<Void> drain(Duration atLeast, Duration atMost) {
+    CompletableFuture<Void> drained = new CompletableFuture<>();
+    eventLoop.execute(
+        () -> {
+          draining = true;
+          ready = false;
+          events.record(
+              EventType.INSTANCE_DRAINING,
+              EventSubject.NONE,
+              settings.instanceId(),
+              "asked to stop");
+          loads.setReady(false);
+          forwarder.drain();
+          frontend.closeIdleConnections();
+          awaitDrained(System.nanoTime(), atLeast, atMost, drained);
+        });
+    return drained;
+  }
+
+  private void awaitDrained(
+      long startNanos, Duration atLeast, Duration atMost, CompletableFuture<Void> drained) {
+    long elapsed = System.nanoTime() - startNanos;
+    boolean idle = forwarder.open() == 0 && elapsed >= atLeast.toNanos();
+    if (idle || elapsed >= atMost.toNanos()) {
+      drained.complete(null);
+      return;
+    }
+    eventLoop.schedule(
+        () -> awaitDrained(startNanos, atLeast, atMost, drained),
+        DRAIN_CHECK_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public CompletableFuture<Void> stop() {
+    return frontend
+        .stop()
+        .thenCompose(done -> loads.stop())
+        .thenRun(() -> eventLoops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS));
+  }
+}
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/GatewaySettings.java
@@ -0,0 +1,33 @@
+package org.basilport.gateway;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import org.basilport.gateway.forward.TrafficState.RetryLimits;
+
+/**
+ * Settings of the forwarding path of one instance.
+ *
+ * @param instanceId id of the instance
+ * @param dataCentre data centre of the instance
+ * @param frontend address that callers connect to
+ * @param loadAddress address that takes load reports of other instances
+ * @param retryLimits limits on requests that are sent again
+ * @param proofLimit age of the proof of freshness above which keys are no longer accepted
+ * @param readinessProofLimit age of the proof above which the instance is not ready
+ * @param maxEventPause silence of a stream after which its server is given up
+ */
+public record GatewaySettings(
+    String instanceId,
+    String dataCentre,
+    InetSocketAddress frontend,
+    InetSocketAddress loadAddress,
+    RetryLimits retryLimits,
+    Duration proofLimit,
+    Duration readinessProofLimit,
+    Duration maxEventPause) {
+
+  /** The address of the front end as callers write it. */
+  public String frontendAddress() {
+    return frontend.getHostString() + ":" + frontend.getPort();
+  }
+}
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
@@ -0,0 +1,201 @@
+package org.basilport.gateway.backend;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.basilport.gateway.message.MessageCodec;
+import org.basilport.gateway.message.ServerAnswer;
+
+/**
+ * One connection to a backend server; it carries one request at a time.
+ *
+ * <p>An answer with another request's id is dropped: a faulty server may answer twice, and the
+ * second answer arrives where the next one is expected. Confined to the traffic thread.
+ */
+public final class BackendConnection extends SimpleChannelInboundHandler<HttpObject> {
+  /** Idle time of a connection whose server does not state one. */
+  private static final long DEFAULT_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
+  /** Time before the server's idle limit at which a connection is no longer used. */
+  private static final long IDLE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+
+  /** Longest idle time of a connection, so that unused ones are given back to other instances. */
+  private static final long MAX_IDLE_NANOS = TimeUnit.SECONDS.toNanos(8);
+
+  private final MessageCodec codec;
+  private final Consumer<BackendConnection> onIdle;
+  private final Consumer<BackendConnection> onClosed;
+  private Channel channel;
+  private AnswerListener listener;
+  private String requestId = "";
+  private boolean written;
+  private boolean headSeen;
+  private boolean skipping;
+  private boolean interim;
+  private boolean endsWithConnection;
+  private boolean reusable;
+  private boolean closed;
+  private long idleNanos = DEFAULT_IDLE_NANOS;
+  private long idleSinceNanos;
+
+  BackendConnection(
+      MessageCodec codec,
+      Consumer<BackendConnection> onIdle,
+      Consumer<BackendConnection> onClosed) {
+    this.codec = codec;
+    this.onIdle = onIdle;
+    this.onClosed = onClosed;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext context) {
+    channel = context.channel();
+  }
+
+  /** Sends a request; its answer goes to the listener. */
+  public void send(FullHttpRequest request, String id, AnswerListener answerListener) {
+    listener = answerListener;
+    requestId = id;
+    written = false;
+    headSeen = false;
+    skipping = false;
+    channel
+        .writeAndFlush(request)
+        .addListener(
+            result -> {
+              written = result.isSuccess();
+              if (!result.isSuccess()) {
+                fail("send failed: " + result.cause());
+              }
+            });
+  }
+
+  /** Gives up the present request and closes the connection, so that the server stops work. */
+  public void abandon() {
+    listener = null;
+    close();
+  }
+
+  /** Closes the connection. */
+  public void close() {
+    if (channel != null) {
+      channel.close();
+    }
+  }
+
+  /** Stops or resumes reading, to follow the speed of the caller. */
+  public void setReading(boolean reading) {
+    channel.config().setAutoRead(reading);
+  }
+
+  /** Whether an idle connection can still be used. */
+  boolean usable(long nowNanos) {
+    return !closed && channel.isActive() && nowNanos - idleSinceNanos < idleNanos;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+    if (message.decoderResult().isFailure()) {
+      fail("invalid answer: " + message.decoderResult().cause());
+      return;
+    }
+    if (listener == null && !skipping) {
+      close();
+      return;
+    }
+    if (message instanceof HttpResponse) {
+      readHead((HttpResponse) message);
+    }
+    if (message instanceof HttpContent) {
+      readContent((HttpContent) message);
+    }
+  }
+
+  private void readHead(HttpResponse head) {
+    interim = head.status().code() >= 100 && head.status().code() < 200;
+    if (interim) {
+      return;
+    }
+    ServerAnswer answer = codec.decodeAnswer(head);
+    Optional<String> echoed = answer.requestId();
+    skipping = echoed.isPresent() && !echoed.get().equals(requestId);
+    if (skipping) {
+      return;
+    }
+    if (echoed.isEmpty() && answer.successful() && answer.sealed()) {
+      fail("answer without a request id");
+      return;
+    }
+    headSeen = true;
+    endsWithConnection =
+        !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head);
+    reusable = HttpUtil.isKeepAlive(head) && !endsWithConnection && !answer.closing();
+    idleNanos =
+        answer.idleSeconds().isPresent()
+            ? TimeUnit.SECONDS.toNanos(answer.idleSeconds().getAsInt()) - IDLE_MARGIN_NANOS
+            : DEFAULT_IDLE_NANOS;
+    idleNanos = Math.min(MAX_IDLE_NANOS, idleNanos);
+    listener.onHead(answer, head);
+  }
+
+  private void readContent(HttpContent content) {
+    boolean last = content instanceof LastHttpContent;
+    if (interim || skipping) {
+      skipping = skipping && !last;
+      return;
+    }
+    if (listener != null && content.content().isReadable()) {
+      listener.onContent(content.content());
+    }
+    if (last && listener != null && !endsWithConnection) {
+      finish();
+    }
+  }
+
+  private void finish() {
+    AnswerListener finished = listener;
+    listener = null;
+    if (reusable && written && channel.isActive()) {
+      idleSinceNanos = System.nanoTime();
+      finished.onComplete();
+      onIdle.accept(this);
+    } else {
+      close();
+      finished.onComplete();
+    }
+  }
+
+  private void fail(String reason) {
+    AnswerListener failed = listener;
+    listener = null;
+    close();
+    if (failed != null) {
+      failed.onBroken(reason);
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    closed = true;
+    onClosed.accept(this);
+    if (listener != null && headSeen && endsWithConnection) {
+      finish();
+    } else {
+      fail(headSeen ? "connection closed within the answer" : "connection closed before an answer");
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    fail("connection failed: " + cause);
+  }
+}
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -0,0 +1,121 @@
+package org.basilport.gateway.backend;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.basilport.event.EventSink;
+import org.basilport.event.EventSubject;
+import org.basilport.event.EventType;
+import org.basilport.gateway.config.ForwardingConfiguration;
+import org.basilport.gateway.config.ForwardingService;
+import org.basilport.gateway.message.MessageCodec;
+import org.basilport.policy.dispatch.ServerLoad;
+
+/** All backend servers that the directory lists; confined to the traffic thread. */
+public final class ServerTable {
+  private final EventLoop eventLoop;
+  private final MessageCodec codec;
+  private final EventSink events;
+  private final Map<String, BackendServer> byId = new HashMap<>();
+  private final Map<String, List<BackendServer>> byService = new HashMap<>();
+
+  /** Creates an empty table. */
+  public ServerTable(EventLoop eventLoop, MessageCodec codec, EventSink events) {
+    this.eventLoop = eventLoop;
+    this.codec = codec;
+    this.events = events;
+  }
+
+  /**
+   * Takes over the entries of the directory. An entry of a service that the configuration does not
+   * have is passed over until a later configuration names it.
+   *
+   * @param source where the entries come from, for the log
+   */
+  public void update(
+      List<ServerEntry> entries, ForwardingConfiguration configuration, String source) {
+    Set<String> listed = new HashSet<>();
+    for (ServerEntry entry : entries) {
+      Optional<ForwardingService> service =
+          Optional.ofNullable(configuration.services().get(entry.service()));
+      if (service.isEmpty()) {
+        continue;
+      }
+      listed.add(entry.id());
+      BackendServer known = byId.get(entry.id());
+      if (known != null && isSameStart(known.entry(), entry)) {
+        refresh(known, entry, source);
+      } else {
+        if (known != null) {
+          remove(known, "started again");
+        }
+        add(entry, service.get());
+      }
+    }
+    for (BackendServer server : List.copyOf(byId.values())) {
+      if (!listed.contains(server.entry().id())) {
+        remove(server, "removed, told by " + source);
+      }
+    }
+  }
+
+  private static boolean isSameStart(ServerEntry known, ServerEntry listed) {
+    return known.incarnation() == listed.incarnation()
+        && known.service().equals(listed.service())
+        && known.address().equals(listed.address());
+  }
+
+  private void add(ServerEntry entry, ForwardingService service) {
+    int slots = service.engine().map(engine -> engine.batchSlots()).orElse(entry.slots());
+    long memory = service.engine().map(engine -> engine.memoryTokens()).orElse(0L);
+    ServerLoad load = new ServerLoad(entry.id(), entry.dataCentre(), slots, memory);
+    BackendServer server =
+        new BackendServer(entry, load, new ConnectionPool(entry, eventLoop, codec));
+    load.setSlowUntil(System.nanoTime() + entry.slowFor().toNanos());
+    byId.put(entry.id(), server);
+    byService.computeIfAbsent(entry.service(), name -> new ArrayList<>()).add(server);
+    events.record(
+        EventType.BACKEND_ADDED, EventSubject.server(entry.id()), entry.id(), entry.incarnation());
+    if (entry.leaving()) {
+      server.depart();
+    }
+  }
+
+  private void refresh(BackendServer known, ServerEntry entry, String source) {
+    if (entry.leaving() && !known.load().leaving()) {
+      events.record(EventType.BACKEND_LEAVING, EventSubject.server(entry.id()), entry.id(), source);
+      known.depart();
+    }
+  }
+
+  private void remove(BackendServer server, String reason) {
+    ServerEntry entry = server.entry();
+    byId.remove(entry.id());
+    byService.get(entry.service()).remove(server);
+    if (!server.load().leaving()) {
+      events.record(EventType.BACKEND_LEAVING, EventSubject.server(entry.id()), entry.id(), reason);
+    }
+    server.depart();
+    server.connections().shutDown();
+  }
+
+  /** Returns all servers of a service, including those that are leaving. */
+  public List<BackendServer> servers(String service) {
+    return byService.getOrDefault(service, List.of());
+  }
+
+  /** Returns the servers of all services. */
+  public List<BackendServer> all() {
+    return List.copyOf(byId.values());
+  }
+
+  /** Returns a server by its id. */
+  public Optional<BackendServer> server(String id) {
+    return Optional.ofNullable(byId.get(id));
+  }
+}
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/config/EngineCapacity.java
@@ -0,0 +1,17 @@
+package org.basilport.gateway.config;
+
+/**
+ * What every model engine of a service offers.
+ *
+ * @param batchSlots generations that an engine processes at once
+ * @param memoryTokens key-value memory of an engine, in tokens
+ * @param tokensPerEvent output tokens in one event of a stream
+ * @param movesGenerations whether a running generation can be moved to another engine
+ * @param copiesGenerations whether an engine can keep a copy of a running generation up to date
+ */
+public record EngineCapacity(
+    int batchSlots,
+    long memoryTokens,
+    int tokensPerEvent,
+    boolean movesGenerations,
+    boolean copiesGenerations) {}
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/config/ForwardingConfiguration.java
@@ -0,0 +1,82 @@
+package org.basilport.gateway.config;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** An immutable version of the configuration, with the look-ups that each request needs. */
+public final class ForwardingConfiguration {
+  private final long version;
+  private final TrafficLimits limits;
+  private final boolean keysRequired;
+  private final Map<String, ForwardingService> services;
+  private final Map<String, KeyHolder> holdersByKey;
+  private final Map<String, Map<String, ForwardingRoute>> routesByHost = new HashMap<>();
+
+  /**
+   * Creates a configuration.
+   *
+   * @param keysRequired whether routes that are not anonymous need an access key
+   */
+  public ForwardingConfiguration(
+      long version,
+      TrafficLimits limits,
+      List<ForwardingRoute> routes,
+      Map<String, ForwardingService> services,
+      boolean keysRequired,
+      Map<String, KeyHolder> holdersByKey) {
+    this.version = version;
+    this.limits = limits;
+    this.keysRequired = keysRequired;
+    this.services = Map.copyOf(services);
+    this.holdersByKey = Map.copyOf(holdersByKey);
+    for (ForwardingRoute route : routes) {
+      routesByHost
+          .computeIfAbsent(route.host(), host -> new HashMap<>())
+          .put(route.pathPrefix(), route);
+    }
+  }
+
+  /** The version; versions only increase. */
+  public long version() {
+    return version;
+  }
+
+  /** Limits on what callers may send. */
+  public TrafficLimits limits() {
+    return limits;
+  }
+
+  /** All services by name. */
+  public Map<String, ForwardingService> services() {
+    return services;
+  }
+
+  /** Whether routes that are not anonymous need an access key. */
+  public boolean keysRequired() {
+    return keysRequired;
+  }
+
+  /** Returns the holder of a key. */
+  public Optional<KeyHolder> holder(String key) {
+    return Optional.ofNullable(holdersByKey.get(key));
+  }
+
+  /** Returns the route with the longest prefix of a path; prefixes begin and end with a slash. */
+  public Optional<ForwardingRoute> route(String host, String path) {
+    Map<String, ForwardingRoute> routes = routesByHost.get(host);
+    if (routes == null) {
+      return Optional.empty();
+    }
+    int end = path.lastIndexOf('/');
+    while (end >= 0) {
+      ForwardingRoute route = routes.get(path.substring(0, end + 1));
+      if (route != null) {
+        return Optional.of(route);
+      }
+      end = path.lastIndexOf('/', end - 1);
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
@@ -0,0 +1,117 @@
+package org.basilport.gateway.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import java.io.ByteArrayOutputStream;
+import java.util.Optional;
+import org.basilport.error.Step;
+import org.basilport.event.EventType;
+import org.basilport.gateway.backend.BackendServer;
+import org.basilport.gateway.config.ForwardingRoute;
+import org.basilport.gateway.config.KeyHolder;
+import org.basilport.gateway.message.CallerRequest;
+import org.basilport.gateway.message.ServerAnswer;
+
+/**
+ * A plain call. The answer is sent when it is complete, so a broken one can still be replaced by
+ * the answer of another server.
+ */
+final class BufferedExchange extends Exchange {
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private ServerAnswer answer;
+  private HttpHeaders headers;
+
+  BufferedExchange(
+      ForwardingContext context,
+      CallerRequest request,
+      ForwardingRoute route,
+      Optional<KeyHolder> holder,
+      CallerChannel caller) {
+    super(context, request, route, holder, caller);
+  }
+
+  @Override
+  public void onHead(ServerAnswer head, HttpResponse raw) {
+    answer = head;
+    headers = context.codec().callerHeaders(raw);
+    body.reset();
+  }
+
+  @Override
+  public void onContent(ByteBuf content) {
+    byte[] bytes = new byte[content.readableBytes()];
+    content.readBytes(bytes);
+    body.writeBytes(bytes);
+  }
+
+  @Override
+  public void onComplete() {
+    BackendServer answering = server;
+    if (answer.notRun() || answer.status() == 421) {
+      answering.load().health().failed(System.nanoTime());
+      releaseServer();
+      onNotRun(Step.SEND, "server " + answering.entry().id() + " refused: " + answer.status());
+      return;
+    }
+    if (answer.successful() && (!answer.sealed() || answer.encoded())) {
+      onBroken("answer is not the server's own");
+      return;
+    }
+    if (answer.status() >= 500) {
+      answering.load().health().failed(System.nanoTime());
+      if (takeRetry()) {
+        releaseServer();
+        retry("status " + answer.status());
+        return;
+      }
+    } else {
+      answering.load().health().succeeded();
+    }
+    deliver();
+  }
+
+  private void deliver() {
+    context.metrics().counter("forward.answers." + answer.status()).inc();
+    context
+        .metrics()
+        .histogram("forward.latency_ms." + route.repeatability().name().toLowerCase())
+        .update(elapsedMillis());
+    context
+        .events()
+        .record(
+            EventType.REQUEST_FINISHED,
+            subject(),
+            request.id(),
+            answer.status(),
+            serverName(),
+            elapsedMillis(),
+            elapsedMillis(),
+            0);
+    if (!callerGone()) {
+      caller.answer(answer.status(), headers, body.toByteArray());
+    }
+    finish();
+  }
+
+  @Override
+  public void onBroken(String reason) {
+    server.load().health().failed(System.nanoTime());
+    if (takeRetry()) {
+      releaseServer();
+      retry(reason);
+      return;
+    }
+    answerOwn(502, new DefaultHttpHeaders(), Step.COLLECT, reason);
+  }
+
+  @Override
+  void onTimeLimit() {
+    if (connection != null) {
+      server.load().health().failed(System.nanoTime());
+      connection.abandon();
+    }
+    answerOwn(504, new DefaultHttpHeaders(), Step.COLLECT, "time limit reached");
+  }
+}
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/CallerChannel.java
@@ -0,0 +1,26 @@
+package org.basilport.gateway.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/** The answer side of a caller's request; called on the traffic thread. */
+public interface CallerChannel {
+
+  /** Sends a whole answer. */
+  void answer(int status, HttpHeaders headers, byte[] body);
+
+  /** Sends the head of an answer whose body follows in parts. */
+  void startAnswer(int status, HttpHeaders headers);
+
+  /** Sends a part of the body; takes over the buffer. */
+  void write(ByteBuf content);
+
+  /** Ends an answer whose body was sent in parts. */
+  void finishAnswer();
+
+  /** Closes the connection, so that an unfinished answer does not look complete. */
+  void abort();
+
+  /** Whether the caller reads as fast as parts are written. */
+  boolean writable();
+}
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingContext.java
@@ -0,0 +1,28 @@
+package org.basilport.gateway.forward;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import org.basilport.event.EventSink;
+import org.basilport.gateway.message.MessageCodec;
+
+/**
+ * What all exchanges of an instance share.
+ *
+ * @param eventLoop the traffic thread
+ * @param codec translates messages
+ * @param state configuration and backend servers
+ * @param events log of decisions
+ * @param metrics counters and histograms
+ * @param random source of jitter, used on the traffic thread only
+ * @param maxEventPause longest pause between events after which a silent server is given up
+ */
+record ForwardingContext(
+    EventLoop eventLoop,
+    MessageCodec codec,
+    TrafficState state,
+    EventSink events,
+    MetricRegistry metrics,
+    SplittableRandom random,
+    Duration maxEventPause) {}
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
@@ -0,0 +1,272 @@
+package org.basilport.gateway.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.ByteArrayOutputStream;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.basilport.error.Step;
+import org.basilport.event.EventType;
+import org.basilport.gateway.backend.AnswerListener;
+import org.basilport.gateway.backend.BackendConnection;
+import org.basilport.gateway.backend.BackendServer;
+import org.basilport.gateway.message.MemoryReference;
+import org.basilport.gateway.message.MoveResult;
+import org.basilport.gateway.message.ServerAnswer;
+import org.basilport.policy.dispatch.RequestDemand;
+import org.basilport.policy.dispatch.WorkShare;
+
+/**
+ * Moves a running generation from an engine that leaves to another one.
+ *
+ * <p>The memory is copied twice: first while the generation runs on, then, after it stopped, only
+ * what is new. The caller sees a pause as long as the second copy.
+ */
+final class GenerationMove {
+  /** Time after which an order without an answer counts as failed. */
+  private static final long ORDER_TIMEOUT_MILLIS = 2_500;
+
+  /** Pause before a move is tried again; engines that leave are gone after about 2 s. */
+  private static final long RETRY_MILLIS = 100;
+
+  /** Tries before a generation is left where it is. */
+  private static final int MAX_TRIES = 8;
+
+  private enum State {
+    IDLE,
+    COPYING,
+    STOPPING,
+    ENDED
+  }
+
+  private final ForwardingContext context;
+  private final StreamedExchange exchange;
+  private State state = State.IDLE;
+  private BackendServer source;
+  private BackendServer target;
+  private WorkShare reserved = WorkShare.NONE;
+  private boolean sourceEnded;
+  private Optional<String> handle = Optional.empty();
+  private ScheduledFuture<?> retryTimer;
+  private long stopNanos;
+  private int tries;
+
+  GenerationMove(ForwardingContext context, StreamedExchange exchange) {
+    this.context = context;
+    this.exchange = exchange;
+  }
+
+  /** Whether the generation was ordered to stop at its present engine. */
+  boolean stopping() {
+    return state == State.STOPPING;
+  }
+
+  /** Starts to move the generation away from its present engine. */
+  void start() {
+    if (state != State.IDLE || exchange.finished() || exchange.server == null) {
+      return;
+    }
+    source = exchange.server;
+    Optional<BackendServer> chosen =
+        exchange.dispatcher.choose(
+            new RequestDemand(0, exchange.remainingWork().memoryTokens()), exchange);
+    if (chosen.isEmpty()) {
+      fail(Step.LOCATE, "no engine has room");
+      return;
+    }
+    target = chosen.get();
+    reserved = exchange.remainingWork();
+    target.load().add(reserved);
+    state = State.COPYING;
+    record(EventType.MOVE_STARTED, "engine is leaving");
+    order(false);
+  }
+
+  private void order(boolean last) {
+    BackendServer from = source;
+    from.connections()
+        .acquire(
+            connection -> sendOrder(connection, last),
+            problem -> onResult(last, new MoveResult(0, Optional.empty())));
+  }
+
+  private void sendOrder(BackendConnection connection, boolean last) {
+    if (state == State.ENDED) {
+      connection.close();
+      return;
+    }
+    connection.send(
+        context
+            .codec()
+            .encodeMove(
+                exchange.request.id(), target.entry().address(), last, source.entry().address()),
+        exchange.request.id(),
+        new OrderAnswer(connection, result -> onResult(last, result)));
+  }
+
+  private void onResult(boolean last, MoveResult result) {
+    if (state == State.ENDED) {
+      return;
+    }
+    if (!last) {
+      if (result.copied()) {
+        state = State.STOPPING;
+        stopNanos = System.nanoTime();
+        order(true);
+      } else {
+        releaseTarget();
+        state = State.IDLE;
+        fail(Step.SEND, "copy answered " + result.status());
+      }
+      return;
+    }
+    handle = result.handle();
+    if (result.copied()) {
+      continueWhenEnded();
+    } else if (handle.isPresent()) {
+      releaseTarget();
+      target = source;
+      reserved = exchange.remainingWork();
+      target.load().add(reserved);
+      continueWhenEnded();
+    } else if (sourceEnded) {
+      releaseTarget();
+      state = State.ENDED;
+      exchange.lose(Step.SEND, "engine stopped the generation, move answered " + result.status());
+    } else {
+      releaseTarget();
+      state = State.IDLE;
+      fail(Step.SEND, "last copy answered " + result.status());
+    }
+  }
+
+  /** The stream of the engine that was ordered to stop has ended. */
+  void onSourceEnded() {
+    sourceEnded = true;
+    continueWhenEnded();
+  }
+
+  private void continueWhenEnded() {
+    if (!sourceEnded || handle.isEmpty()) {
+      return;
+    }
+    long pause = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - stopNanos);
+    context
+        .events()
+        .record(
+            EventType.MOVE_FINISHED,
+            exchange.subject(),
+            exchange.request.id(),
+            source.entry().id(),
+            target.entry().id(),
+            exchange.eventCount(),
+            pause);
+    context.metrics().histogram("forward.move_pause_ms").update(pause);
+    MemoryReference memory = new MemoryReference(source.entry().address(), handle.get());
+    WorkShare work = reserved;
+    BackendServer next = target;
+    reserved = WorkShare.NONE;
+    target = null;
+    sourceEnded = false;
+    handle = Optional.empty();
+    tries = 0;
+    state = State.IDLE;
+    exchange.continueAt(next, work, memory);
+  }
+
+  private void fail(Step step, String reason) {
+    context
+        .events()
+        .record(
+            EventType.MOVE_FAILED,
+            exchange.subject(),
+            exchange.request.id(),
+            source.entry().id(),
+            target == null ? "none" : target.entry().id(),
+            step,
+            reason);
+    tries++;
+    if (tries < MAX_TRIES) {
+      retryTimer = context.eventLoop().schedule(this::start, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void releaseTarget() {
+    if (target != null) {
+      target.load().remove(reserved);
+      reserved = WorkShare.NONE;
+      target = null;
+    }
+  }
+
+  private void record(EventType type, String reason) {
+    context
+        .events()
+        .record(
+            type,
+            exchange.subject(),
+            exchange.request.id(),
+            source.entry().id(),
+            target.entry().id(),
+            exchange.eventCount(),
+            reason);
+  }
+
+  /** Ends the move because the exchange ended. */
+  void cancel() {
+    state = State.ENDED;
+    if (retryTimer != null) {
+      retryTimer.cancel(false);
+    }
+    releaseTarget();
+  }
+
+  /** Collects the answer to an order; it fails when the answer takes too long. */
+  private final class OrderAnswer implements AnswerListener {
+    private final BackendConnection connection;
+    private final Consumer<MoveResult> onResult;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final ScheduledFuture<?> timeout;
+    private int status;
+
+    OrderAnswer(BackendConnection connection, Consumer<MoveResult> onResult) {
+      this.connection = connection;
+      this.onResult = onResult;
+      this.timeout =
+          context
+              .eventLoop()
+              .schedule(this::onTimeout, ORDER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void onTimeout() {
+      connection.abandon();
+      onResult.accept(new MoveResult(0, Optional.empty()));
+    }
+
+    @Override
+    public void onHead(ServerAnswer answer, HttpResponse head) {
+      status = answer.status();
+    }
+
+    @Override
+    public void onContent(ByteBuf content) {
+      byte[] bytes = new byte[content.readableBytes()];
+      content.readBytes(bytes);
+      body.writeBytes(bytes);
+    }
+
+    @Override
+    public void onComplete() {
+      timeout.cancel(false);
+      onResult.accept(context.codec().decodeMove(status, body.toByteArray()));
+    }
+
+    @Override
+    public void onBroken(String reason) {
+      timeout.cancel(false);
+      onResult.accept(new MoveResult(0, Optional.empty()));
+    }
+  }
+}
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/RequestForwarder.java
@@ -0,0 +1,155 @@
+package org.basilport.gateway.forward;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.basilport.error.Step;
+import org.basilport.event.EventSink;
+import org.basilport.event.EventSubject;
+import org.basilport.event.EventType;
+import org.basilport.gateway.config.ForwardingConfiguration;
+import org.basilport.gateway.config.ForwardingRoute;
+import org.basilport.gateway.config.KeyHolder;
+import org.basilport.gateway.frontend.CallerHandle;
+import org.basilport.gateway.frontend.RequestReceiver;
+import org.basilport.gateway.message.CallerRequest;
+import org.basilport.gateway.message.MalformedMessageException;
+import org.basilport.gateway.message.MessageCodec;
+
+/** Checks each request against the configuration in force and starts its exchange. */
+public final class RequestForwarder implements RequestReceiver {
+  /** Delay after which a caller may find an instance with a proven configuration. */
+  private static final double UNPROVEN_RETRY_SECONDS = 0.5;
+
+  private final ForwardingContext context;
+  private final Duration proofLimit;
+  private final Set<Exchange> open = new HashSet<>();
+  private boolean draining;
+
+  /**
+   * Creates a forwarder.
+   *
+   * @param proofLimit age of the proof of freshness above which keys are no longer accepted
+   * @param maxEventPause silence of a stream after which its server is given up
+   */
+  public RequestForwarder(
+      EventLoop eventLoop,
+      MessageCodec codec,
+      TrafficState state,
+      EventSink events,
+      MetricRegistry metrics,
+      Duration proofLimit,
+      Duration maxEventPause) {
+    this.context =
+        new ForwardingContext(
+            eventLoop, codec, state, events, metrics, new SplittableRandom(), maxEventPause);
+    this.proofLimit = proofLimit;
+  }
+
+  @Override
+  public CallerHandle receive(HttpRequest head, byte[] body, CallerChannel caller) {
+    context.metrics().counter("forward.requests").inc();
+    CallerRequest request;
+    try {
+      request = context.codec().decodeRequest(head, body);
+    } catch (MalformedMessageException e) {
+      return reject("", 400, Step.LOCATE, e.getMessage(), caller);
+    }
+    Optional<ForwardingConfiguration> current = context.state().configuration();
+    if (current.isEmpty()) {
+      return reject(request.id(), 503, Step.CONFIGURE, "no configuration yet", caller);
+    }
+    ForwardingConfiguration configuration = current.get();
+    Optional<ForwardingRoute> route = configuration.route(request.host(), request.path());
+    if (route.isEmpty()) {
+      return rejectByConfiguration(request, 404, "no route", caller);
+    }
+    Optional<KeyHolder> holder = request.accessKey().flatMap(configuration::holder);
+    if (configuration.keysRequired() && !route.get().anonymous()) {
+      if (holder.isEmpty()) {
+        return rejectByConfiguration(request, 401, "unknown key", caller);
+      }
+      if (!proven()) {
+        return reject(request.id(), 503, Step.AUTHENTICATE, "key cannot be proven valid", caller);
+      }
+    }
+    return startExchange(request, route.get(), holder, caller);
+  }
+
+  private boolean proven() {
+    long age = context.state().proof().ageMillis(System.nanoTime(), System.currentTimeMillis());
+    return age <= proofLimit.toMillis();
+  }
+
+  /** A configuration that may be out of date is no reason for a final refusal. */
+  private CallerHandle rejectByConfiguration(
+      CallerRequest request, int status, String reason, CallerChannel caller) {
+    int answered = proven() ? status : 503;
+    return reject(request.id(), answered, Step.AUTHENTICATE, reason, caller);
+  }
+
+  private CallerHandle reject(
+      String id, int status, Step step, String reason, CallerChannel caller) {
+    context.metrics().counter("forward.answers." + status).inc();
+    context
+        .events()
+        .record(
+            EventType.REQUEST_REFUSED,
+            EventSubject.request(id, ""),
+            id,
+            status,
+            step,
+            reason,
+            context.state().configuration().map(ForwardingConfiguration::version).orElse(0L),
+            context.state().proof().ageMillis(System.nanoTime(), System.currentTimeMillis()),
+            context.state().waiting());
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
+    if (status == 503) {
+      context.codec().addRetryDelay(headers, UNPROVEN_RETRY_SECONDS);
+    }
+    caller.answer(status, headers, reason.getBytes(StandardCharsets.UTF_8));
+    return CallerHandle.NONE;
+  }
+
+  private CallerHandle startExchange(
+      CallerRequest request,
+      ForwardingRoute route,
+      Optional<KeyHolder> holder,
+      CallerChannel caller) {
+    Exchange exchange;
+    if (route.repeatability().streamed()) {
+      exchange = new StreamedExchange(context, request, route, holder, caller);
+    } else {
+      exchange = new BufferedExchange(context, request, route, holder, caller);
+    }
+    open.add(exchange);
+    exchange.onEnd(() -> open.remove(exchange));
+    exchange.begin();
+    return exchange;
+  }
+
+  /** Number of requests that are in progress. */
+  public int open() {
+    return open.size();
+  }
+
+  /** Lets connections of callers end after their present answers. */
+  public void drain() {
+    draining = true;
+  }
+
+  @Override
+  public boolean draining() {
+    return draining;
+  }
+}
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
@@ -0,0 +1,120 @@
+package org.basilport.gateway.forward;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.basilport.gateway.backend.BackendServer;
+import org.basilport.gateway.backend.ServerTable;
+import org.basilport.policy.dispatch.RequestDemand;
+import org.basilport.policy.dispatch.ServerLoad;
+import org.basilport.policy.dispatch.ServerSelector;
+import org.basilport.policy.dispatch.WaitingLine;
+import org.basilport.policy.dispatch.WindowedRetryBudget;
+
+/** Places the requests of one service on its backend servers. */
+final class ServiceDispatcher {
+  /** Requests that may wait; at the rates of one instance this is several seconds of arrivals. */
+  private static final int LINE_LIMIT = 200;
+
+  /** Requests of the line that are tried and found no server before the rest is left waiting. */
+  private static final int OFFER_LIMIT = 4;
+
+  private final String service;
+  private final ServerTable servers;
+  private final ServerSelector selector;
+  private final WindowedRetryBudget retries;
+  private final WaitingLine<PlacementRequest> line = new WaitingLine<>(LINE_LIMIT);
+
+  ServiceDispatcher(
+      String service, ServerTable servers, ServerSelector selector, WindowedRetryBudget retries) {
+    this.service = service;
+    this.servers = servers;
+    this.selector = selector;
+    this.retries = retries;
+  }
+
+  /** Budget of requests that are sent again. */
+  WindowedRetryBudget retries() {
+    return retries;
+  }
+
+  /** Number of requests that wait for a server. */
+  int waiting() {
+    return line.size();
+  }
+
+  /** Whether any server takes new work. */
+  boolean hasServers() {
+    return servers.servers(service).stream().anyMatch(server -> !server.load().leaving());
+  }
+
+  /** Places a request at once or lets it wait. */
+  void submit(PlacementRequest request) {
+    if (line.size() == 0 && place(request)) {
+      return;
+    }
+    Optional<WaitingLine.Entry<PlacementRequest>> entry = line.add(request, request.priority());
+    if (entry.isEmpty()) {
+      request.onLineFull();
+      return;
+    }
+    request.onQueued(entry.get());
+    line.removeExcess().ifPresent(PlacementRequest::onLineFull);
+    pump();
+  }
+
+  /** Removes a request from the line. */
+  void withdraw(WaitingLine.Entry<PlacementRequest> entry) {
+    line.remove(entry);
+  }
+
+  /** Places waiting requests that now find a server. */
+  void pump() {
+    if (line.size() == 0) {
+      return;
+    }
+    List<Runnable> placed = new ArrayList<>();
+    line.offer(
+        request -> {
+          Optional<BackendServer> server = choose(request.demand(), request);
+          server.ifPresent(
+              chosen -> {
+                chosen.load().add(request.demand().asWork());
+                placed.add(() -> request.onPlaced(chosen));
+              });
+          return server.isPresent();
+        },
+        OFFER_LIMIT);
+    // Sending can change the line, so it starts after the iteration.
+    placed.forEach(Runnable::run);
+  }
+
+  private boolean place(PlacementRequest request) {
+    Optional<BackendServer> server = choose(request.demand(), request);
+    server.ifPresent(
+        chosen -> {
+          chosen.load().add(request.demand().asWork());
+          request.onPlaced(chosen);
+        });
+    return server.isPresent();
+  }
+
+  /** Chooses a server without changing its load. */
+  Optional<BackendServer> choose(RequestDemand demand, PlacementRequest request) {
+    long now = System.nanoTime();
+    List<ServerLoad> candidates = new ArrayList<>();
+    List<ServerLoad> suspended = new ArrayList<>();
+    for (BackendServer server : servers.servers(service)) {
+      if (server.load().leaving() || !request.accepts(server)) {
+        continue;
+      }
+      boolean avoid = server.load().health().suspended(now);
+      (avoid ? suspended : candidates).add(server.load());
+    }
+    // More than half of the servers suspended points to a fault of the network or of the requests.
+    if (suspended.size() > candidates.size()) {
+      candidates.addAll(suspended);
+    }
+    return selector.select(candidates, demand, now).flatMap(load -> servers.server(load.id()));
+  }
+}
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -0,0 +1,309 @@
+package org.basilport.gateway.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.ByteArrayOutputStream;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.basilport.error.Step;
+import org.basilport.event.EventType;
+import org.basilport.gateway.backend.BackendServer;
+import org.basilport.gateway.config.ForwardingRoute;
+import org.basilport.gateway.config.KeyHolder;
+import org.basilport.gateway.config.Repeatability;
+import org.basilport.gateway.message.CallerRequest;
+import org.basilport.gateway.message.MemoryReference;
+import org.basilport.gateway.message.ServerAnswer;
+import org.basilport.policy.dispatch.WorkShare;
+
+/**
+ * A stream of events. Whole events are passed on as they arrive; a stream whose server leaves is
+ * moved, and one that may be resumed goes on at another server after its last event.
+ */
+final class StreamedExchange extends Exchange {
+  private final EventStreamReader reader = new EventStreamReader();
+  private final ByteArrayOutputStream failureBody = new ByteArrayOutputStream();
+  private final Runnable departureListener = this::onServerLeaving;
+  private final GenerationMove move;
+  private ServerAnswer answer;
+  private HttpHeaders headers;
+  private boolean answerStarted;
+  private boolean firstEventSeen;
+  private long sentNanos;
+  private long unreadWhenSent;
+  private long firstEventMillis = -1;
+  private long lastEventNanos;
+  private BackendServer watched;
+  private ScheduledFuture<?> silenceTimer;
+
+  StreamedExchange(
+      ForwardingContext context,
+      CallerRequest request,
+      ForwardingRoute route,
+      Optional<KeyHolder> holder,
+      CallerChannel caller) {
+    super(context, request, route, holder, caller);
+    this.move = new GenerationMove(context, this);
+  }
+
+  @Override
+  void onSending() {
+    sentNanos = System.nanoTime();
+    lastEventNanos = sentNanos;
+    unreadWhenSent = server.load().total().unreadTokens();
+    firstEventSeen = charge().unreadTokens() == 0;
+    watchServer();
+    if (silenceTimer == null) {
+      long pause = context.maxEventPause().toNanos();
+      silenceTimer =
+          context
+              .eventLoop()
+              .scheduleWithFixedDelay(
+                  this::checkSilence, pause / 4, pause / 4, TimeUnit.NANOSECONDS);
+    }
+  }
+
+  @Override
+  ForwardingStart start() {
+    return new ForwardingStart(reader.lastId(), Optional.empty());
+  }
+
+  private void watchServer() {
+    unwatchServer();
+    watched = server;
+    watched.onDeparture(departureListener);
+  }
+
+  private void unwatchServer() {
+    if (watched != null) {
+      watched.removeDepartureListener(departureListener);
+      watched = null;
+    }
+  }
+
+  @Override
+  public void onHead(ServerAnswer head, HttpResponse raw) {
+    answer = head;
+    if (headers == null || !answerStarted) {
+      headers = context.codec().callerHeaders(raw);
+    }
+    failureBody.reset();
+  }
+
+  @Override
+  public void onContent(ByteBuf content) {
+    if (!streaming()) {
+      byte[] bytes = new byte[content.readableBytes()];
+      content.readBytes(bytes);
+      failureBody.writeBytes(bytes);
+      return;
+    }
+    ByteBuf whole = reader.read(content);
+    if (!whole.isReadable()) {
+      return;
+    }
+    lastEventNanos = System.nanoTime();
+    if (!firstEventSeen) {
+      onFirstEvent();
+    }
+    startAnswer();
+    caller.write(whole);
+    connection.setReading(caller.writable());
+  }
+
+  private boolean streaming() {
+    return answer.successful() && answer.sealed() && !answer.encoded();
+  }
+
+  private void onFirstEvent() {
+    firstEventSeen = true;
+    if (firstEventMillis < 0) {
+      firstEventMillis = elapsedMillis();
+      context
+          .metrics()
+          .histogram("forward.first_event_ms." + route.name())
+          .update(firstEventMillis);
+    }
+    server.load().observeFirstToken(System.nanoTime() - sentNanos, unreadWhenSent);
+    recharge(new WorkShare(1, 0, charge().memoryTokens()));
+    context.state().pumpAll();
+    if (server.load().leaving()) {
+      onServerLeaving();
+    }
+  }
+
+  private void startAnswer() {
+    if (!answerStarted) {
+      answerStarted = true;
+      caller.startAnswer(answer.status(), headers);
+    }
+  }
+
+  /** Resumes or pauses reading from the server when the caller's speed changes. */
+  @Override
+  public void onWritableChanged(boolean writable) {
+    if (connection != null) {
+      connection.setReading(writable);
+    }
+  }
+
+  private void onServerLeaving() {
+    if (finished() || server == null || !firstEventSeen) {
+      return;
+    }
+    move.start();
+  }
+
+  @Override
+  public void onComplete() {
+    if (streaming()) {
+      if (move.stopping()) {
+        move.onSourceEnded();
+      } else if (reader.insideEvent() || reader.events() == 0) {
+        onBroken("stream ended within an event");
+      } else {
+        deliverEnd();
+      }
+      return;
+    }
+    onFailureAnswer();
+  }
+
+  private void deliverEnd() {
+    server.load().health().succeeded();
+    context.metrics().counter("forward.answers." + answer.status()).inc();
+    context
+        .events()
+        .record(
+            EventType.REQUEST_FINISHED,
+            subject(),
+            request.id(),
+            answer.status(),
+            serverName(),
+            elapsedMillis(),
+            firstEventMillis,
+            reader.events());
+    startAnswer();
+    caller.finishAnswer();
+    finish();
+  }
+
+  private void onFailureAnswer() {
+    BackendServer answering = server;
+    answering.load().health().failed(System.nanoTime());
+    String reason = "server " + answering.entry().id() + " answered " + answer.status();
+    if (answerStarted) {
+      onBroken(reason);
+    } else if (answer.notRun() || answer.status() == 421) {
+      releaseServer();
+      onNotRun(Step.SEND, reason);
+    } else if (answer.successful()) {
+      onBroken("answer is not the server's own");
+    } else if (answer.status() >= 500 && takeRetry()) {
+      releaseServer();
+      retry(reason);
+    } else {
+      context.metrics().counter("forward.answers." + answer.status()).inc();
+      caller.answer(answer.status(), headers, failureBody.toByteArray());
+      finish();
+    }
+  }
+
+  @Override
+  public void onBroken(String reason) {
+    if (move.stopping()) {
+      move.onSourceEnded();
+      return;
+    }
+    server.load().health().failed(System.nanoTime());
+    reader.dropPartialEvent();
+    if (!answerStarted) {
+      if (takeRetry()) {
+        releaseServer();
+        retry(reason);
+      } else {
+        answerOwn(502, new DefaultHttpHeaders(), Step.STREAM, reason);
+      }
+      return;
+    }
+    if (route.repeatability() == Repeatability.RESUMABLE_STREAM && takeRetry()) {
+      releaseServer();
+      retry(reason);
+      return;
+    }
+    lose(Step.STREAM, reason);
+  }
+
+  /** Ends a stream that cannot go on; the caller sees that it is incomplete. */
+  void lose(Step step, String reason) {
+    if (!answerStarted) {
+      answerOwn(502, new DefaultHttpHeaders(), step, reason);
+      return;
+    }
+    context
+        .events()
+        .record(
+            EventType.REQUEST_FAILED,
+            subject(),
+            request.id(),
+            answer.status(),
+            serverName(),
+            reader.events(),
+            step + ": " + reason);
+    context.metrics().counter("forward.lost_streams").inc();
+    caller.abort();
+    finish();
+  }
+
+  /** Continues the stream at a server whose load already counts it. */
+  void continueAt(BackendServer target, WorkShare work, MemoryReference memory) {
+    reader.dropPartialEvent();
+    releaseServer();
+    assignServer(target, work);
+    connect(new ForwardingStart(reader.lastId(), Optional.of(memory)));
+  }
+
+  /** Memory that the generation needs at another engine. */
+  WorkShare remainingWork() {
+    return new WorkShare(1, 0, charge().memoryTokens());
+  }
+
+  private void checkSilence() {
+    if (finished() || connection == null || move.stopping()) {
+      return;
+    }
+    if (System.nanoTime() - lastEventNanos > context.maxEventPause().toNanos()) {
+      connection.abandon();
+      onBroken("no event for " + context.maxEventPause().toMillis() + " ms");
+    }
+  }
+
+  @Override
+  void onTimeLimit() {
+    if (connection != null) {
+      connection.abandon();
+    }
+    if (answerStarted) {
+      lose(Step.STREAM, "time limit reached");
+    } else {
+      answerOwn(504, new DefaultHttpHeaders(), Step.STREAM, "time limit reached");
+    }
+  }
+
+  @Override
+  void onFinished() {
+    unwatchServer();
+    move.cancel();
+    if (silenceTimer != null) {
+      silenceTimer.cancel(false);
+    }
+  }
+
+  @Override
+  int eventCount() {
+    return reader.events();
+  }
+}
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/TrafficState.java
@@ -0,0 +1,175 @@
+package org.basilport.gateway.forward;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.basilport.event.EventSink;
+import org.basilport.event.EventSubject;
+import org.basilport.event.EventType;
+import org.basilport.gateway.backend.BackendServer;
+import org.basilport.gateway.backend.ServerEntry;
+import org.basilport.gateway.backend.ServerTable;
+import org.basilport.gateway.config.ForwardingConfiguration;
+import org.basilport.gateway.config.ForwardingService;
+import org.basilport.policy.dispatch.EarliestFirstTokenSelector;
+import org.basilport.policy.dispatch.FreshnessProof;
+import org.basilport.policy.dispatch.LapsedEntryHold;
+import org.basilport.policy.dispatch.LeastOccupiedSelector;
+import org.basilport.policy.dispatch.ServerSelector;
+import org.basilport.policy.dispatch.WindowedRetryBudget;
+import org.basilport.policy.dispatch.WorkShare;
+
+/**
+ * The configuration in force and the backend servers, as the traffic thread sees them.
+ *
+ * <p>All methods but {@link #configuration()} and {@link #proof()} run on the traffic thread.
+ */
+public final class TrafficState {
+  /**
+   * An engine whose expected first token is later than this gets no further prompt. It is below the
+   * shortest target latency of the model routes (1.5 s), so that a queued prompt is still on time.
+   */
+  private static final long FIRST_TOKEN_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+  private final String dataCentre;
+  private final RetryLimits retryLimits;
+  private final ServerTable servers;
+  private final EventSink events;
+  private final SplittableRandom random;
+  private final FreshnessProof proof = new FreshnessProof();
+  private final Map<String, ServiceDispatcher> dispatchers = new HashMap<>();
+  private volatile Optional<ForwardingConfiguration> configuration = Optional.empty();
+  private final LapsedEntryHold hold = new LapsedEntryHold();
+  private List<ServerEntry> entries = List.of();
+  private List<ServerEntry> lastListed = List.of();
+  private String entriesSource = "";
+  private int instances = 1;
+
+  /** Creates the state of an instance that knows nothing yet. */
+  public TrafficState(
+      String dataCentre,
+      RetryLimits retryLimits,
+      ServerTable servers,
+      EventSink events,
+      SplittableRandom random) {
+    this.dataCentre = dataCentre;
+    this.retryLimits = retryLimits;
+    this.servers = servers;
+    this.events = events;
+    this.random = random;
+  }
+
+  /** The configuration in force; empty before the first one. Safe to call from any thread. */
+  public Optional<ForwardingConfiguration> configuration() {
+    return configuration;
+  }
+
+  /** When the configuration was last proven to be the newest one. Safe to use from any thread. */
+  public FreshnessProof proof() {
+    return proof;
+  }
+
+  /** Takes a configuration into force; one that is not newer is ignored. */
+  public void apply(ForwardingConfiguration offered, String source) {
+    if (configuration.isPresent() && offered.version() <= configuration.get().version()) {
+      return;
+    }
+    configuration = Optional.of(offered);
+    events.record(EventType.CONFIGURATION_IN_FORCE, EventSubject.NONE, offered.version(), source);
+    servers.update(entries, offered, entriesSource);
+    pumpAll();
+  }
+
+  /** Takes over the backend servers that the directory lists. */
+  public void updateServers(List<ServerEntry> listed, String source) {
+    entries = hold.merge(entries, listed, ServerEntry::id, System.nanoTime());
+    lastListed = List.copyOf(listed);
+    entriesSource = source;
+    configuration.ifPresent(current -> servers.update(entries, current, source));
+    pumpAll();
+  }
+
+  /** The directory is back after an outage, during which entries of living servers may lapse. */
+  public void serversMayReturn() {
+    hold.start(System.nanoTime());
+  }
+
+  /** Removes servers whose entries did not return after an outage. */
+  public void endHold() {
+    if (hold.ended(System.nanoTime())) {
+      updateServers(lastListed, entriesSource);
+    }
+  }
+
+  /** Replaces what is known of the work of other instances. */
+  public void updateOthersWork(Map<String, WorkShare> workByServer) {
+    for (BackendServer server : servers.all()) {
+      server.load().setOthers(workByServer.getOrDefault(server.entry().id(), WorkShare.NONE));
+    }
+    pumpAll();
+  }
+
+  /** Sets the number of instances that share the retry budget. */
+  public void setInstances(int count) {
+    instances = Math.max(1, count);
+  }
+
+  /** Number of instances that share the retry budget. */
+  public int instances() {
+    return instances;
+  }
+
+  /** The backend servers. */
+  public ServerTable servers() {
+    return servers;
+  }
+
+  /** The dispatcher of a service. */
+  ServiceDispatcher dispatcher(String service) {
+    return dispatchers.computeIfAbsent(service, this::createDispatcher);
+  }
+
+  private ServiceDispatcher createDispatcher(String service) {
+    boolean engine =
+        configuration
+            .flatMap(current -> Optional.ofNullable(current.services().get(service)))
+            .flatMap(ForwardingService::engine)
+            .isPresent();
+    ServerSelector selector =
+        engine
+            ? new EarliestFirstTokenSelector(dataCentre, FIRST_TOKEN_LIMIT_NANOS, random)
+            : new LeastOccupiedSelector(dataCentre, random);
+    return new ServiceDispatcher(service, servers, selector, retryLimits.newBudget());
+  }
+
+  /** Places requests that wait for any service. */
+  public void pumpAll() {
+    List.copyOf(dispatchers.values()).forEach(ServiceDispatcher::pump);
+  }
+
+  /** Requests that wait for a backend server, of all services. */
+  public int waiting() {
+    return dispatchers.values().stream().mapToInt(ServiceDispatcher::waiting).sum();
+  }
+
+  /** Closes connections that have been idle for too long. */
+  public void closeIdleConnections() {
+    servers.all().forEach(server -> server.connections().closeExpired());
+  }
+
+  /**
+   * Limits on requests that are sent again, for all instances together.
+   *
+   * @param ratio repeated requests per request of the window
+   * @param fixedRetries repeated requests per window beyond the ratio
+   * @param windowNanos length of the sliding window
+   */
+  public record RetryLimits(double ratio, double fixedRetries, long windowNanos) {
+    WindowedRetryBudget newBudget() {
+      return new WindowedRetryBudget(ratio, fixedRetries, windowNanos);
+    }
+  }
+}
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/frontend/CallerConnection.java
@@ -0,0 +1,308 @@
+package org.basilport.gateway.frontend;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+import org.basilport.gateway.config.TrafficLimits;
+import org.basilport.gateway.forward.CallerChannel;
+
+/**
+ * One connection of a caller. Requests are handled one at a time, in order; confined to the traffic
+ * thread.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter implements CallerChannel {
+  /** Messages of later requests that are kept while one is handled; then reading pauses. */
+  private static final int MAX_PENDING_MESSAGES = 32;
+
+  private final RequestReceiver receiver;
+  private final TrafficLimits limits;
+  private final ArrayDeque<Object> pending = new ArrayDeque<>();
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private ChannelHandlerContext context;
+  private HttpRequest head;
+  private CallerHandle handle = CallerHandle.NONE;
+  private boolean answering;
+  private boolean keepAlive;
+  private boolean closing;
+  private boolean requestSeen;
+  private ScheduledFuture<?> timer;
+
+  CallerConnection(RequestReceiver receiver, TrafficLimits limits) {
+    this.receiver = receiver;
+    this.limits = limits;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext added) {
+    context = added;
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext active) {
+    startTimer(limits.idleTimeout().toNanos());
+  }
+
+  private void startTimer(long nanos) {
+    stopTimer();
+    timer = context.executor().schedule(this::onTimer, nanos, TimeUnit.NANOSECONDS);
+  }
+
+  private void stopTimer() {
+    if (timer != null) {
+      timer.cancel(false);
+      timer = null;
+    }
+  }
+
+  private void onTimer() {
+    if (answering || closing) {
+      return;
+    }
+    if (head == null) {
+      context.close();
+    } else {
+      reject(HttpResponseStatus.REQUEST_TIMEOUT, "request was not complete in time");
+    }
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ignored, Object message) {
+    if (closing) {
+      ReferenceCountUtil.release(message);
+      return;
+    }
+    if (answering) {
+      pending.add(message);
+      if (pending.size() > MAX_PENDING_MESSAGES) {
+        context.channel().config().setAutoRead(false);
+      }
+      return;
+    }
+    handle(message);
+  }
+
+  private void handle(Object message) {
+    try {
+      if (message instanceof HttpRequest) {
+        startRequest((HttpRequest) message);
+      }
+      if (message instanceof HttpContent && !closing) {
+        readBody((HttpContent) message);
+      }
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  private void startRequest(HttpRequest request) {
+    if (request.decoderResult().isFailure()) {
+      rejectInvalid(request.decoderResult().cause());
+      return;
+    }
+    String problem = StrictRequestDecoder.lengthProblem(request);
+    if (!problem.isEmpty()) {
+      reject(HttpResponseStatus.BAD_REQUEST, problem);
+      return;
+    }
+    if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
+      reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
+      return;
+    }
+    head = request;
+    requestSeen = true;
+    body.reset();
+    startTimer(limits.idleTimeout().toNanos());
+    if (HttpUtil.is100ContinueExpected(request)) {
+      context.writeAndFlush(
+          new DefaultFullHttpResponse(
+              HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+    }
+  }
+
+  private void readBody(HttpContent content) {
+    if (content.decoderResult().isFailure()) {
+      rejectInvalid(content.decoderResult().cause());
+      return;
+    }
+    if (head == null) {
+      return;
+    }
+    ByteBuf bytes = content.content();
+    if (body.size() + bytes.readableBytes() > limits.maxBodyBytes()) {
+      reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
+      return;
+    }
+    byte[] copy = new byte[bytes.readableBytes()];
+    bytes.readBytes(copy);
+    body.writeBytes(copy);
+    if (content instanceof LastHttpContent) {
+      completeRequest();
+    }
+  }
+
+  private void completeRequest() {
+    stopTimer();
+    HttpRequest complete = head;
+    head = null;
+    answering = true;
+    keepAlive = HttpUtil.isKeepAlive(complete);
+    CallerHandle started = receiver.receive(complete, body.toByteArray(), this);
+    body.reset();
+    if (answering) {
+      handle = started;
+    }
+  }
+
+  private void rejectInvalid(Throwable cause) {
+    if (cause instanceof TooLongFrameException) {
+      reject(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "headers are too large");
+    } else {
+      reject(HttpResponseStatus.BAD_REQUEST, "invalid request: " + cause.getMessage());
+    }
+  }
+
+  private void reject(HttpResponseStatus status, String reason) {
+    head = null;
+    keepAlive = false;
+    answering = true;
+    HttpHeaders headers = new DefaultHttpHeaders();
+    headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
+    answer(status.code(), headers, reason.getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Override
+  public void answer(int status, HttpHeaders headers, byte[] content) {
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(status),
+            Unpooled.wrappedBuffer(content));
+    response.headers().set(headers);
+    response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
+    if (status != 204 && status != 304) {
+      response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, content.length);
+    }
+    addConnectionHeader(response);
+    context.writeAndFlush(response);
+    endAnswer();
+  }
+
+  @Override
+  public void startAnswer(int status, HttpHeaders headers) {
+    HttpResponse response =
+        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+    response.headers().set(headers);
+    response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+    response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    addConnectionHeader(response);
+    context.write(response);
+  }
+
+  private void addConnectionHeader(HttpResponse response) {
+    if (!keepAlive || receiver.draining()) {
+      keepAlive = false;
+      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+  }
+
+  @Override
+  public void write(ByteBuf content) {
+    context.writeAndFlush(new DefaultHttpContent(content));
+  }
+
+  @Override
+  public void finishAnswer() {
+    context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+    endAnswer();
+  }
+
+  private void endAnswer() {
+    answering = false;
+    handle = CallerHandle.NONE;
+    if (!keepAlive) {
+      closing = true;
+      context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      return;
+    }
+    startTimer(limits.idleTimeout().toNanos());
+    while (!answering && !closing && !pending.isEmpty()) {
+      handle(pending.poll());
+    }
+    if (!closing && !context.channel().config().isAutoRead() && pending.isEmpty()) {
+      context.channel().config().setAutoRead(true);
+    }
+  }
+
+  @Override
+  public void abort() {
+    answering = false;
+    closing = true;
+    handle = CallerHandle.NONE;
+    // A reset instead of an orderly end, so that no caller takes the answer for complete.
+    context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+    context.close();
+  }
+
+  @Override
+  public boolean writable() {
+    return context.channel().isWritable();
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext changed) {
+    handle.onWritableChanged(changed.channel().isWritable());
+  }
+
+  /** Whether the head of a request was complete. */
+  boolean sawRequest() {
+    return requestSeen;
+  }
+
+  /** Closes the connection if it carries no request. */
+  void closeIfIdle() {
+    if (!answering && head == null) {
+      context.close();
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext inactive) {
+    stopTimer();
+    closing = true;
+    pending.forEach(ReferenceCountUtil::release);
+    pending.clear();
+    CallerHandle left = handle;
+    handle = CallerHandle.NONE;
+    left.onCallerLeft();
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
+    failed.close();
+  }
+}
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/frontend/FrontendServer.java
@@ -0,0 +1,104 @@
+package org.basilport.gateway.frontend;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.basilport.gateway.config.TrafficLimits;
+import org.basilport.misc.Service;
+
+/** Accepts connections of callers. */
+public final class FrontendServer implements Service {
+  /** Connections that may wait to be accepted: callers come back at once after a restart. */
+  private static final int BACKLOG = 1_024;
+
+  private final InetSocketAddress address;
+  private final EventLoop eventLoop;
+  private final RequestReceiver receiver;
+  private final Supplier<TrafficLimits> limits;
+  private final Set<CallerConnection> connections = new HashSet<>();
+  private Channel listener;
+
+  /** Creates a server; it listens after its start. */
+  public FrontendServer(
+      InetSocketAddress address,
+      EventLoop eventLoop,
+      RequestReceiver receiver,
+      Supplier<TrafficLimits> limits) {
+    this.address = address;
+    this.eventLoop = eventLoop;
+    this.receiver = receiver;
+    this.limits = limits;
+  }
+
+  @Override
+  public CompletableFuture<Void> start() {
+    CompletableFuture<Void> started = new CompletableFuture<>();
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(eventLoop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    accept(channel);
+                  }
+                });
+    bootstrap
+        .bind(address)
+        .addListener(
+            (io.netty.channel.ChannelFuture bound) -> {
+              if (bound.isSuccess()) {
+                listener = bound.channel();
+                started.complete(null);
+              } else {
+                started.completeExceptionally(bound.cause());
+              }
+            });
+    return started;
+  }
+
+  private void accept(Channel channel) {
+    TrafficLimits current = limits.get();
+    CallerConnection connection = new CallerConnection(receiver, current);
+    connections.add(connection);
+    channel.closeFuture().addListener(closed -> connections.remove(connection));
+    channel
+        .pipeline()
+        .addLast(
+            new HeaderTimeout(current.headerTimeout()),
+            new StrictRequestDecoder(current.maxHeaderBytes()),
+            new HttpResponseEncoder(),
+            connection);
+  }
+
+  /** Closes connections that carry no request; called on the traffic thread. */
+  public void closeIdleConnections() {
+    Set.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+  }
+
+  @Override
+  public CompletableFuture<Void> stop() {
+    CompletableFuture<Void> stopped = new CompletableFuture<>();
+    eventLoop.execute(
+        () -> {
+          if (listener != null) {
+            listener.close();
+          }
+          stopped.complete(null);
+        });
+    return stopped;
+  }
+}
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/frontend/HeaderTimeout.java
@@ -0,0 +1,46 @@
+package org.basilport.gateway.frontend;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Closes a connection whose first request head is not complete in time, so that callers that send a
+ * head byte by byte hold no connection for long.
+ */
+final class HeaderTimeout extends ChannelInboundHandlerAdapter {
+  private final Duration limit;
+  private ScheduledFuture<?> timer;
+
+  HeaderTimeout(Duration limit) {
+    this.limit = limit;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    if (timer == null) {
+      timer =
+          context
+              .executor()
+              .schedule(() -> onTimer(context), limit.toNanos(), TimeUnit.NANOSECONDS);
+    }
+    context.fireChannelRead(message);
+  }
+
+  private void onTimer(ChannelHandlerContext context) {
+    CallerConnection connection = context.pipeline().get(CallerConnection.class);
+    if (!connection.sawRequest()) {
+      context.close();
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    if (timer != null) {
+      timer.cancel(false);
+    }
+    context.fireChannelInactive();
+  }
+}
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/frontend/package-info.java
@@ -0,0 +1,2 @@
+/** The server side of callers' connections. */
+package org.basilport.gateway.frontend;
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/message/ForwardingDetails.java
@@ -0,0 +1,24 @@
+package org.basilport.gateway.message;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * What the system adds to a request for a backend server.
+ *
+ * @param remaining time after which the backend server may stop work
+ * @param serverId the only backend server that may run the request
+ * @param workspace workspace of the caller
+ * @param urgency order of admission at the engine
+ * @param lastEventId event after which a stream goes on
+ * @param memory memory of the same generation that the engine goes on from
+ * @param copyAddress engine that keeps a copy of the generation's memory up to date
+ */
+public record ForwardingDetails(
+    Duration remaining,
+    String serverId,
+    Optional<String> workspace,
+    Optional<Integer> urgency,
+    Optional<String> lastEventId,
+    Optional<MemoryReference> memory,
+    Optional<String> copyAddress) {}
--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/RequestDemand.java
@@ -0,0 +1,30 @@
+package org.basilport.policy.dispatch;
+
+/**
+ * What a request needs from a backend server.
+ *
+ * @param promptTokens tokens of the prompt, 0 for a plain call
+ * @param memoryTokens key-value memory that is set aside for it, in tokens
+ */
+public record RequestDemand(int promptTokens, long memoryTokens) {
+
+  /** A call to a plain service. */
+  public static final RequestDemand PLAIN_CALL = new RequestDemand(0, 0);
+
+  /**
+   * Share of the expected output for which memory is set aside. Generations of a batch are at
+   * different points of their output, so they rarely need their full memory at the same time.
+   */
+  private static final double OUTPUT_SHARE = 0.75;
+
+  /** A generation with an estimate of its output. */
+  public static RequestDemand generation(int promptTokens, int expectedOutputTokens) {
+    return new RequestDemand(
+        promptTokens, promptTokens + Math.round(OUTPUT_SHARE * expectedOutputTokens));
+  }
+
+  /** The work that the request adds to a server. */
+  public WorkShare asWork() {
+    return new WorkShare(1, promptTokens, memoryTokens);
+  }
+}
