--- a/basilport-common/src/main/java/org/basilport/event/EventType.java
+++ b/basilport-common/src/main/java/org/basilport/event/EventType.java
@@ -23,7 +23,8 @@
   CONFIGURATION_CONFLICT(2004, Level.WARN, "configuration from {} conflicts with number {} of {}"),
   CONFIGURATION_UNPROVEN(
       2006, Level.WARN, "no proof that configuration {} is the newest, proof_age_ms={}"),
-  CONFIGURATION_PROVEN(2007, Level.INFO, "configuration {} proven to be the newest again"),
+  CONFIGURATION_PROVEN(
+      2007, Level.INFO, "configuration {} proven to be the newest, proof_age_ms={}"),
   CONFIGURATION_STALE(2005, Level.WARN, "configuration {} may be out of date: {}"),
   MEMBER_JOINED(3001, Level.INFO, "member {} joined, incarnation {}"),
   MEMBER_SUSPECTED(3002, Level.WARN, "member {} is suspected, no heartbeat for {} ms"),
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendServer.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendServer.java
@@ -2,18 +2,28 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import org.basilport.gateway.config.EngineCapacity;
 import org.basilport.policy.dispatch.ServerLoad;
 
 /** A backend server with its connections and load. */
 public final class BackendServer {
   private final ServerEntry entry;
+  private final Optional<EngineCapacity> engine;
   private final ServerLoad load;
   private final ConnectionPool connections;
   private final List<Runnable> departureListeners = new ArrayList<>();
+  private long departureNanos;
+  private long memoryTokensAtDeparture;
 
   /** Creates a server that has no work yet. */
-  public BackendServer(ServerEntry entry, ServerLoad load, ConnectionPool connections) {
+  public BackendServer(
+      ServerEntry entry,
+      Optional<EngineCapacity> engine,
+      ServerLoad load,
+      ConnectionPool connections) {
     this.entry = entry;
+    this.engine = engine;
     this.load = load;
     this.connections = connections;
   }
@@ -23,6 +33,21 @@
     return entry;
   }
 
+  /** Capacity of the engine; empty for a plain server. */
+  public Optional<EngineCapacity> engine() {
+    return engine;
+  }
+
+  /** When the server was found to leave, on the monotonic clock; meaningless before. */
+  public long departureNanos() {
+    return departureNanos;
+  }
+
+  /** Memory of all its generations when the server was found to leave, in tokens. */
+  public long memoryTokensAtDeparture() {
+    return memoryTokensAtDeparture;
+  }
+
   /** Load and behaviour of the server. */
   public ServerLoad load() {
     return load;
@@ -48,6 +73,8 @@
     if (load.leaving()) {
       return;
     }
+    departureNanos = System.nanoTime();
+    memoryTokensAtDeparture = load.total().memoryTokens();
     load.markLeaving();
     List<Runnable> listeners = List.copyOf(departureListeners);
     departureListeners.clear();
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -75,7 +75,8 @@
     long memory = service.engine().map(engine -> engine.memoryTokens()).orElse(0L);
     ServerLoad load = new ServerLoad(entry.id(), entry.dataCentre(), slots, memory);
     BackendServer server =
-        new BackendServer(entry, load, new ConnectionPool(entry, eventLoop, codec));
+        new BackendServer(
+            entry, service.engine(), load, new ConnectionPool(entry, eventLoop, codec));
     load.setSlowUntil(System.nanoTime() + entry.slowFor().toNanos());
     byId.put(entry.id(), server);
     byService.computeIfAbsent(entry.service(), name -> new ArrayList<>()).add(server);
--- a/basilport-gateway/src/main/java/org/basilport/gateway/config/EngineCapacity.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/config/EngineCapacity.java
@@ -6,6 +6,8 @@
  * @param batchSlots generations that an engine processes at once
  * @param memoryTokens key-value memory of an engine, in tokens
  * @param tokensPerEvent output tokens in one event of a stream
+ * @param copyNanosPerToken time to copy the memory of one token to another engine of the data
+ *     centre
  * @param movesGenerations whether a running generation can be moved to another engine
  * @param copiesGenerations whether an engine can keep a copy of a running generation up to date
  */
@@ -13,5 +15,6 @@
     int batchSlots,
     long memoryTokens,
     int tokensPerEvent,
+    double copyNanosPerToken,
     boolean movesGenerations,
     boolean copiesGenerations) {}
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
@@ -12,9 +12,12 @@
 import org.basilport.gateway.backend.AnswerListener;
 import org.basilport.gateway.backend.BackendConnection;
 import org.basilport.gateway.backend.BackendServer;
+import org.basilport.gateway.config.EngineCapacity;
 import org.basilport.gateway.message.MemoryReference;
 import org.basilport.gateway.message.MoveResult;
 import org.basilport.gateway.message.ServerAnswer;
+import org.basilport.policy.dispatch.MovePacing;
+import org.basilport.policy.dispatch.MoveTargetSelector;
 import org.basilport.policy.dispatch.RequestDemand;
 import org.basilport.policy.dispatch.WorkShare;
 
@@ -49,7 +52,7 @@
   private WorkShare reserved = WorkShare.NONE;
   private boolean sourceEnded;
   private Optional<String> handle = Optional.empty();
-  private ScheduledFuture<?> retryTimer;
+  private ScheduledFuture<?> nextStep;
   private long stopNanos;
   private int tries;
 
@@ -71,7 +74,9 @@
     source = exchange.server;
     Optional<BackendServer> chosen =
         exchange.dispatcher.choose(
-            new RequestDemand(0, exchange.remainingWork().memoryTokens()), exchange);
+            new MoveTargetSelector(source.entry().dataCentre()),
+            new RequestDemand(0, exchange.remainingWork().memoryTokens()),
+            exchange);
     if (chosen.isEmpty()) {
       fail(Step.LOCATE, "no engine has room");
       return;
@@ -84,6 +89,14 @@
     order(false);
   }
 
+  private void orderLast() {
+    if (state == State.COPYING) {
+      state = State.STOPPING;
+      stopNanos = System.nanoTime();
+      order(true);
+    }
+  }
+
   private void order(boolean last) {
     BackendServer from = source;
     from.connections()
@@ -112,9 +125,13 @@
     }
     if (!last) {
       if (result.copied()) {
-        state = State.STOPPING;
-        stopNanos = System.nanoTime();
-        order(true);
+        double copyNanos = source.engine().map(EngineCapacity::copyNanosPerToken).orElse(0.0);
+        long delay =
+            MovePacing.delayNanos(
+                System.nanoTime() - source.departureNanos(),
+                source.memoryTokensAtDeparture(),
+                copyNanos);
+        nextStep = context.eventLoop().schedule(this::orderLast, delay, TimeUnit.NANOSECONDS);
       } else {
         releaseTarget();
         state = State.IDLE;
@@ -189,7 +206,7 @@
             reason);
     tries++;
     if (tries < MAX_TRIES) {
-      retryTimer = context.eventLoop().schedule(this::start, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+      nextStep = context.eventLoop().schedule(this::start, RETRY_MILLIS, TimeUnit.MILLISECONDS);
     }
   }
 
@@ -217,8 +234,8 @@
   /** Ends the move because the exchange ended. */
   void cancel() {
     state = State.ENDED;
-    if (retryTimer != null) {
-      retryTimer.cancel(false);
+    if (nextStep != null) {
+      nextStep.cancel(false);
     }
     releaseTarget();
   }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
@@ -76,7 +76,7 @@
     List<Runnable> placed = new ArrayList<>();
     line.offer(
         request -> {
-          Optional<BackendServer> server = choose(request.demand(), request);
+          Optional<BackendServer> server = choose(selector, request.demand(), request);
           server.ifPresent(
               chosen -> {
                 chosen.load().add(request.demand().asWork());
@@ -90,7 +90,7 @@
   }
 
   private boolean place(PlacementRequest request) {
-    Optional<BackendServer> server = choose(request.demand(), request);
+    Optional<BackendServer> server = choose(selector, request.demand(), request);
     server.ifPresent(
         chosen -> {
           chosen.load().add(request.demand().asWork());
@@ -99,8 +99,9 @@
     return server.isPresent();
   }
 
-  /** Chooses a server without changing its load. */
-  Optional<BackendServer> choose(RequestDemand demand, PlacementRequest request) {
+  /** Chooses a server by other criteria than the service's own, without changing its load. */
+  Optional<BackendServer> choose(
+      ServerSelector criteria, RequestDemand demand, PlacementRequest request) {
     long now = System.nanoTime();
     List<ServerLoad> candidates = new ArrayList<>();
     List<ServerLoad> suspended = new ArrayList<>();
@@ -115,6 +116,6 @@
     if (suspended.size() > candidates.size()) {
       candidates.addAll(suspended);
     }
-    return selector.select(candidates, demand, now).flatMap(load -> servers.server(load.id()));
+    return criteria.select(candidates, demand, now).flatMap(load -> servers.server(load.id()));
   }
 }
--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/MoveTargetSelector.java
@@ -0,0 +1,51 @@
+package org.basilport.policy.dispatch;
+
+import java.util.Collection;
+import java.util.Optional;
+
+/**
+ * Chooses the engine that takes over a generation from an engine that leaves.
+ *
+ * <p>Answers engines that are reclaimed at short notice: all their generations have to be copied
+ * over one link within about 1.5 s, and a copy to another data centre takes twice as long. An
+ * engine of the same data centre is therefore preferred unless its memory would be nearly full.
+ */
+public final class MoveTargetSelector implements ServerSelector {
+  /** Share of the memory that may be assigned; a refused move would lose the whole generation. */
+  private static final double MEMORY_SHARE = 0.97;
+
+  /** Memory occupancy that another data centre must be lower by to be preferred. */
+  private static final double OTHER_DATA_CENTRE = 0.5;
+
+  private final String sourceDataCentre;
+
+  /** Creates a selector for generations of an engine in the given data centre. */
+  public MoveTargetSelector(String sourceDataCentre) {
+    this.sourceDataCentre = sourceDataCentre;
+  }
+
+  @Override
+  public Optional<ServerLoad> select(
+      Collection<ServerLoad> candidates, RequestDemand demand, long nowNanos) {
+    ServerLoad best = null;
+    double bestCost = Double.MAX_VALUE;
+    for (ServerLoad server : candidates) {
+      WorkShare work = server.total();
+      double occupancy =
+          (double) (work.memoryTokens() + demand.memoryTokens())
+              / Math.max(1, server.memoryTokens());
+      if (work.requests() >= server.slots() || occupancy > MEMORY_SHARE) {
+        continue;
+      }
+      double cost = occupancy + server.health().failureRate();
+      if (!server.dataCentre().equals(sourceDataCentre)) {
+        cost += OTHER_DATA_CENTRE;
+      }
+      if (cost < bestCost) {
+        best = server;
+        bestCost = cost;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+}
