--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendServer.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendServer.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.basilport.gateway.config.EngineCapacity;
+import org.basilport.policy.dispatch.MoveTriage;
 import org.basilport.policy.dispatch.ServerLoad;
 
 /** A backend server with its connections and load. */
@@ -12,7 +13,7 @@
   private final Optional<EngineCapacity> engine;
   private final ServerLoad load;
   private final ConnectionPool connections;
-  private final List<Runnable> departureListeners = new ArrayList<>();
+  private final List<DepartureListener> departureListeners = new ArrayList<>();
   private long departureNanos;
   private long memoryTokensAtDeparture;
 
@@ -59,16 +60,16 @@
   }
 
   /** Calls a listener once when the server starts to leave. */
-  public void onDeparture(Runnable listener) {
+  public void onDeparture(DepartureListener listener) {
     departureListeners.add(listener);
   }
 
   /** Removes a listener. */
-  public void removeDepartureListener(Runnable listener) {
+  public void removeDepartureListener(DepartureListener listener) {
     departureListeners.remove(listener);
   }
 
-  /** Marks the server as leaving and tells the listeners once. */
+  /** Marks the server as leaving and tells once the listeners whose generations can be moved. */
   public void depart() {
     if (load.leaving()) {
       return;
@@ -76,8 +77,15 @@
     departureNanos = System.nanoTime();
     memoryTokensAtDeparture = load.total().memoryTokens();
     load.markLeaving();
-    List<Runnable> listeners = List.copyOf(departureListeners);
+    List<MoveTriage.Candidate<DepartureListener>> candidates =
+        departureListeners.stream()
+            .map(
+                listener ->
+                    new MoveTriage.Candidate<>(listener, listener.memoryTokens(), listener.value()))
+            .toList();
     departureListeners.clear();
-    listeners.forEach(Runnable::run);
+    double copyNanos = engine.map(EngineCapacity::copyNanosPerToken).orElse(0.0);
+    MoveTriage.select(candidates, memoryTokensAtDeparture, copyNanos)
+        .forEach(DepartureListener::onDeparture);
   }
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.basilport.event.EventSink;
 import org.basilport.event.EventSubject;
 import org.basilport.event.EventType;
@@ -18,10 +19,14 @@
 
 /** All backend servers that the directory lists; confined to the traffic thread. */
 public final class ServerTable {
+  /** Time for which departures are told; an instance cut off for longer lists the servers anew. */
+  private static final long NEWS_NANOS = TimeUnit.SECONDS.toNanos(10);
+
   private final EventLoop eventLoop;
   private final MessageCodec codec;
   private final EventSink events;
   private final Map<String, BackendServer> byId = new HashMap<>();
+  private final Map<String, Long> departures = new HashMap<>();
   private final Map<String, List<BackendServer>> byService = new HashMap<>();
 
   /** Creates an empty table. */
@@ -83,14 +88,14 @@
     events.record(
         EventType.BACKEND_ADDED, EventSubject.server(entry.id()), entry.id(), entry.incarnation());
     if (entry.leaving()) {
-      server.depart();
+      depart(server);
     }
   }
 
   private void refresh(BackendServer known, ServerEntry entry, String source) {
     if (entry.leaving() && !known.load().leaving()) {
       events.record(EventType.BACKEND_LEAVING, EventSubject.server(entry.id()), entry.id(), source);
-      known.depart();
+      depart(known);
     }
   }
 
@@ -101,10 +106,31 @@
     if (!server.load().leaving()) {
       events.record(EventType.BACKEND_LEAVING, EventSubject.server(entry.id()), entry.id(), reason);
     }
-    server.depart();
+    depart(server);
     server.connections().shutDown();
   }
 
+  /** Marks a server as leaving because another instance says so. */
+  public void markLeaving(String id, String source) {
+    BackendServer server = byId.get(id);
+    if (server != null && !server.load().leaving()) {
+      events.record(EventType.BACKEND_LEAVING, EventSubject.server(id), id, source);
+      depart(server);
+    }
+  }
+
+  private void depart(BackendServer server) {
+    departures.put(server.entry().id(), System.nanoTime());
+    server.depart();
+  }
+
+  /** Ids of the servers that were found to leave within the last seconds. */
+  public Set<String> recentDepartures() {
+    long now = System.nanoTime();
+    departures.values().removeIf(since -> now - since > NEWS_NANOS);
+    return Set.copyOf(departures.keySet());
+  }
+
   /** Returns all servers of a service, including those that are leaving. */
   public List<BackendServer> servers(String service) {
     return byService.getOrDefault(service, List.of());
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -11,11 +11,14 @@
 import org.basilport.error.Step;
 import org.basilport.event.EventType;
 import org.basilport.gateway.backend.BackendServer;
+import org.basilport.gateway.backend.DepartureListener;
+import org.basilport.gateway.config.EngineCapacity;
 import org.basilport.gateway.config.ForwardingRoute;
 import org.basilport.gateway.config.KeyHolder;
 import org.basilport.gateway.config.Repeatability;
 import org.basilport.gateway.message.CallerRequest;
 import org.basilport.gateway.message.MemoryReference;
+import org.basilport.gateway.message.Prompt;
 import org.basilport.gateway.message.ServerAnswer;
 import org.basilport.policy.dispatch.WorkShare;
 
@@ -26,7 +29,7 @@
 final class StreamedExchange extends Exchange {
   private final EventStreamReader reader = new EventStreamReader();
   private final ByteArrayOutputStream failureBody = new ByteArrayOutputStream();
-  private final Runnable departureListener = this::onServerLeaving;
+  private final DepartureListener departureListener = new Departure();
   private final GenerationMove move;
   private ServerAnswer answer;
   private HttpHeaders headers;
@@ -271,6 +274,12 @@
     return new WorkShare(1, 0, charge().memoryTokens());
   }
 
+  /** Memory of the generation at its engine, in tokens. */
+  private long usedTokens() {
+    int perEvent = server.engine().map(EngineCapacity::tokensPerEvent).orElse(1);
+    return request.prompt().map(Prompt::promptTokens).orElse(0) + (long) perEvent * reader.events();
+  }
+
   private void checkSilence() {
     if (finished() || connection == null || move.stopping()) {
       return;
@@ -302,6 +311,30 @@
     }
   }
 
+  /** Moves the generation when its engine leaves. */
+  private final class Departure implements DepartureListener {
+    /** An output token takes about as long to produce as ten prompt tokens take to read. */
+    private static final int OUTPUT_WEIGHT = 10;
+
+    @Override
+    public long memoryTokens() {
+      return server == null ? 0 : usedTokens();
+    }
+
+    @Override
+    public double value() {
+      return request
+          .prompt()
+          .map(p -> (double) p.promptTokens() + OUTPUT_WEIGHT * p.maxOutputTokens())
+          .orElse(0.0);
+    }
+
+    @Override
+    public void onDeparture() {
+      onServerLeaving();
+    }
+  }
+
   @Override
   int eventCount() {
     return reader.events();
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
@@ -66,6 +67,7 @@
   private boolean ready;
   private long sequence;
   private Map<String, WorkShare> lastSent = Map.of();
+  private Set<String> lastDepartures = Set.of();
   private long lastSentNanos = System.nanoTime();
 
   /** Creates an exchange; it sends after its start. */
@@ -153,6 +155,7 @@
     dropSilentPeers(now);
     Map<String, WorkShare> work = ownWork();
     if (!work.equals(lastSent)
+        || !lastDepartures.containsAll(state.servers().recentDepartures())
         || now - lastSentNanos > TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_MILLIS)) {
       send(work);
     }
@@ -174,6 +177,7 @@
       return;
     }
     lastSent = work;
+    lastDepartures = state.servers().recentDepartures();
     lastSentNanos = System.nanoTime();
     LoadReport.Builder report =
         LoadReport.newBuilder()
@@ -181,7 +185,8 @@
             .setIncarnation(incarnation)
             .setSequence(++sequence)
             .setReady(ready)
-            .setFrontendAddress(frontendAddress);
+            .setFrontendAddress(frontendAddress)
+            .addAllLeavingServerIds(lastDepartures);
     work.forEach(
         (id, share) ->
             report.addWork(
@@ -223,6 +228,9 @@
       return;
     }
     peers.put(report.getInstanceId(), new Peer(report, System.nanoTime()));
+    report
+        .getLeavingServerIdsList()
+        .forEach(id -> state.servers().markLeaving(id, report.getInstanceId()));
     if (known == null || known.report.getIncarnation() != report.getIncarnation()) {
       events.record(
           EventType.MEMBER_JOINED,
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/EarliestFirstTokenSelector.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/EarliestFirstTokenSelector.java
@@ -23,6 +23,12 @@
   /** Cost of another data centre, about the round trip between data centres. */
   private static final double OTHER_DATA_CENTRE_NANOS = TimeUnit.MILLISECONDS.toNanos(15);
 
+  /**
+   * Cost of a full memory. It spreads generations evenly, so that an engine that is reclaimed has
+   * few of them to move; it is about the time to read one long prompt.
+   */
+  private static final double FULL_MEMORY_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
   /** Slowdown that a fully occupied batch causes, as a share of the reading time. */
   private static final double BATCH_SLOWDOWN = 0.5;
 
@@ -87,6 +93,7 @@
 
   private double penalty(ServerLoad server, long nowNanos) {
     double penalty = server.dataCentre().equals(dataCentre) ? 0 : OTHER_DATA_CENTRE_NANOS;
+    penalty += FULL_MEMORY_NANOS * server.total().memoryTokens() / server.memoryTokens();
     penalty += server.health().failureRate() * firstTokenLimitNanos;
     if (server.slowAfterStart(nowNanos)) {
       penalty += firstTokenLimitNanos / 4.0;
