--- a/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -174,7 +174,7 @@
               settings.instanceId(),
               "asked to stop");
           loads.setReady(false);
-          forwarder.drain();
+          forwarder.drain(atMost);
           frontend.closeIdleConnections();
           awaitDrained(System.nanoTime(), atLeast, atMost, drained);
         });
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/RequestForwarder.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/RequestForwarder.java
@@ -24,16 +24,22 @@
 import org.basilport.gateway.message.CallerRequest;
 import org.basilport.gateway.message.MalformedMessageException;
 import org.basilport.gateway.message.MessageCodec;
+import org.basilport.gateway.message.Prompt;
+import org.basilport.policy.dispatch.DrainAdmission;
 
 /** Checks each request against the configuration in force and starts its exchange. */
 public final class RequestForwarder implements RequestReceiver {
   /** Delay after which a caller may find an instance with a proven configuration. */
   private static final double UNPROVEN_RETRY_SECONDS = 0.5;
 
+  /** Delay after which a caller connects to another instance when this one stops. */
+  private static final double STOPPING_RETRY_SECONDS = 0.1;
+
   private final ForwardingContext context;
   private final Duration proofLimit;
   private final Set<Exchange> open = new HashSet<>();
   private boolean draining;
+  private long cutOffNanos;
 
   /**
    * Creates a forwarder.
@@ -82,6 +88,9 @@
         return reject(request.id(), 503, Step.AUTHENTICATE, "key cannot be proven valid", caller);
       }
     }
+    if (endsTooLate(request, route.get())) {
+      return reject(request.id(), 503, Step.ADMIT, "instance is stopping", caller);
+    }
     return startExchange(request, route.get(), holder, caller);
   }
 
@@ -115,7 +124,9 @@
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
     if (status == 503) {
-      context.codec().addRetryDelay(headers, UNPROVEN_RETRY_SECONDS);
+      context
+          .codec()
+          .addRetryDelay(headers, draining ? STOPPING_RETRY_SECONDS : UNPROVEN_RETRY_SECONDS);
     }
     caller.answer(status, headers, reason.getBytes(StandardCharsets.UTF_8));
     return CallerHandle.NONE;
@@ -143,9 +154,22 @@
     return open.size();
   }
 
-  /** Lets connections of callers end after their present answers. */
-  public void drain() {
+  /**
+   * Lets connections of callers end after their present answers.
+   *
+   * @param untilCutOff time after which open requests are cut off
+   */
+  public void drain(Duration untilCutOff) {
     draining = true;
+    cutOffNanos = System.nanoTime() + untilCutOff.toNanos();
+  }
+
+  /** Whether a generation would be cut off when this instance stops. */
+  private boolean endsTooLate(CallerRequest request, ForwardingRoute route) {
+    int output = request.prompt().map(Prompt::maxOutputTokens).orElse(0);
+    return draining
+        && route.repeatability().streamed()
+        && !DrainAdmission.accepts(cutOffNanos - System.nanoTime(), output);
   }
 
   @Override
