--- a/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import org.basilport.gateway.forward.TrafficState;
 import org.basilport.gateway.frontend.FrontendServer;
 import org.basilport.gateway.message.MessageCodec;
+import org.basilport.gateway.peer.ConfigurationSource;
 import org.basilport.gateway.peer.InstanceEntry;
 import org.basilport.gateway.peer.LoadExchange;
 import org.basilport.misc.Service;
@@ -77,9 +78,10 @@
                     .orElse(TrafficLimits.INITIAL));
     this.loads =
         new LoadExchange(
-            settings.loadAddress(),
+            settings.peerAddress(),
             eventLoop,
             settings.instanceId(),
+            settings.dataCentre(),
             settings.frontendAddress(),
             state,
             events);
@@ -87,6 +89,11 @@
     metrics.gauge("forward.waiting", () -> state::waiting);
   }
 
+  /** Sets where the configuration is read; called before the start. */
+  public void setConfigurationSource(ConfigurationSource source) {
+    loads.setSource(source);
+  }
+
   @Override
   public CompletableFuture<Void> start() {
     return loads
--- a/basilport-gateway/src/main/java/org/basilport/gateway/GatewaySettings.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/GatewaySettings.java
@@ -10,7 +10,7 @@
  * @param instanceId id of the instance
  * @param dataCentre data centre of the instance
  * @param frontend address that callers connect to
- * @param loadAddress address that takes load reports of other instances
+ * @param peerAddress address that takes datagrams of other instances
  * @param retryLimits limits on requests that are sent again
  * @param proofLimit age of the proof of freshness above which keys are no longer accepted
  * @param readinessProofLimit age of the proof above which the instance is not ready
@@ -20,7 +20,7 @@
     String instanceId,
     String dataCentre,
     InetSocketAddress frontend,
-    InetSocketAddress loadAddress,
+    InetSocketAddress peerAddress,
     RetryLimits retryLimits,
     Duration proofLimit,
     Duration readinessProofLimit,
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -22,11 +22,14 @@
   /** Time for which departures are told; an instance cut off for longer lists the servers anew. */
   private static final long NEWS_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+  /** Time for which a list that is some seconds old does not bring back a server that left. */
+  private static final long MEMORY_NANOS = TimeUnit.SECONDS.toNanos(30);
+
   private final EventLoop eventLoop;
   private final MessageCodec codec;
   private final EventSink events;
   private final Map<String, BackendServer> byId = new HashMap<>();
-  private final Map<String, Long> departures = new HashMap<>();
+  private final Map<String, Departure> departures = new HashMap<>();
   private final Map<String, List<BackendServer>> byService = new HashMap<>();
 
   /** Creates an empty table. */
@@ -87,7 +90,7 @@
     byService.computeIfAbsent(entry.service(), name -> new ArrayList<>()).add(server);
     events.record(
         EventType.BACKEND_ADDED, EventSubject.server(entry.id()), entry.id(), entry.incarnation());
-    if (entry.leaving()) {
+    if (entry.leaving() || departedBefore(entry)) {
       depart(server);
     }
   }
@@ -111,26 +114,42 @@
   }
 
   /** Marks a server as leaving because another instance says so. */
-  public void markLeaving(String id, String source) {
+  public void markLeaving(String id, long incarnation, String source) {
     BackendServer server = byId.get(id);
-    if (server != null && !server.load().leaving()) {
+    if (server != null && server.entry().incarnation() == incarnation && !server.load().leaving()) {
       events.record(EventType.BACKEND_LEAVING, EventSubject.server(id), id, source);
       depart(server);
     }
   }
 
   private void depart(BackendServer server) {
-    departures.put(server.entry().id(), System.nanoTime());
+    departures.put(
+        server.entry().id(), new Departure(server.entry().incarnation(), System.nanoTime()));
     server.depart();
   }
 
-  /** Ids of the servers that were found to leave within the last seconds. */
-  public Set<String> recentDepartures() {
+  /** Servers that were found to leave within the last seconds, with their incarnations. */
+  public Map<String, Long> recentDepartures() {
     long now = System.nanoTime();
-    departures.values().removeIf(since -> now - since > NEWS_NANOS);
-    return Set.copyOf(departures.keySet());
+    departures.values().removeIf(departure -> now - departure.nanos() > MEMORY_NANOS);
+    Map<String, Long> recent = new HashMap<>();
+    departures.forEach(
+        (id, departure) -> {
+          if (now - departure.nanos() < NEWS_NANOS) {
+            recent.put(id, departure.incarnation());
+          }
+        });
+    return recent;
+  }
+
+  private boolean departedBefore(ServerEntry entry) {
+    Departure departure = departures.get(entry.id());
+    return departure != null && departure.incarnation() == entry.incarnation();
   }
 
+  /** A start of a server that left. */
+  private record Departure(long incarnation, long nanos) {}
+
   /** Returns all servers of a service, including those that are leaving. */
   public List<BackendServer> servers(String service) {
     return byService.getOrDefault(service, List.of());
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/FreshnessExchange.java
@@ -0,0 +1,131 @@
+package org.basilport.gateway.peer;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.basilport.gateway.config.ForwardingConfiguration;
+import org.basilport.gateway.forward.TrafficState;
+import org.basilport.protocol.PeerDatagram;
+import org.basilport.protocol.ProofReply;
+import org.basilport.protocol.ProofRequest;
+
+/**
+ * Obtains proofs of freshness from instances that watch the store.
+ *
+ * <p>The age in a reply was true after the request was sent, so the proof dates from the sending of
+ * the request less that age, however long the reply took. Confined to the traffic thread.
+ */
+final class FreshnessExchange {
+  /** Interval of requests; several fit into the time for which a proof counts. */
+  private static final long REQUEST_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
+  /** Age of the own proof above which the store is read directly. */
+  private static final long DIRECT_READ_AGE_MILLIS = 1_900;
+
+  /**
+   * Shortest interval of direct reads, so that a fleet without watchers does not flood the store.
+   */
+  private static final long DIRECT_READ_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  /** Requests without a reply that are remembered. */
+  private static final int MAX_PENDING = 16;
+
+  private final String instanceId;
+  private final PeerChannel channel;
+  private final TrafficState state;
+  private final Map<Long, Start> pending = new HashMap<>();
+  private ConfigurationSource source;
+  private long nextNonce = System.nanoTime();
+  private long lastRequestNanos = System.nanoTime() - REQUEST_NANOS;
+  private long lastReadNanos = System.nanoTime() - DIRECT_READ_NANOS;
+
+  FreshnessExchange(String instanceId, PeerChannel channel, TrafficState state) {
+    this.instanceId = instanceId;
+    this.channel = channel;
+    this.state = state;
+  }
+
+  void setSource(ConfigurationSource configurationSource) {
+    source = configurationSource;
+  }
+
+  /** Asks watching instances, and reads the store itself when the proof becomes old. */
+  void tick(List<InetSocketAddress> watchers) {
+    long now = System.nanoTime();
+    if (now - lastRequestNanos >= REQUEST_NANOS) {
+      lastRequestNanos = now;
+      request(watchers);
+    }
+    if (state.proof().ageMillis(now, System.currentTimeMillis()) > DIRECT_READ_AGE_MILLIS) {
+      refresh();
+    }
+  }
+
+  /** Reads the store, at most once in an interval. */
+  void refresh() {
+    long now = System.nanoTime();
+    if (source != null && now - lastReadNanos >= DIRECT_READ_NANOS) {
+      lastReadNanos = now;
+      source.refresh();
+    }
+  }
+
+  private void request(List<InetSocketAddress> watchers) {
+    if (pending.size() > MAX_PENDING) {
+      pending.clear();
+    }
+    long nonce = nextNonce++;
+    pending.put(nonce, new Start(System.nanoTime(), System.currentTimeMillis()));
+    channel.send(
+        PeerDatagram.newBuilder()
+            .setSenderId(instanceId)
+            .setProofRequest(ProofRequest.newBuilder().setNonce(nonce))
+            .build(),
+        watchers);
+  }
+
+  /** Answers a request if the own configuration is known to be current. */
+  void onRequest(ProofRequest request, InetSocketAddress sender) {
+    long age = state.proof().ageMillis(System.nanoTime(), System.currentTimeMillis());
+    long version = version();
+    if (age > DIRECT_READ_AGE_MILLIS || version == 0) {
+      return;
+    }
+    channel.send(
+        PeerDatagram.newBuilder()
+            .setSenderId(instanceId)
+            .setProofReply(
+                ProofReply.newBuilder()
+                    .setNonce(request.getNonce())
+                    .setConfigurationVersion(version)
+                    .setAgeMillis(age))
+            .build(),
+        List.of(sender));
+  }
+
+  /** Takes a proof; one of a newer configuration leads to a read of the store instead. */
+  void onReply(ProofReply reply) {
+    Start start = pending.get(reply.getNonce());
+    if (start == null || reply.getAgeMillis() < 0) {
+      return;
+    }
+    if (reply.getConfigurationVersion() > version()) {
+      refresh();
+    } else {
+      state
+          .proof()
+          .prove(
+              start.nanos - TimeUnit.MILLISECONDS.toNanos(reply.getAgeMillis()),
+              start.wallMillis - reply.getAgeMillis());
+    }
+  }
+
+  private long version() {
+    return state.configuration().map(ForwardingConfiguration::version).orElse(0L);
+  }
+
+  /** Both clocks when a request was sent. */
+  private record Start(long nanos, long wallMillis) {}
+}
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/InstanceEntry.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/InstanceEntry.java
@@ -6,6 +6,7 @@
  * An instance that registered itself.
  *
  * @param id id of the instance
- * @param loadAddress address that takes load reports
+ * @param dataCentre its data centre
+ * @param peerAddress address that takes datagrams of other instances
  */
-public record InstanceEntry(String id, InetSocketAddress loadAddress) {}
+public record InstanceEntry(String id, String dataCentre, InetSocketAddress peerAddress) {}
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -1,14 +1,6 @@
 package org.basilport.gateway.peer;
 
-import com.google.protobuf.InvalidProtocolBufferException;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -16,58 +8,61 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.basilport.event.EventSink;
 import org.basilport.event.EventSubject;
 import org.basilport.event.EventType;
 import org.basilport.gateway.backend.BackendServer;
+import org.basilport.gateway.config.ForwardingConfiguration;
 import org.basilport.gateway.forward.TrafficState;
 import org.basilport.misc.Service;
+import org.basilport.policy.dispatch.WatchDuty;
 import org.basilport.policy.dispatch.WorkShare;
 import org.basilport.protocol.LoadReport;
+import org.basilport.protocol.PeerDatagram;
+import org.basilport.protocol.ServerDeparture;
 import org.basilport.protocol.ServerWork;
 
 /**
- * Exchanges load reports with the other instances over datagrams; confined to the traffic thread.
+ * Tells the other instances of the own work and readiness; confined to the traffic thread.
  *
- * <p>A report is a whole snapshot, so a lost one is replaced by the next. Datagrams cost neither
- * connections nor threads, which gRPC would for messages that may be lost.
+ * <p>A report is a whole snapshot, so a lost one is replaced by the next. Changes of work on model
+ * engines go to all instances at once, because a few requests fill an engine; the rest goes to some
+ * of them at each interval.
  */
-public final class LoadExchange extends SimpleChannelInboundHandler<DatagramPacket>
-    implements Service {
-  private static final Logger LOG = LogManager.getLogger(LoadExchange.class);
-
+public final class LoadExchange implements Service {
   /** Interval of reports without a change. */
   private static final long HEARTBEAT_MILLIS = 250;
 
-  /** Shortest interval between reports: about the one-way time between data centres, times ten. */
+  /** Shortest interval between reports; a round trip between data centres takes 3 ms. */
   private static final long MIN_INTERVAL_MILLIS = 20;
 
   /** Silence after which an instance is considered dead: four reports were lost or not sent. */
   private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_100);
 
-  /** Instances that get one report; in a larger fleet they are drawn at random. */
+  /** Instances that get a report without news; in a larger fleet they are drawn at random. */
   private static final int FANOUT = 12;
 
-  private final InetSocketAddress address;
   private final EventLoop eventLoop;
   private final String instanceId;
+  private final String dataCentre;
   private final String frontendAddress;
   private final TrafficState state;
   private final EventSink events;
+  private final PeerChannel channel;
+  private final FreshnessExchange freshness;
   private final long incarnation = System.currentTimeMillis();
   private final Random random = new Random();
   private final Map<String, Peer> peers = new HashMap<>();
   private List<InstanceEntry> registered = List.of();
-  private Channel channel;
   private boolean ready;
+  private boolean watching = true;
+  private ConfigurationSource source;
   private long sequence;
-  private Map<String, WorkShare> lastSent = Map.of();
-  private Set<String> lastDepartures = Set.of();
+  private Map<String, WorkShare> lastEngineWork = Map.of();
+  private Map<String, Long> lastDepartures = Map.of();
+  private long lastVersion;
   private long lastSentNanos = System.nanoTime();
 
   /** Creates an exchange; it sends after its start. */
@@ -75,57 +70,46 @@
       InetSocketAddress address,
       EventLoop eventLoop,
       String instanceId,
+      String dataCentre,
       String frontendAddress,
       TrafficState state,
       EventSink events) {
-    this.address = address;
     this.eventLoop = eventLoop;
     this.instanceId = instanceId;
+    this.dataCentre = dataCentre;
     this.frontendAddress = frontendAddress;
     this.state = state;
     this.events = events;
+    this.channel = new PeerChannel(address, eventLoop, this::receive);
+    this.freshness = new FreshnessExchange(instanceId, channel, state);
+  }
+
+  /** Sets where the configuration is read; called before the start. */
+  public void setSource(ConfigurationSource configurationSource) {
+    source = configurationSource;
+    freshness.setSource(configurationSource);
   }
 
   @Override
   public CompletableFuture<Void> start() {
-    CompletableFuture<Void> started = new CompletableFuture<>();
-    new Bootstrap()
-        .group(eventLoop)
-        .channel(NioDatagramChannel.class)
-        .handler(this)
-        .bind(address)
-        .addListener(
-            (io.netty.channel.ChannelFuture bound) -> {
-              if (bound.isSuccess()) {
-                channel = bound.channel();
+    return channel
+        .start()
+        .thenRun(
+            () ->
                 eventLoop.scheduleWithFixedDelay(
-                    this::tick, MIN_INTERVAL_MILLIS, MIN_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-                started.complete(null);
-              } else {
-                started.completeExceptionally(bound.cause());
-              }
-            });
-    return started;
+                    this::tick, MIN_INTERVAL_MILLIS, MIN_INTERVAL_MILLIS, TimeUnit.MILLISECONDS));
   }
 
   @Override
   public CompletableFuture<Void> stop() {
-    CompletableFuture<Void> stopped = new CompletableFuture<>();
-    eventLoop.execute(
-        () -> {
-          if (channel != null) {
-            channel.close();
-          }
-          stopped.complete(null);
-        });
-    return stopped;
+    return channel.stop();
   }
 
   /** Sets whether this instance takes new requests. */
   public void setReady(boolean value) {
     if (ready != value) {
       ready = value;
-      send(ownWork());
+      send(addresses(registered));
     }
   }
 
@@ -138,46 +122,78 @@
   /** Addresses of the instances that are ready, with this one if it is. */
   public List<String> readyAddresses() {
     long now = System.nanoTime();
-    List<String> addresses = new ArrayList<>();
-    if (ready) {
-      addresses.add(frontendAddress);
+    List<String> ready = new ArrayList<>();
+    if (this.ready) {
+      ready.add(frontendAddress);
     }
     for (Peer peer : peers.values()) {
-      if (peer.report.getReady() && now - peer.heardNanos < SILENCE_NANOS) {
-        addresses.add(peer.report.getFrontendAddress());
+      if (peer.report.getReady() && now - peer.heardNanos < silenceLimit()) {
+        ready.add(peer.report.getFrontendAddress());
       }
     }
-    return addresses;
+    return ready;
   }
 
   private void tick() {
     long now = System.nanoTime();
     dropSilentPeers(now);
-    Map<String, WorkShare> work = ownWork();
-    if (!work.equals(lastSent)
-        || !lastDepartures.containsAll(state.servers().recentDepartures())
-        || now - lastSentNanos > TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_MILLIS)) {
-      send(work);
+    updateDuty();
+    Map<String, Long> departures = state.servers().recentDepartures();
+    boolean news =
+        !engineWork().equals(lastEngineWork)
+            || !lastDepartures.keySet().containsAll(departures.keySet())
+            || version() != lastVersion;
+    if (news) {
+      send(addresses(registered));
+    } else if (now - lastSentNanos > TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_MILLIS)) {
+      send(addresses(heartbeatReceivers()));
+    }
+  }
+
+  /** Takes or gives up the duty to watch the store, and obtains proofs without it. */
+  private void updateDuty() {
+    List<InstanceEntry> alive = new ArrayList<>();
+    alive.add(new InstanceEntry(instanceId, dataCentre, null));
+    for (InstanceEntry entry : registered) {
+      if (peers.containsKey(entry.id())) {
+        alive.add(entry);
+      }
     }
+    List<InstanceEntry> watchers =
+        WatchDuty.watchers(alive, InstanceEntry::id, InstanceEntry::dataCentre, dataCentre);
+    boolean duty = watchers.stream().anyMatch(entry -> entry.id().equals(instanceId));
+    if (duty != watching && source != null) {
+      watching = duty;
+      source.setWatching(duty);
+    }
+    if (!duty) {
+      freshness.tick(addresses(watchers));
+    }
+  }
+
+  private static List<InetSocketAddress> addresses(List<InstanceEntry> entries) {
+    return entries.stream().map(InstanceEntry::peerAddress).toList();
+  }
+
+  private long version() {
+    return state.configuration().map(ForwardingConfiguration::version).orElse(0L);
   }
 
-  private Map<String, WorkShare> ownWork() {
+  private Map<String, WorkShare> engineWork() {
     Map<String, WorkShare> work = new HashMap<>();
     for (BackendServer server : state.servers().all()) {
       WorkShare own = server.load().own();
-      if (!own.equals(WorkShare.NONE)) {
+      if (server.engine().isPresent() && !own.equals(WorkShare.NONE)) {
         work.put(server.entry().id(), own);
       }
     }
     return work;
   }
 
-  private void send(Map<String, WorkShare> work) {
-    if (channel == null) {
-      return;
-    }
-    lastSent = work;
+  private void send(List<InetSocketAddress> receivers) {
+    lastEngineWork = engineWork();
     lastDepartures = state.servers().recentDepartures();
+    lastVersion = version();
     lastSentNanos = System.nanoTime();
     LoadReport.Builder report =
         LoadReport.newBuilder()
@@ -186,23 +202,27 @@
             .setSequence(++sequence)
             .setReady(ready)
             .setFrontendAddress(frontendAddress)
-            .addAllLeavingServerIds(lastDepartures);
-    work.forEach(
-        (id, share) ->
-            report.addWork(
-                ServerWork.newBuilder()
-                    .setServerId(id)
-                    .setRequests(share.requests())
-                    .setUnreadTokens(share.unreadTokens())
-                    .setMemoryTokens(share.memoryTokens())));
-    byte[] bytes = report.build().toByteArray();
-    for (InstanceEntry entry : receivers()) {
-      channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), entry.loadAddress()));
+            .setConfigurationVersion(lastVersion);
+    lastDepartures.forEach(
+        (id, start) ->
+            report.addDepartures(
+                ServerDeparture.newBuilder().setServerId(id).setIncarnation(start)));
+    for (BackendServer server : state.servers().all()) {
+      WorkShare own = server.load().own();
+      if (!own.equals(WorkShare.NONE)) {
+        report.addWork(
+            ServerWork.newBuilder()
+                .setServerId(server.entry().id())
+                .setRequests(own.requests())
+                .setUnreadTokens(own.unreadTokens())
+                .setMemoryTokens(own.memoryTokens()));
+      }
     }
-    channel.flush();
+    channel.send(
+        PeerDatagram.newBuilder().setSenderId(instanceId).setLoad(report).build(), receivers);
   }
 
-  private List<InstanceEntry> receivers() {
+  private List<InstanceEntry> heartbeatReceivers() {
     if (registered.size() <= FANOUT) {
       return registered;
     }
@@ -211,26 +231,41 @@
     return shuffled.subList(0, FANOUT);
   }
 
-  @Override
-  protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-    LoadReport report;
-    try {
-      report = LoadReport.parseFrom(packet.content().nioBuffer());
-    } catch (InvalidProtocolBufferException e) {
-      LOG.debug("datagram of {} is no load report: {}", packet.sender(), e.getMessage());
+  private void receive(PeerDatagram message, InetSocketAddress sender) {
+    if (message.getSenderId().equals(instanceId)) {
       return;
     }
-    if (report.getInstanceId().equals(instanceId)) {
-      return;
+    switch (message.getContentCase()) {
+      case LOAD:
+        onReport(message.getLoad());
+        break;
+      case PROOF_REQUEST:
+        freshness.onRequest(message.getProofRequest(), sender);
+        break;
+      case PROOF_REPLY:
+        freshness.onReply(message.getProofReply());
+        break;
+      default:
+        break;
     }
+  }
+
+  private void onReport(LoadReport report) {
     Peer known = peers.get(report.getInstanceId());
     if (known != null && !known.isOlderThan(report)) {
       return;
     }
     peers.put(report.getInstanceId(), new Peer(report, System.nanoTime()));
     report
-        .getLeavingServerIdsList()
-        .forEach(id -> state.servers().markLeaving(id, report.getInstanceId()));
+        .getDeparturesList()
+        .forEach(
+            departure ->
+                state
+                    .servers()
+                    .markLeaving(
+                        departure.getServerId(),
+                        departure.getIncarnation(),
+                        report.getInstanceId()));
     if (known == null || known.report.getIncarnation() != report.getIncarnation()) {
       events.record(
           EventType.MEMBER_JOINED,
@@ -238,6 +273,9 @@
           report.getInstanceId(),
           report.getIncarnation());
     }
+    if (report.getConfigurationVersion() > version()) {
+      freshness.refresh();
+    }
     if (known == null || !known.report.getWorkList().equals(report.getWorkList())) {
       publishOthersWork();
     }
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/PeerChannel.java
@@ -0,0 +1,106 @@
+package org.basilport.gateway.peer;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.basilport.misc.Service;
+import org.basilport.protocol.PeerDatagram;
+
+/**
+ * Datagrams between instances. They cost neither connections nor threads, and each message can be
+ * lost because a later one replaces it. Confined to the traffic thread.
+ */
+public final class PeerChannel extends SimpleChannelInboundHandler<DatagramPacket>
+    implements Service {
+  private static final Logger LOG = LogManager.getLogger(PeerChannel.class);
+
+  private final InetSocketAddress address;
+  private final EventLoop eventLoop;
+  private final BiConsumer<PeerDatagram, InetSocketAddress> receiver;
+  private Channel channel;
+
+  /** Creates a channel; it sends and receives after its start. */
+  public PeerChannel(
+      InetSocketAddress address,
+      EventLoop eventLoop,
+      BiConsumer<PeerDatagram, InetSocketAddress> receiver) {
+    this.address = address;
+    this.eventLoop = eventLoop;
+    this.receiver = receiver;
+  }
+
+  @Override
+  public CompletableFuture<Void> start() {
+    CompletableFuture<Void> started = new CompletableFuture<>();
+    new Bootstrap()
+        .group(eventLoop)
+        .channel(NioDatagramChannel.class)
+        .handler(this)
+        .bind(address)
+        .addListener(
+            (ChannelFuture bound) -> {
+              if (bound.isSuccess()) {
+                channel = bound.channel();
+                started.complete(null);
+              } else {
+                started.completeExceptionally(bound.cause());
+              }
+            });
+    return started;
+  }
+
+  @Override
+  public CompletableFuture<Void> stop() {
+    CompletableFuture<Void> stopped = new CompletableFuture<>();
+    eventLoop.execute(
+        () -> {
+          if (channel != null) {
+            channel.close();
+          }
+          stopped.complete(null);
+        });
+    return stopped;
+  }
+
+  /** Sends a message to some instances. */
+  void send(PeerDatagram message, Collection<InetSocketAddress> receivers) {
+    if (channel == null) {
+      return;
+    }
+    byte[] bytes = message.toByteArray();
+    for (InetSocketAddress receiverAddress : receivers) {
+      channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), receiverAddress));
+    }
+    channel.flush();
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+    PeerDatagram message;
+    try {
+      message = PeerDatagram.parseFrom(packet.content().nioBuffer());
+    } catch (InvalidProtocolBufferException e) {
+      LOG.debug("datagram of {} cannot be read: {}", packet.sender(), e.getMessage());
+      return;
+    }
+    receiver.accept(message, packet.sender());
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    LOG.debug("datagram channel failed", cause);
+  }
+}
--- a/basilport-router/src/main/java/org/basilport/membership/RendezvousHash.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/routing/RendezvousHash.java
@@ -1,4 +1,4 @@
-package org.basilport.membership;
+package org.basilport.policy.routing;
 
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
--- a/basilport-router/src/main/java/org/basilport/membership/GossipMembership.java
+++ b/basilport-router/src/main/java/org/basilport/membership/GossipMembership.java
@@ -19,6 +19,7 @@
 import org.basilport.misc.Scheduler;
 import org.basilport.peer.GossipParticipant;
 import org.basilport.platform.ListedInstance;
+import org.basilport.policy.routing.RendezvousHash;
 import org.basilport.protocol.GossipMessage;
 import org.basilport.protocol.MemberEntry;
 import org.basilport.protocol.MemberState;
--- a/basilport-router/src/main/java/org/basilport/membership/RendezvousLocator.java
+++ b/basilport-router/src/main/java/org/basilport/membership/RendezvousLocator.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
+import org.basilport.policy.routing.RendezvousHash;
 
 /** Names serving instances by rendezvous hashing, those near the caller first. */
 public final class RendezvousLocator implements Locator {
--- a/basilport-router/src/test/java/org/basilport/membership/RendezvousHashTest.java
+++ b/basilport-router/src/test/java/org/basilport/membership/RendezvousHashTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.function.Function;
 import java.util.stream.IntStream;
+import org.basilport.policy.routing.RendezvousHash;
 import org.junit.jupiter.api.Test;
 
 class RendezvousHashTest {
