--- a/basilport-common/src/main/java/org/basilport/event/EventType.java
+++ b/basilport-common/src/main/java/org/basilport/event/EventType.java
@@ -44,7 +44,8 @@
   REQUEST_SENT(
       4012,
       Level.INFO,
-      "request={} route={} server={} run={} requests={} unread_tokens={} memory_tokens={} waited_ms={}"),
+      "request={} route={} server={} run={} requests={} unread_tokens={} memory_tokens={}"
+          + " waited_ms={}"),
   REQUEST_FINISHED(
       4013, Level.INFO, "request={} status={} server={} elapsed_ms={} first_event_ms={} events={}"),
   REQUEST_REFUSED(
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
@@ -51,7 +51,6 @@
     BackendServer answering = server;
     if (answer.notRun() || answer.status() == 421) {
       answering.load().health().failed(System.nanoTime());
-      releaseServer();
       onNotRun(Step.SEND, "server " + answering.entry().id() + " refused: " + answer.status());
       return;
     }
@@ -62,7 +61,6 @@
     if (answer.status() >= 500) {
       answering.load().health().failed(System.nanoTime());
       if (takeRetry()) {
-        releaseServer();
         retry("status " + answer.status());
         return;
       }
@@ -99,7 +97,6 @@
   public void onBroken(String reason) {
     server.load().health().failed(System.nanoTime());
     if (takeRetry()) {
-      releaseServer();
       retry(reason);
       return;
     }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -162,7 +162,6 @@
             problem -> {
               target.load().health().unreachable(System.nanoTime());
               if (!finished && server == target) {
-                releaseServer();
                 onNotRun(Step.CONNECT, problem);
               }
             });
@@ -171,7 +170,6 @@
   private void send(BackendConnection opened, ForwardingStart start) {
     if (server.load().leaving() && start.memory().isEmpty()) {
       opened.close();
-      releaseServer();
       onNotRun(Step.SEND, "backend server is leaving");
       return;
     }
@@ -240,8 +238,7 @@
       refuse(step, reason);
       return;
     }
-    logRetry(reason);
-    enterLine();
+    retry(reason);
   }
 
   /** Whether the request may be sent to one more server after it may have run. */
@@ -252,9 +249,10 @@
         && dispatcher.retries().tryRetry(context.state().instances(), System.nanoTime());
   }
 
-  /** Sends the request to another server after it may have run. */
+  /** Gives up the present server and looks for another one. */
   final void retry(String reason) {
     logRetry(reason);
+    releaseServer();
     enterLine();
   }
 
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -201,12 +201,10 @@
     if (answerStarted) {
       onBroken(reason);
     } else if (answer.notRun() || answer.status() == 421) {
-      releaseServer();
       onNotRun(Step.SEND, reason);
     } else if (answer.successful()) {
       onBroken("answer is not the server's own");
     } else if (answer.status() >= 500 && takeRetry()) {
-      releaseServer();
       retry(reason);
     } else {
       context.metrics().counter("forward.answers." + answer.status()).inc();
@@ -225,7 +223,6 @@
     reader.dropPartialEvent();
     if (!answerStarted) {
       if (takeRetry()) {
-        releaseServer();
         retry(reason);
       } else {
         answerOwn(502, new DefaultHttpHeaders(), Step.STREAM, reason);
@@ -233,7 +230,6 @@
       return;
     }
     if (route.repeatability() == Repeatability.RESUMABLE_STREAM && takeRetry()) {
-      releaseServer();
       retry(reason);
       return;
     }
--- /dev/null
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayTest.java
@@ -0,0 +1,347 @@
+package org.basilport.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.basilport.event.EventSink;
+import org.basilport.gateway.backend.ServerEntry;
+import org.basilport.gateway.config.EngineCapacity;
+import org.basilport.gateway.config.ForwardingConfiguration;
+import org.basilport.gateway.config.ForwardingRoute;
+import org.basilport.gateway.config.ForwardingService;
+import org.basilport.gateway.config.KeyHolder;
+import org.basilport.gateway.config.Repeatability;
+import org.basilport.gateway.config.TrafficLimits;
+import org.basilport.gateway.config.WeightedService;
+import org.basilport.gateway.forward.TrafficState.RetryLimits;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Sends requests through a gateway to scripted servers. */
+class GatewayTest {
+  private static final EngineCapacity ENGINE = new EngineCapacity(24, 34_000, 4, 10, true, true);
+
+  private final List<ScriptedServer> servers = new ArrayList<>();
+  private final List<ServerEntry> entries = new ArrayList<>();
+  private Gateway gateway;
+  private InetSocketAddress frontend;
+
+  @BeforeEach
+  void start() throws Exception {
+    frontend = freeAddress();
+    GatewaySettings settings =
+        new GatewaySettings(
+            "gateway-1",
+            "a",
+            frontend,
+            freeAddress(),
+            new RetryLimits(0.2, 50, TimeUnit.SECONDS.toNanos(10)),
+            Duration.ofSeconds(4),
+            Duration.ofSeconds(3),
+            Duration.ofMillis(800));
+    gateway = new Gateway(settings, new TestCodec(), EventSink.none(), new MetricRegistry());
+    gateway.start().get(5, TimeUnit.SECONDS);
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    gateway.stop().get(5, TimeUnit.SECONDS);
+    for (ScriptedServer server : servers) {
+      server.close();
+    }
+  }
+
+  private static InetSocketAddress freeAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+    }
+  }
+
+  private static ForwardingRoute route(String prefix, String service, Repeatability kind) {
+    return new ForwardingRoute(
+        prefix,
+        "h",
+        prefix,
+        kind,
+        Duration.ofMillis(1_500),
+        Duration.ofMillis(500),
+        2,
+        0,
+        false,
+        List.of(new WeightedService(service, 1)));
+  }
+
+  private void configure(long version, String... keys) {
+    Map<String, KeyHolder> holders = new java.util.HashMap<>();
+    for (String key : keys) {
+      holders.put(key, new KeyHolder("workspace-1", -1));
+    }
+    gateway.applyConfiguration(
+        new ForwardingConfiguration(
+            version,
+            TrafficLimits.INITIAL,
+            List.of(
+                route("/read/", "plain", Repeatability.IDEMPOTENT),
+                route("/write/", "plain", Repeatability.AT_MOST_ONCE),
+                route("/stream/", "model", Repeatability.STREAM),
+                route("/resume/", "model", Repeatability.RESUMABLE_STREAM)),
+            Map.of(
+                "plain", new ForwardingService("plain", 10, Optional.empty()),
+                "model", new ForwardingService("model", 10, Optional.of(ENGINE))),
+            true,
+            holders),
+        "test");
+    gateway.proveFresh(System.nanoTime(), System.currentTimeMillis());
+  }
+
+  private ScriptedServer serve(String service, ScriptedServer.Script script) throws IOException {
+    ScriptedServer server = new ScriptedServer(script);
+    servers.add(server);
+    entries.add(
+        new ServerEntry(
+            "server-" + servers.size(),
+            1,
+            service,
+            "127.0.0.1",
+            server.port(),
+            "a",
+            6,
+            false,
+            Duration.ZERO));
+    gateway.updateServers(entries, "test");
+    return server;
+  }
+
+  private String call(String method, String target, String headers) throws IOException {
+    try (Socket socket = new Socket(frontend.getAddress(), frontend.getPort())) {
+      socket.setSoTimeout(5_000);
+      socket
+          .getOutputStream()
+          .write(
+              (method
+                      + " "
+                      + target
+                      + " HTTP/1.1\r\nhost: h\r\nid: r1\r\nConnection: close\r\n"
+                      + headers
+                      + "\r\n")
+                  .getBytes(StandardCharsets.ISO_8859_1));
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    } catch (java.net.SocketException e) {
+      return "reset";
+    }
+  }
+
+  @Nested
+  class Refusals {
+    /** Guards against a final refusal by an instance that knows no configuration yet. */
+    @Test
+    void answers503BeforeTheFirstConfiguration() throws Exception {
+      assertThat(call("GET", "/read/x", "key: k1\r\n")).startsWith("HTTP/1.1 503");
+    }
+
+    /** Guards against requests without a valid key or route. */
+    @Test
+    void answers401And404() throws Exception {
+      configure(1, "k1");
+      assertThat(call("GET", "/read/x", "key: wrong\r\n")).startsWith("HTTP/1.1 401");
+      assertThat(call("GET", "/none/x", "key: k1\r\n")).startsWith("HTTP/1.1 404");
+    }
+
+    /** Guards against a configuration that goes back to an older version. */
+    @Test
+    void neverAdoptsAnOlderVersion() throws Exception {
+      configure(5, "k5");
+      configure(4, "k4");
+      assertThat(call("GET", "/none/x", "key: k4\r\n")).startsWith("HTTP/1.1 404");
+      assertThat(call("GET", "/read/x", "key: k4\r\n")).startsWith("HTTP/1.1 401");
+    }
+
+    /** Guards against a request that waits for its time limit although nobody can serve it. */
+    @Test
+    void refusesAtOnceWithoutServers() throws Exception {
+      configure(1, "k1");
+      long start = System.nanoTime();
+      String answer = call("POST", "/write/x", "key: k1\r\n");
+
+      assertThat(answer).startsWith("HTTP/1.1 503");
+      assertThat(answer).contains("retry-after");
+      assertThat(System.nanoTime() - start).isLessThan(TimeUnit.MILLISECONDS.toNanos(400));
+    }
+  }
+
+  @Nested
+  class PlainCalls {
+    /** Guards against a failure that a second server could have answered. */
+    @Test
+    void repeatsIdempotentRequests() throws Exception {
+      configure(1, "k1");
+      serve("plain", (request, out, socket) -> socket.close());
+      serve("plain", (request, out, socket) -> ScriptedServer.answer(out, request, 200, "ok"));
+      for (int i = 0; i < 5; i++) {
+        assertThat(call("GET", "/read/x", "key: k1\r\n")).contains("ok");
+      }
+    }
+
+    /** Guards against a request that runs twice. */
+    @Test
+    void neverRepeatsARequestThatMayHaveRun() throws Exception {
+      configure(1, "k1");
+      ScriptedServer broken = serve("plain", (request, out, socket) -> socket.close());
+      assertThat(call("POST", "/write/x", "key: k1\r\n")).startsWith("HTTP/1.1 502");
+      assertThat(broken.requests()).hasSize(1);
+    }
+
+    /** Guards against a refusal that a second server could have avoided. */
+    @Test
+    void sendsARequestElsewhereThatAServerRefusedToRun() throws Exception {
+      configure(1, "k1");
+      serve(
+          "plain",
+          (request, out, socket) ->
+              ScriptedServer.write(
+                  out, "HTTP/1.1 503 S\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n"));
+      serve("plain", (request, out, socket) -> ScriptedServer.answer(out, request, 200, "ok"));
+      for (int i = 0; i < 5; i++) {
+        assertThat(call("POST", "/write/x", "key: k1\r\n")).contains("ok");
+      }
+    }
+
+    /** Guards against a success that carries no signature of the server. */
+    @Test
+    void passesOnNoUnsignedSuccess() throws Exception {
+      configure(1, "k1");
+      serve(
+          "plain",
+          (request, out, socket) ->
+              ScriptedServer.write(out, "HTTP/1.1 200 S\r\nid: r1\r\nContent-Length: 2\r\n\r\nok"));
+      assertThat(call("POST", "/write/x", "key: k1\r\n")).startsWith("HTTP/1.1 502");
+    }
+
+    /** Guards against callers that wait past the route's timeout. */
+    @Test
+    void answersAtTheTimeLimit() throws Exception {
+      configure(1, "k1");
+      serve("plain", (request, out, socket) -> Thread.sleep(5_000));
+      long start = System.nanoTime();
+      assertThat(call("POST", "/write/x", "key: k1\r\npatience: 300\r\n"))
+          .startsWith("HTTP/1.1 504");
+      assertThat(System.nanoTime() - start).isLessThan(TimeUnit.MILLISECONDS.toNanos(700));
+    }
+  }
+
+  @Nested
+  class Streams {
+    /** Guards against a lost or doubled piece when a server breaks off within an event. */
+    @Test
+    void resumesAfterTheLastWholeEvent() throws Exception {
+      configure(1, "k1");
+      ScriptedServer.Script script =
+          (request, out, socket) -> {
+            ScriptedServer.startStream(out, request);
+            if (!request.headers().containsKey("after")) {
+              ScriptedServer.events(out, 1, 2);
+              ScriptedServer.write(out, "5\r\nid: 3\r\n");
+              Thread.sleep(50);
+              socket.close();
+              return;
+            }
+            assertThat(request.headers()).containsEntry("after", "2");
+            ScriptedServer.events(out, 3, 4);
+            ScriptedServer.endStream(out);
+          };
+      serve("model", script);
+      serve("model", script);
+      String answer = call("POST", "/resume/x", "key: k1\r\ntokens: 100\r\n");
+
+      assertThat(answer.replaceAll("(?s).*?(data: t\\d).*?", "$1 "))
+          .startsWith("data: t1 data: t2 data: t3 data: t4");
+      assertThat(answer).endsWith("0\r\n\r\n");
+    }
+
+    /** Guards against two runs that are joined, and against a cut stream that looks complete. */
+    @Test
+    void breaksOffAStreamThatMustNotRunTwice() throws Exception {
+      configure(1, "k1");
+      serve(
+          "model",
+          (request, out, socket) -> {
+            ScriptedServer.startStream(out, request);
+            ScriptedServer.events(out, 1, 2);
+            Thread.sleep(50);
+            socket.close();
+          });
+      ScriptedServer second =
+          serve("model", (request, out, socket) -> ScriptedServer.answer(out, request, 200, ""));
+      gateway.updateServers(entries.subList(0, 1), "test");
+      String answer = call("POST", "/stream/x", "key: k1\r\ntokens: 100\r\n");
+
+      assertThat(answer).doesNotContain("\r\n0\r\n");
+      assertThat(second.requests()).isEmpty();
+    }
+
+    /** Guards against a generation that is lost with an engine that announced its departure. */
+    @Test
+    void movesAGenerationFromALeavingEngine() throws Exception {
+      configure(1, "k1");
+      java.util.concurrent.CountDownLatch stop = new java.util.concurrent.CountDownLatch(1);
+      ScriptedServer source =
+          serve(
+              "model",
+              (request, out, socket) -> {
+                if (request.line().startsWith("POST /move/")) {
+                  boolean last = request.line().contains("/true");
+                  if (last) {
+                    stop.countDown();
+                    Thread.sleep(30);
+                  }
+                  ScriptedServer.answer(out, request, 200, last ? "handle-1" : "handle-0");
+                  return;
+                }
+                ScriptedServer.startStream(out, request);
+                ScriptedServer.events(out, 1, 3);
+                stop.await(5, TimeUnit.SECONDS);
+                socket.close();
+              });
+      Thread leaving =
+          new Thread(
+              () -> {
+                try {
+                  Thread.sleep(200);
+                  serve(
+                      "model",
+                      (request, out, socket) -> {
+                        assertThat(request.headers()).containsEntry("memory", "handle-1");
+                        ScriptedServer.startStream(out, request);
+                        ScriptedServer.events(out, 4, 5);
+                        ScriptedServer.endStream(out);
+                      });
+                  gateway.updateServers(entries.subList(1, 2), "test");
+                } catch (IOException | InterruptedException e) {
+                  throw new IllegalStateException(e);
+                }
+              });
+      leaving.start();
+      String answer = call("POST", "/stream/x", "key: k1\r\ntokens: 100\r\n");
+
+      assertThat(answer).contains("data: t5");
+      assertThat(answer).endsWith("0\r\n\r\n");
+      assertThat(source.requests())
+          .containsExactly("POST /stream/x", "POST /move/r1/false", "POST /move/r1/true")
+          .inOrder();
+    }
+  }
+}
--- /dev/null
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/ScriptedServer.java
@@ -0,0 +1,142 @@
+package org.basilport.gateway;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** A backend server on a loopback port that answers as a test tells it. */
+final class ScriptedServer implements AutoCloseable {
+  private final ServerSocket listener;
+  private final Script script;
+  private final List<String> requests = new CopyOnWriteArrayList<>();
+  private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+
+  ScriptedServer(Script script) throws IOException {
+    this.script = script;
+    this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    start(this::accept);
+  }
+
+  private static void start(Runnable task) {
+    Thread thread = new Thread(task, "scripted-server");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  int port() {
+    return listener.getLocalPort();
+  }
+
+  /** Method and target of each request that arrived. */
+  List<String> requests() {
+    return requests;
+  }
+
+  private void accept() {
+    while (!listener.isClosed()) {
+      try {
+        Socket socket = listener.accept();
+        sockets.add(socket);
+        start(() -> serve(socket));
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      BufferedReader reader =
+          new BufferedReader(
+              new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+      for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+        Map<String, String> headers = new HashMap<>();
+        for (String h = reader.readLine(); !h.isEmpty(); h = reader.readLine()) {
+          int colon = h.indexOf(':');
+          headers.put(
+              h.substring(0, colon).toLowerCase(Locale.ROOT), h.substring(colon + 1).trim());
+        }
+        reader.skip(Long.parseLong(headers.getOrDefault("content-length", "0")));
+        requests.add(line.substring(0, line.lastIndexOf(' ')));
+        script.answer(new Request(line, headers), socket.getOutputStream(), socket);
+      }
+    } catch (IOException | InterruptedException e) {
+      // The test or the gateway closed the connection.
+      return;
+    }
+  }
+
+  /** Writes a whole answer of the server itself. */
+  static void answer(OutputStream out, Request request, int status, String body)
+      throws IOException {
+    write(
+        out,
+        "HTTP/1.1 "
+            + status
+            + " S\r\nid: "
+            + request.id()
+            + "\r\nseal: s\r\nContent-Length: "
+            + body.length()
+            + "\r\n\r\n"
+            + body);
+  }
+
+  /** Writes the head of a stream of events. */
+  static void startStream(OutputStream out, Request request) throws IOException {
+    write(
+        out,
+        "HTTP/1.1 200 S\r\nid: "
+            + request.id()
+            + "\r\nseal: s\r\n"
+            + "Transfer-Encoding: chunked\r\n\r\n");
+  }
+
+  /** Writes some events of a stream. */
+  static void events(OutputStream out, int from, int to) throws IOException {
+    for (int i = from; i <= to; i++) {
+      String event = "id: " + i + "\ndata: t" + i + "\n\n";
+      write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+    }
+  }
+
+  /** Writes the end of a stream. */
+  static void endStream(OutputStream out) throws IOException {
+    write(out, "0\r\n\r\n");
+  }
+
+  static void write(OutputStream out, String text) throws IOException {
+    out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+    out.flush();
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+  }
+
+  /** How a server answers. */
+  interface Script {
+    void answer(Request request, OutputStream out, Socket socket)
+        throws IOException, InterruptedException;
+  }
+
+  /** A request that arrived. */
+  record Request(String line, Map<String, String> headers) {
+    String id() {
+      return headers.getOrDefault("id", "");
+    }
+  }
+}
--- /dev/null
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/backend/BackendConnectionTest.java
@@ -0,0 +1,139 @@
+package org.basilport.gateway.backend;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.basilport.gateway.TestCodec;
+import org.basilport.gateway.message.ServerAnswer;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Plays answers of faulty servers. */
+class BackendConnectionTest {
+  private final List<BackendConnection> idle = new ArrayList<>();
+  private final Recorder recorder = new Recorder();
+  private final BackendConnection connection =
+      new BackendConnection(new TestCodec(), idle::add, closed -> {});
+  private final EmbeddedChannel channel =
+      new EmbeddedChannel(new HttpRequestEncoder(), new HttpResponseDecoder(), connection);
+
+  @BeforeEach
+  void sendRequest() {
+    connection.send(request(), "r1", recorder);
+  }
+
+  private static FullHttpRequest request() {
+    return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/a/");
+  }
+
+  private void receive(String bytes) {
+    channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
+  }
+
+  /** Guards against a late second answer that is taken for the answer of the next request. */
+  @Test
+  void dropsAnswersOfOtherRequests() {
+    receive("HTTP/1.1 200 OK\r\nid: r0\r\nseal: s\r\nContent-Length: 3\r\n\r\nold");
+    assertThat(recorder.log).isEmpty();
+    receive("HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\nContent-Length: 3\r\n\r\nnew");
+
+    assertThat(recorder.log).containsExactly("head 200", "new", "complete").inOrder();
+    assertThat(idle).containsExactly(connection);
+  }
+
+  /** Guards against bytes after an answer that would open the next answer. */
+  @Test
+  void closesAnIdleConnectionThatReceivesBytes() {
+    receive("HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\nContent-Length: 3\r\n\r\nnew");
+    receive("HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\nContent-Length: 3\r\n\r\nnew");
+
+    assertThat(channel.isOpen()).isFalse();
+    assertThat(recorder.log).containsExactly("head 200", "new", "complete");
+  }
+
+  /** Guards against a truncated answer that looks complete. */
+  @Test
+  void reportsAnswersThatEndEarly() {
+    receive("HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\nContent-Length: 9\r\n\r\nnew");
+    channel.close();
+
+    assertThat(recorder.log).contains("broken");
+    assertThat(recorder.log).doesNotContain("complete");
+  }
+
+  /** Guards against an answer without a length that is refused although it is whole. */
+  @Test
+  void acceptsAnswersThatEndWithTheConnection() {
+    receive("HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\n\r\nnew");
+    channel.close();
+
+    assertThat(recorder.log).containsExactly("head 200", "new", "complete").inOrder();
+    assertThat(idle).isEmpty();
+  }
+
+  /** Guards against a reset that looks like the orderly end of an answer without a length. */
+  @Test
+  void reportsAResetWithinAnAnswerWithoutLength() {
+    receive("HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\n\r\nnew");
+    channel.pipeline().fireExceptionCaught(new java.io.IOException("Connection reset by peer"));
+
+    assertThat(recorder.log).contains("broken");
+    assertThat(recorder.log).doesNotContain("complete");
+  }
+
+  /** Guards against bytes that are no answer. */
+  @Test
+  void reportsInvalidBytes() {
+    receive("garbage garbage garbage\r\n\r\n");
+
+    assertThat(recorder.log).containsExactly("broken");
+    assertThat(channel.isOpen()).isFalse();
+  }
+
+  /** Guards against requests that are sent on a connection that the server closes. */
+  @Test
+  void doesNotKeepAConnectionThatTheServerCloses() {
+    receive(
+        "HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+
+    assertThat(idle).isEmpty();
+    assertThat(channel.isOpen()).isFalse();
+  }
+
+  /** Records what a request sees of its answer. */
+  private static final class Recorder implements AnswerListener {
+    private final List<String> log = new ArrayList<>();
+
+    @Override
+    public void onHead(ServerAnswer answer, HttpResponse head) {
+      log.add("head " + answer.status());
+    }
+
+    @Override
+    public void onContent(ByteBuf content) {
+      log.add(content.toString(StandardCharsets.ISO_8859_1));
+    }
+
+    @Override
+    public void onComplete() {
+      log.add("complete");
+    }
+
+    @Override
+    public void onBroken(String reason) {
+      log.add("broken");
+    }
+  }
+}
--- /dev/null
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/backend/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the package. */
+package org.basilport.gateway.backend;
--- /dev/null
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/forward/EventStreamReaderTest.java
@@ -0,0 +1,59 @@
+package org.basilport.gateway.forward;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+/** Splits streams at every kind of boundary. */
+class EventStreamReaderTest {
+  private final EventStreamReader reader = new EventStreamReader();
+
+  private String read(String text) {
+    ByteBuf whole = reader.read(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+    return whole.toString(StandardCharsets.UTF_8);
+  }
+
+  /** Guards against a piece that is delivered twice when a stream goes on elsewhere. */
+  @Test
+  void passesOnWholeEventsOnly() {
+    assertThat(read("id: 1\ndata: a\n\nid: 2\nda")).isEqualTo("id: 1\ndata: a\n\n");
+    assertThat(reader.lastId()).hasValue("1");
+    assertThat(reader.insideEvent()).isTrue();
+    assertThat(read("ta: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
+    assertThat(reader.lastId()).hasValue("2");
+    assertThat(reader.events()).isEqualTo(2);
+  }
+
+  /** Guards against the id of an event that was never completed. */
+  @Test
+  void forgetsPartialEvent() {
+    read("id: 1\ndata: a\n\nid: 2\ndata");
+    reader.dropPartialEvent();
+
+    assertThat(reader.lastId()).hasValue("1");
+    assertThat(read("id: 2\ndata: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
+  }
+
+  /** Guards against streams whose lines end with carriage returns. */
+  @Test
+  void acceptsBothLineEnds() {
+    assertThat(read("id:7\r\ndata: a\r\n\r\n")).isEqualTo("id:7\r\ndata: a\r\n\r\n");
+    assertThat(reader.lastId()).hasValue("7");
+  }
+
+  /** Guards against a boundary between any two bytes. */
+  @Test
+  void acceptsSingleBytes() {
+    StringBuilder passed = new StringBuilder();
+    String stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    for (char c : stream.toCharArray()) {
+      passed.append(read(String.valueOf(c)));
+    }
+
+    assertThat(passed.toString()).isEqualTo(stream);
+    assertThat(reader.insideEvent()).isFalse();
+  }
+}
--- /dev/null
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/frontend/CallerConnectionTest.java
@@ -0,0 +1,169 @@
+package org.basilport.gateway.frontend;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.basilport.gateway.config.TrafficLimits;
+import org.basilport.gateway.forward.CallerChannel;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Feeds bytes of callers to a connection. */
+class CallerConnectionTest {
+  private static final TrafficLimits LIMITS =
+      new TrafficLimits(400, 64, Duration.ofSeconds(3), Duration.ofSeconds(15));
+
+  private final List<String> received = new ArrayList<>();
+  private final List<CallerChannel> callers = new ArrayList<>();
+  private boolean answerAtOnce = true;
+  private boolean left;
+  private final EmbeddedChannel channel =
+      new EmbeddedChannel(
+          new StrictRequestDecoder(LIMITS.maxHeaderBytes()),
+          new HttpResponseEncoder(),
+          new CallerConnection(new Receiver(), LIMITS));
+
+  private String send(String bytes) {
+    channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
+    return written();
+  }
+
+  private String written() {
+    StringBuilder text = new StringBuilder();
+    for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
+      text.append(part.toString(StandardCharsets.ISO_8859_1));
+      part.release();
+    }
+    return text.toString();
+  }
+
+  @Nested
+  class Ambiguous {
+    /** Guards against a request that is smuggled inside another one. */
+    @Test
+    void refusesRequestsWhoseLengthIsAmbiguous() {
+      for (String headers :
+          List.of(
+              "Content-Length: 3\r\nContent-Length: 4\r\n",
+              "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+              "Transfer-Encoding: gzip, chunked\r\n",
+              "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+              "Content-Length: +3\r\n",
+              "Content-Length : 3\r\n")) {
+        CallerConnectionTest fresh = new CallerConnectionTest();
+        String answer = fresh.send("POST /a/ HTTP/1.1\r\nHost: h\r\n" + headers + "\r\nabc");
+
+        assertThat(answer).startsWith("HTTP/1.1 400");
+        assertThat(fresh.received).isEmpty();
+        assertThat(fresh.channel.isOpen()).isFalse();
+      }
+    }
+
+    /** Guards against bare line feeds, which other parsers read as the end of a line. */
+    @Test
+    void refusesBareLineFeeds() {
+      assertThat(send("GET /a/ HTTP/1.1\nHost: h\n\n")).startsWith("HTTP/1.1 400");
+      assertThat(received).isEmpty();
+    }
+  }
+
+  @Nested
+  class Limits {
+    /** Guards against memory that a caller fills with headers or a body. */
+    @Test
+    void refusesTooLargeRequests() {
+      String longHeader = "X: " + "x".repeat(500) + "\r\n";
+      assertThat(send("GET /a/ HTTP/1.1\r\nHost: h\r\n" + longHeader + "\r\n"))
+          .startsWith("HTTP/1.1 431");
+      CallerConnectionTest fresh = new CallerConnectionTest();
+      assertThat(fresh.send("POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n"))
+          .startsWith("HTTP/1.1 413");
+      assertThat(fresh.channel.isOpen()).isFalse();
+    }
+  }
+
+  @Nested
+  class Order {
+    /** Guards against answers that overtake each other on one connection. */
+    @Test
+    void handlesRequestsOneAfterAnother() {
+      answerAtOnce = false;
+      send("GET /a/1 HTTP/1.1\r\nHost: h\r\n\r\nGET /a/2 HTTP/1.1\r\nHost: h\r\n\r\n");
+      assertThat(received).containsExactly("/a/1 ");
+      callers.get(0).answer(200, new DefaultHttpHeaders(), new byte[0]);
+      assertThat(received).containsExactly("/a/1 ", "/a/2 ").inOrder();
+    }
+
+    /** Guards against a body that is passed on in part. */
+    @Test
+    void joinsChunksOfABody() {
+      String answer =
+          send(
+              "POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+
+      assertThat(received).containsExactly("/a/ abcde");
+      assertThat(answer).startsWith("HTTP/1.1 200");
+      assertThat(channel.isOpen()).isTrue();
+    }
+
+    /** Guards against work for a caller that has left. */
+    @Test
+    void tellsTheRequestThatItsCallerLeft() {
+      answerAtOnce = false;
+      send("GET /a/1 HTTP/1.1\r\nHost: h\r\n\r\n");
+      channel.close();
+
+      assertThat(left).isTrue();
+    }
+
+    /** Guards against an unfinished answer that looks complete. */
+    @Test
+    void abortedAnswerHasNoEnd() {
+      answerAtOnce = false;
+      send("GET /a/1 HTTP/1.1\r\nHost: h\r\n\r\n");
+      callers.get(0).startAnswer(200, new DefaultHttpHeaders());
+      callers.get(0).write(Unpooled.copiedBuffer("data", StandardCharsets.UTF_8));
+      callers.get(0).abort();
+
+      assertThat(written()).doesNotContain("\r\n0\r\n");
+      assertThat(channel.isOpen()).isFalse();
+    }
+  }
+
+  /** Records requests and answers them. */
+  private final class Receiver implements RequestReceiver {
+    @Override
+    public CallerHandle receive(HttpRequest head, byte[] body, CallerChannel caller) {
+      received.add(head.uri() + " " + new String(body, StandardCharsets.UTF_8));
+      callers.add(caller);
+      if (answerAtOnce) {
+        caller.answer(200, new DefaultHttpHeaders(), new byte[0]);
+        return CallerHandle.NONE;
+      }
+      return new CallerHandle() {
+        @Override
+        public void onCallerLeft() {
+          left = true;
+        }
+
+        @Override
+        public void onWritableChanged(boolean writable) {}
+      };
+    }
+
+    @Override
+    public boolean draining() {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/MoveDecisionsTest.java
@@ -0,0 +1,116 @@
+package org.basilport.policy.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Plays engines that are reclaimed at short notice. */
+class MoveDecisionsTest {
+  /** 18,432 bytes a token over 2,700 Mbit/s. */
+  private static final double COPY_NANOS_PER_TOKEN = 54_600;
+
+  @Nested
+  class Triage {
+    /** Guards against copies of all generations that share the link until none is complete. */
+    @Test
+    void movesNoMoreThanTheLinkCopiesBeforeTheEngineIsGone() {
+      List<MoveTriage.Candidate<Integer>> own = new ArrayList<>();
+      for (int i = 0; i < 10; i++) {
+        own.add(new MoveTriage.Candidate<>(i, 4_000, 10_000 + i));
+      }
+      List<Integer> selected = MoveTriage.select(own, 40_000, COPY_NANOS_PER_TOKEN);
+      double copySeconds = selected.size() * 4_000 * COPY_NANOS_PER_TOKEN / 1e9;
+
+      assertThat(copySeconds).isAtMost(1.2);
+      assertThat(selected).contains(9);
+      assertThat(selected).doesNotContain(0);
+    }
+
+    /** Guards against instances that together use the link more than once. */
+    @Test
+    void sharesTheLinkAmongInstances() {
+      List<MoveTriage.Candidate<Integer>> own =
+          List.of(new MoveTriage.Candidate<>(1, 4_000, 1), new MoveTriage.Candidate<>(2, 4_000, 1));
+
+      assertThat(MoveTriage.select(own, 40_000, COPY_NANOS_PER_TOKEN)).hasSize(1);
+    }
+
+    /** Guards against generations that are given up although there is time for all. */
+    @Test
+    void movesAllOfAnEngineWithFewGenerations() {
+      List<MoveTriage.Candidate<Integer>> own =
+          List.of(new MoveTriage.Candidate<>(1, 4_000, 1), new MoveTriage.Candidate<>(2, 4_000, 1));
+
+      assertThat(MoveTriage.select(own, 12_000, COPY_NANOS_PER_TOKEN)).hasSize(2);
+    }
+  }
+
+  @Nested
+  class Pacing {
+    /** Guards against last copies that queue behind first copies of other generations. */
+    @Test
+    void putsTheStopOffUntilFirstCopiesAreThrough() {
+      long delay = MovePacing.delayNanos(0, 16_000, COPY_NANOS_PER_TOKEN);
+
+      assertThat(delay).isAtLeast(TimeUnit.MILLISECONDS.toNanos(850));
+    }
+
+    /** Guards against a stop that comes when the engine is already gone. */
+    @Test
+    void stopsBeforeTheEngineIsGone() {
+      long delay = MovePacing.delayNanos(0, 1_000_000, COPY_NANOS_PER_TOKEN);
+
+      assertThat(delay).isLessThan(TimeUnit.MILLISECONDS.toNanos(1_300));
+    }
+
+    /** Guards against a pause for a generation whose first copy came late. */
+    @Test
+    void doesNotWaitAfterTheTime() {
+      long late = TimeUnit.SECONDS.toNanos(2);
+
+      assertThat(MovePacing.delayNanos(late, 16_000, COPY_NANOS_PER_TOKEN)).isEqualTo(0);
+    }
+  }
+
+  @Nested
+  class Target {
+    private final MoveTargetSelector selector = new MoveTargetSelector("a");
+    private final RequestDemand demand = new RequestDemand(0, 4_000);
+
+    /** Guards against copies to another data centre, which take twice as long. */
+    @Test
+    void prefersTheDataCentreOfTheSource() {
+      ServerLoad near = new ServerLoad("near", "a", 24, 34_000);
+      near.add(new WorkShare(4, 0, 12_000));
+      ServerLoad far = new ServerLoad("far", "b", 24, 34_000);
+
+      assertThat(selector.select(List.of(far, near), demand, 0)).hasValue(near);
+    }
+
+    /** Guards against a copy that the engine refuses for lack of memory. */
+    @Test
+    void skipsAnEngineWithoutRoom() {
+      ServerLoad full = new ServerLoad("full", "a", 24, 34_000);
+      full.add(new WorkShare(8, 0, 31_000));
+
+      assertThat(selector.select(List.of(full), demand, 0)).isEmpty();
+    }
+  }
+
+  @Nested
+  class Drain {
+    /** Guards against a stream that a stopping instance takes and then cuts off. */
+    @Test
+    void refusesLongGenerationsOfAStoppingInstance() {
+      long remaining = TimeUnit.SECONDS.toNanos(7);
+
+      assertThat(DrainAdmission.accepts(remaining, 2_000)).isFalse();
+      assertThat(DrainAdmission.accepts(remaining, 40)).isTrue();
+      assertThat(DrainAdmission.accepts(0, 0)).isFalse();
+    }
+  }
+}
--- /dev/null
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/ServerSelectorTest.java
@@ -0,0 +1,166 @@
+package org.basilport.policy.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Plays loads on the choice of backend servers. */
+class ServerSelectorTest {
+  private static final long FIRST_TOKEN_LIMIT = TimeUnit.SECONDS.toNanos(1);
+  private static final long NOW = 0;
+
+  private static ServerLoad engine(String id, String dataCentre) {
+    return new ServerLoad(id, dataCentre, 24, 34_000);
+  }
+
+  @Nested
+  class EarliestFirstToken {
+    private final EarliestFirstTokenSelector selector =
+        new EarliestFirstTokenSelector("a", FIRST_TOKEN_LIMIT, new SplittableRandom(1));
+
+    /** Guards against prompts that queue behind a long prompt while another engine is free. */
+    @Test
+    void avoidsEngineWithUnreadPrompts() {
+      ServerLoad reading = engine("reading", "a");
+      reading.add(new WorkShare(1, 3_000, 3_500));
+      ServerLoad decoding = engine("decoding", "b");
+      decoding.add(new WorkShare(2, 0, 6_000));
+
+      assertThat(
+              selector.select(List.of(reading, decoding), RequestDemand.generation(2_000, 40), NOW))
+          .hasValue(decoding);
+    }
+
+    /** Guards against preemption: a preempted prompt is read twice. */
+    @Test
+    void keepsRequestsWaitingWhenNoMemoryIsFree() {
+      ServerLoad full = engine("full", "a");
+      full.add(new WorkShare(8, 0, 29_000));
+
+      assertThat(selector.select(List.of(full), RequestDemand.generation(3_000, 900), NOW))
+          .isEmpty();
+    }
+
+    /** Guards against a request that is never placed because it alone exceeds the share. */
+    @Test
+    void givesIdleEngineToLargestRequest() {
+      ServerLoad idle = engine("idle", "a");
+
+      assertThat(selector.select(List.of(idle), RequestDemand.generation(33_000, 1_000), NOW))
+          .hasValue(idle);
+    }
+
+    /** Guards against queues of prompts at the engines, where requests can no longer be moved. */
+    @Test
+    void keepsRequestsWaitingWhenFirstTokenWouldBeLate() {
+      ServerLoad busy = engine("busy", "a");
+      busy.add(new WorkShare(3, 9_000, 10_000));
+
+      assertThat(selector.select(List.of(busy), RequestDemand.generation(3_000, 100), NOW))
+          .isEmpty();
+    }
+
+    /** Guards against a crowded engine beside empty ones, which loses most when it is reclaimed. */
+    @Test
+    void spreadsGenerationsEvenly() {
+      List<ServerLoad> engines = new ArrayList<>();
+      for (int i = 0; i < 8; i++) {
+        engines.add(engine("engine-" + i, i % 2 == 0 ? "a" : "b"));
+      }
+      RequestDemand demand = RequestDemand.generation(3_000, 1_000);
+      Map<String, Integer> counts = new HashMap<>();
+      for (int i = 0; i < 32; i++) {
+        ServerLoad chosen = selector.select(engines, demand, NOW).orElseThrow();
+        chosen.add(demand.asWork());
+        chosen.remove(new WorkShare(0, demand.promptTokens(), 0));
+        counts.merge(chosen.id(), 1, Integer::sum);
+      }
+
+      assertThat(counts).hasSize(8);
+      counts.values().forEach(count -> assertThat(count).isAtMost(6));
+    }
+
+    /** Guards against work of other instances being overlooked. */
+    @Test
+    void countsWorkOfOtherInstances() {
+      ServerLoad shared = engine("shared", "a");
+      shared.setOthers(new WorkShare(24, 0, 10_000));
+      ServerLoad free = engine("free", "b");
+
+      assertThat(selector.select(List.of(shared, free), RequestDemand.generation(100, 10), NOW))
+          .hasValue(free);
+    }
+  }
+
+  @Nested
+  class LeastOccupied {
+    private final LeastOccupiedSelector selector =
+        new LeastOccupiedSelector("a", new SplittableRandom(1));
+
+    private ServerLoad server(String id, String dataCentre, int requests) {
+      ServerLoad load = new ServerLoad(id, dataCentre, 6, 0);
+      load.add(new WorkShare(requests, 0, 0));
+      return load;
+    }
+
+    /** Guards against bytes between data centres that a near server could save. */
+    @Test
+    void prefersOwnDataCentreAtEqualLoad() {
+      ServerLoad near = server("near", "a", 1);
+      ServerLoad far = server("far", "b", 1);
+
+      assertThat(selector.select(List.of(far, near), RequestDemand.PLAIN_CALL, NOW)).hasValue(near);
+    }
+
+    /** Guards against waiting at a near server while a far one has free slots. */
+    @Test
+    void leavesOwnDataCentreWhenItIsCrowded() {
+      ServerLoad near = server("near", "a", 6);
+      ServerLoad far = server("far", "b", 0);
+
+      assertThat(selector.select(List.of(far, near), RequestDemand.PLAIN_CALL, NOW)).hasValue(far);
+    }
+
+    /** Guards against requests that a full server would only refuse. */
+    @Test
+    void keepsRequestsWaitingWhenAllAreFull() {
+      assertThat(
+              selector.select(
+                  List.of(server("x", "a", 9), server("y", "b", 9)), RequestDemand.PLAIN_CALL, NOW))
+          .isEmpty();
+    }
+  }
+
+  @Nested
+  class Health {
+    /** Guards against a server that fails its requests while its health check passes. */
+    @Test
+    void suspendsAfterFailuresInARowAndTriesAgain() {
+      ServerHealth health = new ServerHealth();
+      health.failed(NOW);
+      assertThat(health.suspended(NOW)).isFalse();
+      health.failed(NOW);
+      assertThat(health.suspended(NOW)).isTrue();
+      assertThat(health.suspended(NOW + TimeUnit.MILLISECONDS.toNanos(501))).isFalse();
+    }
+
+    /** Guards against longer and longer bans of a server that recovered. */
+    @Test
+    void boundsTheSuspensionAndForgetsItAfterSuccess() {
+      ServerHealth health = new ServerHealth();
+      for (int i = 0; i < 50; i++) {
+        health.failed(NOW);
+      }
+      assertThat(health.suspended(NOW + TimeUnit.SECONDS.toNanos(5))).isFalse();
+      health.succeeded();
+      assertThat(health.suspended(NOW)).isFalse();
+    }
+  }
+}
--- /dev/null
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/SharedLimitsTest.java
@@ -0,0 +1,126 @@
+package org.basilport.policy.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Limits and duties that instances keep together. */
+class SharedLimitsTest {
+
+  @Nested
+  class RetryBudget {
+    private static final long WINDOW = 10_000;
+
+    /** Guards against a retry storm: six instances together stay below the limit of the fleet. */
+    @Test
+    void sumOfInstancesStaysBelowTheLimit() {
+      int retries = 0;
+      int requests = 0;
+      for (int instance = 0; instance < 6; instance++) {
+        WindowedRetryBudget budget = new WindowedRetryBudget(0.2, 52, WINDOW);
+        for (int i = 0; i < 50; i++) {
+          budget.countRequest(i);
+          requests++;
+          retries += budget.tryRetry(6, i) ? 1 : 0;
+          retries += budget.tryRetry(6, i) ? 1 : 0;
+        }
+      }
+
+      assertThat(retries).isAtMost((int) (0.2 * requests + 52));
+      assertThat(retries).isAtLeast(40);
+    }
+
+    /** Guards against retries that are counted for ever. */
+    @Test
+    void allowsRetriesAgainAfterTheWindow() {
+      WindowedRetryBudget budget = new WindowedRetryBudget(0, 2, WINDOW);
+      assertThat(budget.tryRetry(1, 0)).isTrue();
+      assertThat(budget.tryRetry(1, 1)).isFalse();
+      assertThat(budget.tryRetry(1, WINDOW + 1)).isTrue();
+    }
+  }
+
+  @Nested
+  class Freshness {
+    private final FreshnessProof proof = new FreshnessProof();
+
+    /** Guards against a revoked key that is accepted before anything is known. */
+    @Test
+    void unknownAtFirst() {
+      assertThat(proof.ageMillis(0, 0)).isEqualTo(Long.MAX_VALUE);
+    }
+
+    /** Guards against a suspended machine, whose monotonic clock stood still. */
+    @Test
+    void doesNotCountWhenTheClocksDisagree() {
+      proof.prove(0, 1_000_000);
+
+      assertThat(proof.ageMillis(TimeUnit.SECONDS.toNanos(1), 1_001_000)).isEqualTo(1_000);
+      assertThat(proof.ageMillis(TimeUnit.SECONDS.toNanos(1), 1_008_000)).isEqualTo(Long.MAX_VALUE);
+      assertThat(proof.ageMillis(TimeUnit.SECONDS.toNanos(1), 990_000)).isEqualTo(Long.MAX_VALUE);
+    }
+
+    /** Guards against an answer that was overtaken and makes the proof older. */
+    @Test
+    void keepsTheNewestProof() {
+      proof.prove(TimeUnit.SECONDS.toNanos(5), 5_000);
+      proof.prove(TimeUnit.SECONDS.toNanos(3), 3_000);
+
+      assertThat(proof.ageMillis(TimeUnit.SECONDS.toNanos(6), 6_000)).isEqualTo(1_000);
+    }
+  }
+
+  @Nested
+  class Hold {
+    private final LapsedEntryHold hold = new LapsedEntryHold();
+
+    /** Guards against an outage of the directory that takes away all living servers. */
+    @Test
+    void keepsEntriesThatLapsedDuringAnOutage() {
+      hold.start(0);
+
+      assertThat(hold.merge(List.of("a", "b"), List.of("b", "c"), id -> id, 1))
+          .containsExactly("a", "b", "c");
+    }
+
+    /** Guards against dead servers that are kept for good. */
+    @Test
+    void endsOnce() {
+      hold.start(0);
+      long end = TimeUnit.SECONDS.toNanos(2);
+
+      assertThat(hold.ended(1)).isFalse();
+      assertThat(hold.ended(end)).isTrue();
+      assertThat(hold.ended(end)).isFalse();
+      assertThat(hold.merge(List.of("a"), List.of("b"), id -> id, end)).containsExactly("b");
+    }
+  }
+
+  @Nested
+  class Watching {
+    private List<String> watchers(int instances, String dataCentre) {
+      List<String> fleet = new ArrayList<>();
+      for (int i = 0; i < instances; i++) {
+        fleet.add((i % 2 == 0 ? "a" : "b") + "-" + i);
+      }
+      return WatchDuty.watchers(fleet, id -> id, id -> id.substring(0, 1), dataCentre);
+    }
+
+    /** Guards against calls to the store that grow with the square of the fleet. */
+    @Test
+    void largeFleetHasTwoWatchersInEachDataCentre() {
+      assertThat(watchers(73, "a")).hasSize(2);
+      assertThat(watchers(350, "b")).hasSize(2);
+    }
+
+    /** Guards against a small fleet that depends on one instance. */
+    @Test
+    void smallFleetWatchesAsAWhole() {
+      assertThat(watchers(6, "a")).hasSize(3);
+    }
+  }
+}
--- /dev/null
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the decisions of the forwarding path. */
+package org.basilport.policy.dispatch;
