--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -192,7 +192,12 @@
         urgency,
         start.lastEventId().or(request::lastEventId),
         start.memory(),
-        Optional.empty());
+        copyAddress());
+  }
+
+  /** Address of the engine that keeps a copy of the generation's memory. */
+  Optional<String> copyAddress() {
+    return Optional.empty();
   }
 
   /** Called right before the request is sent. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
@@ -1,21 +1,14 @@
 package org.basilport.gateway.forward;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.basilport.error.Step;
 import org.basilport.event.EventType;
-import org.basilport.gateway.backend.AnswerListener;
-import org.basilport.gateway.backend.BackendConnection;
 import org.basilport.gateway.backend.BackendServer;
 import org.basilport.gateway.config.EngineCapacity;
 import org.basilport.gateway.message.MemoryReference;
 import org.basilport.gateway.message.MoveResult;
-import org.basilport.gateway.message.ServerAnswer;
 import org.basilport.policy.dispatch.MovePacing;
 import org.basilport.policy.dispatch.MoveTargetSelector;
 import org.basilport.policy.dispatch.RequestDemand;
@@ -28,9 +21,6 @@
  * what is new. The caller sees a pause as long as the second copy.
  */
 final class GenerationMove {
-  /** Time after which an order without an answer counts as failed. */
-  private static final long ORDER_TIMEOUT_MILLIS = 2_500;
-
   /** Pause before a move is tried again; engines that leave are gone after about 2 s. */
   private static final long RETRY_MILLIS = 100;
 
@@ -55,6 +45,7 @@
   private ScheduledFuture<?> nextStep;
   private long stopNanos;
   private int tries;
+  private int epoch;
 
   GenerationMove(ForwardingContext context, StreamedExchange exchange) {
     this.context = context;
@@ -98,25 +89,9 @@
   }
 
   private void order(boolean last) {
-    BackendServer from = source;
-    from.connections()
-        .acquire(
-            connection -> sendOrder(connection, last),
-            problem -> onResult(last, new MoveResult(0, Optional.empty())));
-  }
-
-  private void sendOrder(BackendConnection connection, boolean last) {
-    if (state == State.ENDED) {
-      connection.close();
-      return;
-    }
-    connection.send(
-        context
-            .codec()
-            .encodeMove(
-                exchange.request.id(), target.entry().address(), last, source.entry().address()),
-        exchange.request.id(),
-        new OrderAnswer(connection, result -> onResult(last, result)));
+    int ordered = epoch;
+    MoveOrder.send(
+        context, source, target, exchange.request.id(), last, result -> onResult(last, result));
   }
 
   private void onResult(boolean last, MoveResult result) {
@@ -150,8 +125,10 @@
       continueWhenEnded();
     } else if (sourceEnded) {
       releaseTarget();
-      state = State.ENDED;
-      exchange.lose(Step.SEND, "engine stopped the generation, move answered " + result.status());
+      state = State.IDLE;
+      sourceEnded = false;
+      exchange.recover(
+          Step.SEND, "engine stopped the generation, move answered " + result.status());
     } else {
       releaseTarget();
       state = State.IDLE;
@@ -231,59 +208,27 @@
             reason);
   }
 
-  /** Ends the move because the exchange ended. */
-  void cancel() {
-    state = State.ENDED;
+  /** Forgets a move that is in progress, because the generation goes on elsewhere. */
+  void reset() {
+    if (state == State.ENDED) {
+      return;
+    }
+    epoch++;
     if (nextStep != null) {
       nextStep.cancel(false);
     }
     releaseTarget();
+    sourceEnded = false;
+    handle = Optional.empty();
+    state = State.IDLE;
   }
 
-  /** Collects the answer to an order; it fails when the answer takes too long. */
-  private final class OrderAnswer implements AnswerListener {
-    private final BackendConnection connection;
-    private final Consumer<MoveResult> onResult;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-    private final ScheduledFuture<?> timeout;
-    private int status;
-
-    OrderAnswer(BackendConnection connection, Consumer<MoveResult> onResult) {
-      this.connection = connection;
-      this.onResult = onResult;
-      this.timeout =
-          context
-              .eventLoop()
-              .schedule(this::onTimeout, ORDER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
-    private void onTimeout() {
-      connection.abandon();
-      onResult.accept(new MoveResult(0, Optional.empty()));
-    }
-
-    @Override
-    public void onHead(ServerAnswer answer, HttpResponse head) {
-      status = answer.status();
-    }
-
-    @Override
-    public void onContent(ByteBuf content) {
-      byte[] bytes = new byte[content.readableBytes()];
-      content.readBytes(bytes);
-      body.writeBytes(bytes);
-    }
-
-    @Override
-    public void onComplete() {
-      timeout.cancel(false);
-      onResult.accept(context.codec().decodeMove(status, body.toByteArray()));
-    }
-
-    @Override
-    public void onBroken(String reason) {
-      timeout.cancel(false);
-      onResult.accept(new MoveResult(0, Optional.empty()));
+  /** Ends the move because the exchange ended. */
+  void cancel() {
+    state = State.ENDED;
+    if (nextStep != null) {
+      nextStep.cancel(false);
     }
+    releaseTarget();
   }
 }
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/MoveOrder.java
@@ -0,0 +1,93 @@
+package org.basilport.gateway.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.ByteArrayOutputStream;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.basilport.gateway.backend.AnswerListener;
+import org.basilport.gateway.backend.BackendConnection;
+import org.basilport.gateway.backend.BackendServer;
+import org.basilport.gateway.message.MoveResult;
+import org.basilport.gateway.message.ServerAnswer;
+
+/** The order to an engine to copy the memory of a generation to another engine. */
+final class MoveOrder implements AnswerListener {
+  /** Time after which an order without an answer counts as unanswered. */
+  private static final long TIMEOUT_MILLIS = 2_500;
+
+  private final ForwardingContext context;
+  private final BackendConnection connection;
+  private final Consumer<MoveResult> onResult;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final ScheduledFuture<?> timeout;
+  private int status;
+
+  private MoveOrder(
+      ForwardingContext context, BackendConnection connection, Consumer<MoveResult> onResult) {
+    this.context = context;
+    this.connection = connection;
+    this.onResult = onResult;
+    this.timeout =
+        context.eventLoop().schedule(this::onTimeout, TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Sends an order.
+   *
+   * @param source engine that runs the generation
+   * @param target engine that gets the copy
+   * @param last whether the generation stops at the source
+   * @param onResult gets the answer, or why there is none
+   */
+  static void send(
+      ForwardingContext context,
+      BackendServer source,
+      BackendServer target,
+      String generationId,
+      boolean last,
+      Consumer<MoveResult> onResult) {
+    source
+        .connections()
+        .acquire(
+            connection ->
+                connection.send(
+                    context
+                        .codec()
+                        .encodeMove(
+                            generationId, target.entry().address(), last, source.entry().address()),
+                    generationId,
+                    new MoveOrder(context, connection, onResult)),
+            problem -> onResult.accept(MoveResult.UNREACHABLE));
+  }
+
+  private void onTimeout() {
+    connection.abandon();
+    onResult.accept(MoveResult.UNANSWERED);
+  }
+
+  @Override
+  public void onHead(ServerAnswer answer, HttpResponse head) {
+    status = answer.status();
+  }
+
+  @Override
+  public void onContent(ByteBuf content) {
+    byte[] bytes = new byte[content.readableBytes()];
+    content.readBytes(bytes);
+    body.writeBytes(bytes);
+  }
+
+  @Override
+  public void onComplete() {
+    timeout.cancel(false);
+    onResult.accept(context.codec().decodeMove(status, body.toByteArray()));
+  }
+
+  @Override
+  public void onBroken(String reason) {
+    timeout.cancel(false);
+    onResult.accept(MoveResult.UNANSWERED);
+  }
+}
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -31,6 +31,7 @@
   private final ByteArrayOutputStream failureBody = new ByteArrayOutputStream();
   private final DepartureListener departureListener = new Departure();
   private final GenerationMove move;
+  private final CopyRecovery copy;
   private ServerAnswer answer;
   private HttpHeaders headers;
   private boolean answerStarted;
@@ -50,6 +51,7 @@
       CallerChannel caller) {
     super(context, request, route, holder, caller);
     this.move = new GenerationMove(context, this);
+    this.copy = new CopyRecovery(context, this);
   }
 
   @Override
@@ -59,6 +61,9 @@
     unreadWhenSent = server.load().total().unreadTokens();
     firstEventSeen = charge().unreadTokens() == 0;
     watchServer();
+    if (copied()) {
+      copy.chooseHolder(charge().memoryTokens());
+    }
     if (silenceTimer == null) {
       long pause = context.maxEventPause().toNanos();
       silenceTimer =
@@ -74,6 +79,17 @@
     return new ForwardingStart(reader.lastId(), Optional.empty());
   }
 
+  /** Whether the stream can only go on from its memory and its engine can copy that. */
+  private boolean copied() {
+    return route.repeatability() == Repeatability.STREAM
+        && server.engine().filter(EngineCapacity::copiesGenerations).isPresent();
+  }
+
+  @Override
+  Optional<String> copyAddress() {
+    return copy.address();
+  }
+
   private void watchServer() {
     unwatchServer();
     watched = server;
@@ -199,7 +215,7 @@
     answering.load().health().failed(System.nanoTime());
     String reason = "server " + answering.entry().id() + " answered " + answer.status();
     if (answerStarted) {
-      onBroken(reason);
+      lose(Step.STREAM, reason);
     } else if (answer.notRun() || answer.status() == 421) {
       onNotRun(Step.SEND, reason);
     } else if (answer.successful()) {
@@ -233,7 +249,12 @@
       retry(reason);
       return;
     }
-    lose(Step.STREAM, reason);
+    recover(Step.STREAM, reason);
+  }
+
+  /** Continues a stream whose engine failed, if a copy of its memory exists. */
+  void recover(Step step, String reason) {
+    copy.start(step, reason);
   }
 
   /** Ends a stream that cannot go on; the caller sees that it is incomplete. */
@@ -260,6 +281,7 @@
   /** Continues the stream at a server whose load already counts it. */
   void continueAt(BackendServer target, WorkShare work, MemoryReference memory) {
     reader.dropPartialEvent();
+    move.reset();
     releaseServer();
     assignServer(target, work);
     connect(new ForwardingStart(reader.lastId(), Optional.of(memory)));
@@ -302,6 +324,7 @@
   void onFinished() {
     unwatchServer();
     move.cancel();
+    copy.release();
     if (silenceTimer != null) {
       silenceTimer.cancel(false);
     }
--- /dev/null
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/BoundedEventsTest.java
@@ -0,0 +1,28 @@
+package org.basilport.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.basilport.event.EventSubject;
+import org.basilport.event.EventType;
+import org.junit.jupiter.api.Test;
+
+/** Floods the log. */
+class BoundedEventsTest {
+
+  /** Guards against logs that grow with the load, and against losses that nobody sees. */
+  @Test
+  void dropsAndCountsEventsAboveTheLimit() throws Exception {
+    List<EventType> recorded = new ArrayList<>();
+    BoundedEvents events = new BoundedEvents((type, subject, arguments) -> recorded.add(type));
+    for (int i = 0; i < 5_000; i++) {
+      events.record(EventType.REQUEST_SENT, EventSubject.NONE);
+    }
+    assertThat(recorded.size()).isLessThan(1_500);
+    Thread.sleep(1_050);
+    events.record(EventType.REQUEST_SENT, EventSubject.NONE);
+
+    assertThat(recorded).contains(EventType.EVENTS_DROPPED);
+  }
+}
