--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
@@ -97,6 +97,11 @@
     channel.config().setAutoRead(reading);
   }
 
+  /** Starts the idle time of a connection that has not carried a request. */
+  void markIdle() {
+    idleSinceNanos = System.nanoTime();
+  }
+
   /** Whether an idle connection can still be used. */
   boolean usable(long nowNanos) {
     return !closed && channel.isActive() && nowNanos - idleSinceNanos < idleNanos;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ConnectionPool.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ConnectionPool.java
@@ -57,6 +57,17 @@
     connect(onConnected, onFailed);
   }
 
+  /** Opens a connection to find out whether the server can be reached, and keeps it for later. */
+  public void probe(Consumer<Boolean> onResult) {
+    connect(
+        opened -> {
+          opened.markIdle();
+          release(opened);
+          onResult.accept(true);
+        },
+        problem -> onResult.accept(false));
+  }
+
   private void connect(Consumer<BackendConnection> onConnected, Consumer<String> onFailed) {
     BackendConnection connection =
         new BackendConnection(codec, this::release, closed -> open.remove(closed));
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
@@ -4,13 +4,16 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.basilport.error.Step;
 import org.basilport.event.EventType;
 import org.basilport.gateway.backend.BackendServer;
 import org.basilport.gateway.config.ForwardingRoute;
 import org.basilport.gateway.config.KeyHolder;
+import org.basilport.gateway.config.Repeatability;
 import org.basilport.gateway.message.CallerRequest;
 import org.basilport.gateway.message.ServerAnswer;
 
@@ -19,6 +22,13 @@
  * the answer of another server.
  */
 final class BufferedExchange extends Exchange {
+  /**
+   * Time for one attempt as a multiple of the target latency. A server that accepts requests and
+   * never answers would otherwise hold them until their time limit.
+   */
+  private static final double ATTEMPT_SHARE = 3;
+
+  private ScheduledFuture<?> attemptTimer;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private ServerAnswer answer;
   private HttpHeaders headers;
@@ -32,6 +42,36 @@
     super(context, request, route, holder, caller);
   }
 
+  @Override
+  void onSending() {
+    cancelAttemptTimer();
+    if (route.repeatability() == Repeatability.IDEMPOTENT) {
+      long limit = Math.round(ATTEMPT_SHARE * route.targetLatency().toNanos());
+      attemptTimer =
+          context.eventLoop().schedule(this::onAttemptTimeout, limit, TimeUnit.NANOSECONDS);
+    }
+  }
+
+  private void onAttemptTimeout() {
+    if (finished() || connection == null || !takeRetry()) {
+      return;
+    }
+    server.load().health().failed(System.nanoTime());
+    connection.abandon();
+    retry("no answer in time");
+  }
+
+  private void cancelAttemptTimer() {
+    if (attemptTimer != null) {
+      attemptTimer.cancel(false);
+    }
+  }
+
+  @Override
+  void onFinished() {
+    cancelAttemptTimer();
+  }
+
   @Override
   public void onHead(ServerAnswer head, HttpResponse raw) {
     answer = head;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -27,6 +27,12 @@
  * moved, and one that may be resumed goes on at another server after its last event.
  */
 final class StreamedExchange extends Exchange {
+  /**
+   * Silence, as a share of the longest pause, after which the engine is probed. An engine that lost
+   * power answers nothing, and a reset never comes.
+   */
+  private static final double PROBE_SHARE = 0.25;
+
   private final EventStreamReader reader = new EventStreamReader();
   private final ByteArrayOutputStream failureBody = new ByteArrayOutputStream();
   private final DepartureListener departureListener = new Departure();
@@ -299,15 +305,30 @@
   }
 
   private void checkSilence() {
-    if (finished() || connection == null || move.stopping()) {
+    if (finished() || server == null || connection == null || move.stopping()) {
       return;
     }
-    if (System.nanoTime() - lastEventNanos > context.maxEventPause().toNanos()) {
-      connection.abandon();
-      onBroken("no event for " + context.maxEventPause().toMillis() + " ms");
+    long silence = System.nanoTime() - lastEventNanos;
+    if (silence > context.maxEventPause().toNanos()) {
+      giveUpServer("no event for " + context.maxEventPause().toMillis() + " ms");
+    } else if (silence > PROBE_SHARE * context.maxEventPause().toNanos()) {
+      BackendServer silent = server;
+      server
+          .connections()
+          .probe(
+              reachable -> {
+                if (!reachable && server == silent && connection != null) {
+                  giveUpServer("engine is silent and cannot be reached");
+                }
+              });
     }
   }
 
+  private void giveUpServer(String reason) {
+    connection.abandon();
+    onBroken(reason);
+  }
+
   @Override
   void onTimeLimit() {
     if (connection != null) {
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayTest.java
@@ -78,7 +78,7 @@
         prefix,
         kind,
         Duration.ofMillis(1_500),
-        Duration.ofMillis(500),
+        Duration.ofMillis(150),
         2,
         0,
         false,
@@ -196,6 +196,17 @@
       }
     }
 
+    /** Guards against a server that accepts requests and never answers. */
+    @Test
+    void repeatsIdempotentRequestsThatAreNotAnswered() throws Exception {
+      configure(1, "k1");
+      serve("plain", (request, out, socket) -> Thread.sleep(5_000));
+      serve("plain", (request, out, socket) -> ScriptedServer.answer(out, request, 200, "ok"));
+      for (int i = 0; i < 3; i++) {
+        assertThat(call("GET", "/read/x", "key: k1\r\n")).contains("ok");
+      }
+    }
+
     /** Guards against a request that runs twice. */
     @Test
     void neverRepeatsARequestThatMayHaveRun() throws Exception {
