--- a/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -30,7 +30,7 @@
  */
 public final class Gateway implements Service {
   /** Interval of checks that follow the clock: readiness, idle connections, waiting requests. */
-  private static final long HOUSEKEEPING_MILLIS = 100;
+  private static final long HOUSEKEEPING_MILLIS = 200;
 
   /** Interval at which a draining instance checks whether it may end. */
   private static final long DRAIN_CHECK_MILLIS = 50;
@@ -81,7 +81,7 @@
             settings.peerAddress(),
             eventLoop,
             settings.instanceId(),
-            settings.dataCentre(),
+            settings.firstStart(),
             settings.frontendAddress(),
             state,
             events);
--- a/basilport-gateway/src/main/java/org/basilport/gateway/GatewaySettings.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/GatewaySettings.java
@@ -9,6 +9,7 @@
  *
  * @param instanceId id of the instance
  * @param dataCentre data centre of the instance
+ * @param firstStart whether the whole fleet starts for the first time
  * @param frontend address that callers connect to
  * @param peerAddress address that takes datagrams of other instances
  * @param retryLimits limits on requests that are sent again
@@ -19,6 +20,7 @@
 public record GatewaySettings(
     String instanceId,
     String dataCentre,
+    boolean firstStart,
     InetSocketAddress frontend,
     InetSocketAddress peerAddress,
     RetryLimits retryLimits,
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.basilport.event.EventSink;
 import org.basilport.event.EventSubject;
 import org.basilport.event.EventType;
@@ -28,10 +29,22 @@
   private final EventLoop eventLoop;
   private final MessageCodec codec;
   private final EventSink events;
+  private Runnable departureListener = () -> {};
+  private Consumer<BackendServer> engineListener = server -> {};
   private final Map<String, BackendServer> byId = new HashMap<>();
   private final Map<String, Departure> departures = new HashMap<>();
   private final Map<String, List<BackendServer>> byService = new HashMap<>();
 
+  /** Calls a listener when a server is found to leave. */
+  public void onDeparture(Runnable listener) {
+    departureListener = listener;
+  }
+
+  /** Calls a listener when the own work on an engine changes. */
+  public void onEngineWork(Consumer<BackendServer> listener) {
+    engineListener = listener;
+  }
+
   /** Creates an empty table. */
   public ServerTable(EventLoop eventLoop, MessageCodec codec, EventSink events) {
     this.eventLoop = eventLoop;
@@ -85,6 +98,9 @@
     BackendServer server =
         new BackendServer(
             entry, service.engine(), load, new ConnectionPool(entry, eventLoop, codec));
+    if (server.engine().isPresent()) {
+      load.onChange(() -> engineListener.accept(server));
+    }
     load.setSlowUntil(System.nanoTime() + entry.slowFor().toNanos());
     byId.put(entry.id(), server);
     byService.computeIfAbsent(entry.service(), name -> new ArrayList<>()).add(server);
@@ -125,6 +141,7 @@
   private void depart(BackendServer server) {
     departures.put(
         server.entry().id(), new Departure(server.entry().incarnation(), System.nanoTime()));
+    departureListener.run();
     server.depart();
   }
 
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.basilport.gateway.backend.BackendServer;
 import org.basilport.gateway.backend.ServerTable;
 import org.basilport.policy.dispatch.RequestDemand;
@@ -21,12 +22,18 @@
 
   private final String service;
   private final ServerTable servers;
+  private final Predicate<BackendServer> usable;
   private final ServerSelector selector;
   private final WindowedRetryBudget retries;
   private final WaitingLine<PlacementRequest> line = new WaitingLine<>(LINE_LIMIT);
 
   ServiceDispatcher(
-      String service, ServerTable servers, ServerSelector selector, WindowedRetryBudget retries) {
+      String service,
+      ServerTable servers,
+      Predicate<BackendServer> usable,
+      ServerSelector selector,
+      WindowedRetryBudget retries) {
+    this.usable = usable;
     this.service = service;
     this.servers = servers;
     this.selector = selector;
@@ -99,13 +106,21 @@
     return server.isPresent();
   }
 
+  /** The servers of this instance's share of the service, all when that has none. */
+  private List<BackendServer> usableServers() {
+    List<BackendServer> all = servers.servers(service);
+    List<BackendServer> own =
+        all.stream().filter(usable).filter(server -> !server.load().leaving()).toList();
+    return own.isEmpty() ? all : own;
+  }
+
   /** Chooses a server by other criteria than the service's own, without changing its load. */
   Optional<BackendServer> choose(
       ServerSelector criteria, RequestDemand demand, PlacementRequest request) {
     long now = System.nanoTime();
     List<ServerLoad> candidates = new ArrayList<>();
     List<ServerLoad> suspended = new ArrayList<>();
-    for (BackendServer server : servers.servers(service)) {
+    for (BackendServer server : usableServers()) {
       if (server.load().leaving() || !request.accepts(server)) {
         continue;
       }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/TrafficState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/TrafficState.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.basilport.event.EventSink;
 import org.basilport.event.EventSubject;
 import org.basilport.event.EventType;
@@ -46,6 +47,7 @@
   private List<ServerEntry> entries = List.of();
   private List<ServerEntry> lastListed = List.of();
   private String entriesSource = "";
+  private Predicate<BackendServer> usable = server -> true;
   private int instances = 1;
 
   /** Creates the state of an instance that knows nothing yet. */
@@ -112,6 +114,16 @@
     pumpAll();
   }
 
+  /** Sets which backend servers this instance sends requests to. */
+  public void setUsable(Predicate<BackendServer> predicate) {
+    usable = predicate;
+  }
+
+  /** Whether this instance sends requests to a backend server. */
+  boolean usable(BackendServer server) {
+    return usable.test(server);
+  }
+
   /** Sets the number of instances that share the retry budget. */
   public void setInstances(int count) {
     instances = Math.max(1, count);
@@ -142,7 +154,7 @@
         engine
             ? new EarliestFirstTokenSelector(dataCentre, FIRST_TOKEN_LIMIT_NANOS, random)
             : new LeastOccupiedSelector(dataCentre, random);
-    return new ServiceDispatcher(service, servers, selector, retryLimits.newBudget());
+    return new ServiceDispatcher(service, servers, this::usable, selector, retryLimits.newBudget());
   }
 
   /** Places requests that wait for any service. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/InstanceEntry.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/InstanceEntry.java
@@ -6,7 +6,6 @@
  * An instance that registered itself.
  *
  * @param id id of the instance
- * @param dataCentre its data centre
  * @param peerAddress address that takes datagrams of other instances
  */
-public record InstanceEntry(String id, String dataCentre, InetSocketAddress peerAddress) {}
+public record InstanceEntry(String id, InetSocketAddress peerAddress) {}
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -3,11 +3,11 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.basilport.event.EventSink;
@@ -17,6 +17,7 @@
 import org.basilport.gateway.config.ForwardingConfiguration;
 import org.basilport.gateway.forward.TrafficState;
 import org.basilport.misc.Service;
+import org.basilport.policy.dispatch.FleetCells;
 import org.basilport.policy.dispatch.WatchDuty;
 import org.basilport.policy.dispatch.WorkShare;
 import org.basilport.protocol.LoadReport;
@@ -27,61 +28,65 @@
 /**
  * Tells the other instances of the own work and readiness; confined to the traffic thread.
  *
- * <p>A report is a whole snapshot, so a lost one is replaced by the next. Changes of work on model
- * engines go to all instances at once, because a few requests fill an engine; the rest goes to some
- * of them at each interval.
+ * <p>A report is a whole snapshot, so a lost one is replaced by the next. Changes of work on a
+ * model engine go at once to all instances that use it, because a few requests fill an engine; the
+ * rest goes to the own cell at each interval.
  */
 public final class LoadExchange implements Service {
   /** Interval of reports without a change. */
-  private static final long HEARTBEAT_MILLIS = 250;
+  private static final long HEARTBEAT_MILLIS = 400;
 
-  /** Shortest interval between reports; a round trip between data centres takes 3 ms. */
-  private static final long MIN_INTERVAL_MILLIS = 20;
+  /** Time for which changes are collected; the one-way time between data centres is 1 to 2 ms. */
+  private static final long COLLECT_MILLIS = 15;
 
-  /** Silence after which an instance is considered dead: four reports were lost or not sent. */
-  private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_100);
+  /** Silence after which an instance is considered dead: three reports were lost or not sent. */
+  private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_300);
 
-  /** Instances that get a report without news; in a larger fleet they are drawn at random. */
-  private static final int FANOUT = 12;
+  /** Time after the first start of a fleet in which its members become known. */
+  private static final long FORMATION_NANOS = TimeUnit.SECONDS.toNanos(3);
 
   private final EventLoop eventLoop;
   private final String instanceId;
-  private final String dataCentre;
   private final String frontendAddress;
   private final TrafficState state;
   private final EventSink events;
   private final PeerChannel channel;
   private final FreshnessExchange freshness;
   private final long incarnation = System.currentTimeMillis();
-  private final Random random = new Random();
+  private final long startNanos = System.nanoTime();
+  private final boolean firstStart;
   private final Map<String, Peer> peers = new HashMap<>();
   private List<InstanceEntry> registered = List.of();
+  private boolean membersKnown;
   private boolean ready;
-  private boolean watching = true;
+  private boolean watching;
+  private FleetCells cells = new FleetCells(1);
+  private final Set<String> changedEngines = new HashSet<>();
+  private boolean flushScheduled;
   private ConfigurationSource source;
   private long sequence;
-  private Map<String, WorkShare> lastEngineWork = Map.of();
   private Map<String, Long> lastDepartures = Map.of();
   private long lastVersion;
-  private long lastSentNanos = System.nanoTime();
 
   /** Creates an exchange; it sends after its start. */
   public LoadExchange(
       InetSocketAddress address,
       EventLoop eventLoop,
       String instanceId,
-      String dataCentre,
+      boolean firstStart,
       String frontendAddress,
       TrafficState state,
       EventSink events) {
     this.eventLoop = eventLoop;
     this.instanceId = instanceId;
-    this.dataCentre = dataCentre;
+    this.firstStart = firstStart;
     this.frontendAddress = frontendAddress;
     this.state = state;
     this.events = events;
     this.channel = new PeerChannel(address, eventLoop, this::receive);
     this.freshness = new FreshnessExchange(instanceId, channel, state);
+    state.servers().onEngineWork(this::onEngineWork);
+    state.servers().onDeparture(this::scheduleFlush);
   }
 
   /** Sets where the configuration is read; called before the start. */
@@ -97,7 +102,7 @@
         .thenRun(
             () ->
                 eventLoop.scheduleWithFixedDelay(
-                    this::tick, MIN_INTERVAL_MILLIS, MIN_INTERVAL_MILLIS, TimeUnit.MILLISECONDS));
+                    this::heartbeat, HEARTBEAT_MILLIS, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS));
   }
 
   @Override
@@ -109,60 +114,94 @@
   public void setReady(boolean value) {
     if (ready != value) {
       ready = value;
-      send(addresses(registered));
+      send(members(Set.of(cells.cellOf(instanceId))));
     }
   }
 
   /** Replaces the instances that reports go to. */
   public void updateInstances(List<InstanceEntry> entries) {
     registered = entries.stream().filter(entry -> !entry.id().equals(instanceId)).toList();
-    state.setInstances(registered.size() + 1);
+    int size = registered.size() + 1;
+    cells = new FleetCells(size);
+    state.setInstances(size);
+    String own = cells.cellOf(instanceId);
+    state.setUsable(
+        server ->
+            cells.single()
+                || server.engine().isEmpty()
+                || cells.cellsOfEngine(server.entry().id()).contains(own));
+    membersKnown = true;
   }
 
-  /** Addresses of the instances that are ready, with this one if it is. */
+  /** Addresses of the ready instances of the cell, with this one if it is ready. */
   public List<String> readyAddresses() {
     long now = System.nanoTime();
-    List<String> ready = new ArrayList<>();
-    if (this.ready) {
-      ready.add(frontendAddress);
+    List<String> addresses = new ArrayList<>();
+    if (ready) {
+      addresses.add(frontendAddress);
     }
     for (Peer peer : peers.values()) {
-      if (peer.report.getReady() && now - peer.heardNanos < silenceLimit()) {
-        ready.add(peer.report.getFrontendAddress());
+      if (peer.report.getReady() && now - peer.heardNanos < SILENCE_NANOS) {
+        addresses.add(peer.report.getFrontendAddress());
       }
     }
-    return ready;
+    return addresses;
   }
 
-  private void tick() {
-    long now = System.nanoTime();
-    dropSilentPeers(now);
-    updateDuty();
-    Map<String, Long> departures = state.servers().recentDepartures();
-    boolean news =
-        !engineWork().equals(lastEngineWork)
-            || !lastDepartures.keySet().containsAll(departures.keySet())
-            || version() != lastVersion;
-    if (news) {
-      send(addresses(registered));
-    } else if (now - lastSentNanos > TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_MILLIS)) {
-      send(addresses(heartbeatReceivers()));
+  private void onEngineWork(BackendServer server) {
+    changedEngines.add(server.entry().id());
+    scheduleFlush();
+  }
+
+  private void scheduleFlush() {
+    if (!flushScheduled) {
+      flushScheduled = true;
+      eventLoop.schedule(this::flush, COLLECT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void flush() {
+    flushScheduled = false;
+    Set<String> concerned = new HashSet<>();
+    if (!cells.single()) {
+      changedEngines.forEach(id -> concerned.addAll(cells.cellsOfEngine(id)));
     }
+    concerned.add(cells.cellOf(instanceId));
+    changedEngines.clear();
+    send(members(concerned));
+  }
+
+  private void heartbeat() {
+    dropSilentPeers(System.nanoTime());
+    updateDuty();
+    send(members(Set.of(cells.cellOf(instanceId))));
+  }
+
+  private List<InetSocketAddress> members(Set<String> ofCells) {
+    return registered.stream()
+        .filter(entry -> ofCells.contains(cells.cellOf(entry.id())))
+        .map(InstanceEntry::peerAddress)
+        .toList();
   }
 
   /** Takes or gives up the duty to watch the store, and obtains proofs without it. */
   private void updateDuty() {
+    boolean forming = firstStart && System.nanoTime() - startNanos < FORMATION_NANOS;
+    if (source == null || forming || !membersKnown) {
+      freshness.tick(List.of());
+      return;
+    }
+    String own = cells.cellOf(instanceId);
     List<InstanceEntry> alive = new ArrayList<>();
-    alive.add(new InstanceEntry(instanceId, dataCentre, null));
+    alive.add(new InstanceEntry(instanceId, null));
     for (InstanceEntry entry : registered) {
-      if (peers.containsKey(entry.id())) {
+      if (cells.cellOf(entry.id()).equals(own) && canWatch(entry.id())) {
         alive.add(entry);
       }
     }
-    List<InstanceEntry> watchers =
-        WatchDuty.watchers(alive, InstanceEntry::id, InstanceEntry::dataCentre, dataCentre);
+    List<InstanceEntry> watchers = WatchDuty.watchers(alive, cells.single(), InstanceEntry::id);
     boolean duty = watchers.stream().anyMatch(entry -> entry.id().equals(instanceId));
-    if (duty != watching && source != null) {
+    if (duty != watching) {
       watching = duty;
       source.setWatching(duty);
     }
@@ -171,6 +210,12 @@
     }
   }
 
+  /** An instance that cannot prove its own configuration does not reach the store. */
+  private boolean canWatch(String id) {
+    Peer peer = peers.get(id);
+    return peer != null && peer.report.getReady();
+  }
+
   private static List<InetSocketAddress> addresses(List<InstanceEntry> entries) {
     return entries.stream().map(InstanceEntry::peerAddress).toList();
   }
@@ -179,22 +224,9 @@
     return state.configuration().map(ForwardingConfiguration::version).orElse(0L);
   }
 
-  private Map<String, WorkShare> engineWork() {
-    Map<String, WorkShare> work = new HashMap<>();
-    for (BackendServer server : state.servers().all()) {
-      WorkShare own = server.load().own();
-      if (server.engine().isPresent() && !own.equals(WorkShare.NONE)) {
-        work.put(server.entry().id(), own);
-      }
-    }
-    return work;
-  }
-
   private void send(List<InetSocketAddress> receivers) {
-    lastEngineWork = engineWork();
     lastDepartures = state.servers().recentDepartures();
     lastVersion = version();
-    lastSentNanos = System.nanoTime();
     LoadReport.Builder report =
         LoadReport.newBuilder()
             .setInstanceId(instanceId)
@@ -222,15 +254,6 @@
         PeerDatagram.newBuilder().setSenderId(instanceId).setLoad(report).build(), receivers);
   }
 
-  private List<InstanceEntry> heartbeatReceivers() {
-    if (registered.size() <= FANOUT) {
-      return registered;
-    }
-    List<InstanceEntry> shuffled = new ArrayList<>(registered);
-    Collections.shuffle(shuffled, random);
-    return shuffled.subList(0, FANOUT);
-  }
-
   private void receive(PeerDatagram message, InetSocketAddress sender) {
     if (message.getSenderId().equals(instanceId)) {
       return;
@@ -287,7 +310,7 @@
             .entrySet()
             .removeIf(
                 entry -> {
-                  boolean silent = now - entry.getValue().heardNanos > silenceLimit();
+                  boolean silent = now - entry.getValue().heardNanos > SILENCE_NANOS;
                   if (silent) {
                     events.record(EventType.MEMBER_DEAD, EventSubject.NONE, entry.getKey());
                   }
@@ -298,11 +321,6 @@
     }
   }
 
-  /** In a large fleet, each instance gets only a share of the reports. */
-  private long silenceLimit() {
-    return SILENCE_NANOS * Math.max(1, registered.size() / FANOUT);
-  }
-
   private void publishOthersWork() {
     Map<String, WorkShare> sums = new HashMap<>();
     for (Peer peer : peers.values()) {
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayTest.java
@@ -47,6 +47,7 @@
         new GatewaySettings(
             "gateway-1",
             "a",
+            false,
             frontend,
             freeAddress(),
             new RetryLimits(0.2, 50, TimeUnit.SECONDS.toNanos(10)),
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServerLoad.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServerLoad.java
@@ -17,6 +17,7 @@
   private final ServerHealth health = new ServerHealth();
   private WorkShare own = WorkShare.NONE;
   private WorkShare others = WorkShare.NONE;
+  private Runnable changeListener = () -> {};
   private boolean leaving;
   private long slowUntilNanos = Long.MIN_VALUE;
   private double nanosPerUnreadToken = EarliestFirstTokenSelector.DEFAULT_NANOS_PER_TOKEN;
@@ -71,11 +72,18 @@
   /** Adds work of this instance. */
   public void add(WorkShare work) {
     own = own.plus(work);
+    changeListener.run();
   }
 
   /** Removes work of this instance. */
   public void remove(WorkShare work) {
     own = own.minus(work);
+    changeListener.run();
+  }
+
+  /** Calls a listener at each change of the work of this instance. */
+  public void onChange(Runnable listener) {
+    changeListener = listener;
   }
 
   /** Replaces what is known of the work of other instances. */
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/SharedLimitsTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/SharedLimitsTest.java
@@ -3,7 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -101,26 +103,52 @@
   }
 
   @Nested
-  class Watching {
-    private List<String> watchers(int instances, String dataCentre) {
+  class Cells {
+    private List<String> fleet(int instances) {
       List<String> fleet = new ArrayList<>();
       for (int i = 0; i < instances; i++) {
-        fleet.add((i % 2 == 0 ? "a" : "b") + "-" + i);
+        fleet.add("instance-" + i);
       }
-      return WatchDuty.watchers(fleet, id -> id, id -> id.substring(0, 1), dataCentre);
+      return fleet;
     }
 
-    /** Guards against calls to the store that grow with the square of the fleet. */
+    /** Guards against messages that grow with the square of the fleet. */
     @Test
-    void largeFleetHasTwoWatchersInEachDataCentre() {
-      assertThat(watchers(73, "a")).hasSize(2);
-      assertThat(watchers(350, "b")).hasSize(2);
+    void cellsStaySmall() {
+      for (int size : new int[] {73, 350}) {
+        FleetCells cells = new FleetCells(size);
+        Map<String, Integer> members = new HashMap<>();
+        fleet(size).forEach(id -> members.merge(cells.cellOf(id), 1, Integer::sum));
+
+        members.values().forEach(count -> assertThat(count).isAtMost(30));
+        assertThat(members.size()).isAtLeast(size / 30);
+      }
+    }
+
+    /** Guards against cells without engines. */
+    @Test
+    void eachCellHasEngines() {
+      FleetCells cells = new FleetCells(73);
+      Map<String, Integer> engines = new HashMap<>();
+      for (int i = 0; i < 34; i++) {
+        cells.cellsOfEngine("engine-" + i).forEach(c -> engines.merge(c, 1, Integer::sum));
+      }
+
+      assertThat(engines).hasSize(7);
+      engines.values().forEach(count -> assertThat(count).isAtLeast(3));
     }
 
     /** Guards against a small fleet that depends on one instance. */
     @Test
-    void smallFleetWatchesAsAWhole() {
-      assertThat(watchers(6, "a")).hasSize(3);
+    void smallFleetIsOneCellAndWatchesAsAWhole() {
+      assertThat(new FleetCells(7).single()).isTrue();
+      assertThat(WatchDuty.watchers(fleet(7), true, id -> id)).hasSize(7);
+    }
+
+    /** Guards against calls to the store that grow with the square of the fleet. */
+    @Test
+    void largeFleetHasTwoWatchersInEachCell() {
+      assertThat(WatchDuty.watchers(fleet(12), false, id -> id)).hasSize(2);
     }
   }
 }
