--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendServer.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendServer.java
@@ -15,6 +15,7 @@
   private final ConnectionPool connections;
   private final List<DepartureListener> departureListeners = new ArrayList<>();
   private long departureNanos;
+  private boolean dead;
   private long memoryTokensAtDeparture;
 
   /** Creates a server that has no work yet. */
@@ -34,6 +35,16 @@
     return entry;
   }
 
+  /** Records that the server is gone without having announced to leave. */
+  void markDead() {
+    dead = true;
+  }
+
+  /** Whether the loss of a connection is explained by an announced departure. */
+  public boolean announcedDeparture() {
+    return load.leaving() && !dead;
+  }
+
   /** Capacity of the engine; empty for a plain server. */
   public Optional<EngineCapacity> engine() {
     return engine;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -16,6 +16,7 @@
 import org.basilport.gateway.config.ForwardingConfiguration;
 import org.basilport.gateway.config.ForwardingService;
 import org.basilport.gateway.message.MessageCodec;
+import org.basilport.policy.dispatch.CrashSuspects;
 import org.basilport.policy.dispatch.ServerLoad;
 
 /** All backend servers that the directory lists; confined to the traffic thread. */
@@ -29,6 +30,7 @@
   private final EventLoop eventLoop;
   private final MessageCodec codec;
   private final EventSink events;
+  private final CrashSuspects suspects = new CrashSuspects();
   private Runnable departureListener = () -> {};
   private Consumer<BackendServer> engineListener = server -> {};
   private final Map<String, BackendServer> byId = new HashMap<>();
@@ -124,6 +126,8 @@
     byService.get(entry.service()).remove(server);
     if (!server.load().leaving()) {
       events.record(EventType.BACKEND_LEAVING, EventSubject.server(entry.id()), entry.id(), reason);
+      server.markDead();
+      confirmDeath(entry);
     }
     depart(server);
     server.connections().shutDown();
@@ -167,6 +171,18 @@
   /** A start of a server that left. */
   private record Departure(long incarnation, long nanos) {}
 
+  /** Records that a server which had not announced to leave is gone. */
+  public void confirmDeath(ServerEntry entry) {
+    if (suspects.confirmDeath(entry.id(), entry.incarnation(), System.nanoTime())) {
+      departureListener.run();
+    }
+  }
+
+  /** Requests that may crash servers. */
+  public CrashSuspects suspects() {
+    return suspects;
+  }
+
   /** Returns all servers of a service, including those that are leaving. */
   public List<BackendServer> servers(String service) {
     return byService.getOrDefault(service, List.of());
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
@@ -135,6 +135,7 @@
 
   @Override
   public void onBroken(String reason) {
+    suspectServerDeath();
     server.load().health().failed(System.nanoTime());
     if (takeRetry()) {
       retry(reason);
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -85,6 +85,17 @@
 
   /** Starts to look for a backend server. */
   final void begin() {
+    if (context.state().servers().suspects().refused(request.fingerprint(), arrivedNanos)) {
+      context
+          .events()
+          .record(
+              EventType.REQUEST_QUARANTINED,
+              subject(),
+              Long.toHexString(request.fingerprint()),
+              "several");
+      refuse(Step.ADMIT, "the request crashed several backend servers");
+      return;
+    }
     dispatcher.retries().countRequest(arrivedNanos);
     long wait = Math.round(WAIT_SHARE * route.targetLatency().toNanos());
     waitTimer = context.eventLoop().schedule(this::onWaitEnd, wait, TimeUnit.NANOSECONDS);
@@ -161,6 +172,9 @@
             },
             problem -> {
               target.load().health().unreachable(System.nanoTime());
+              if (!target.load().leaving()) {
+                context.state().servers().confirmDeath(target.entry());
+              }
               if (!finished && server == target) {
                 onNotRun(Step.CONNECT, problem);
               }
@@ -203,6 +217,21 @@
   /** Called right before the request is sent. */
   void onSending() {}
 
+  /** The connection was lost while the server was at work; the request may have crashed it. */
+  final void suspectServerDeath() {
+    if (server != null && !server.announcedDeparture()) {
+      context
+          .state()
+          .servers()
+          .suspects()
+          .recordLoss(
+              request.fingerprint(),
+              server.entry().id(),
+              server.entry().incarnation(),
+              System.nanoTime());
+    }
+  }
+
   /** Gives up the present server: its load no longer counts the request. */
   final void releaseServer() {
     if (server != null) {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -241,6 +241,7 @@
       move.onSourceEnded();
       return;
     }
+    suspectServerDeath();
     server.load().health().failed(System.nanoTime());
     reader.dropPartialEvent();
     if (!answerStarted) {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/message/CallerRequest.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/message/CallerRequest.java
@@ -1,5 +1,6 @@
 package org.basilport.gateway.message;
 
+import com.google.common.hash.Hashing;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.Optional;
@@ -30,6 +31,19 @@
     Optional<Prompt> prompt,
     Optional<String> lastEventId) {
 
+  /** Hash of what the request asks for; a caller that sends it again sends the same content. */
+  public long fingerprint() {
+    return Hashing.murmur3_128()
+        .newHasher()
+        .putUnencodedChars(method)
+        .putUnencodedChars(host)
+        .putUnencodedChars(target)
+        .putUnencodedChars(accessKey.orElse(""))
+        .putBytes(body)
+        .hash()
+        .asLong();
+  }
+
   /** The path without the query. */
   public String path() {
     int query = target.indexOf('?');
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -17,11 +17,13 @@
 import org.basilport.gateway.config.ForwardingConfiguration;
 import org.basilport.gateway.forward.TrafficState;
 import org.basilport.misc.Service;
+import org.basilport.policy.dispatch.CrashSuspects;
 import org.basilport.policy.dispatch.FleetCells;
 import org.basilport.policy.dispatch.WatchDuty;
 import org.basilport.policy.dispatch.WorkShare;
 import org.basilport.protocol.LoadReport;
 import org.basilport.protocol.PeerDatagram;
+import org.basilport.protocol.ServerDeath;
 import org.basilport.protocol.ServerDeparture;
 import org.basilport.protocol.ServerWork;
 
@@ -239,6 +241,13 @@
         (id, start) ->
             report.addDepartures(
                 ServerDeparture.newBuilder().setServerId(id).setIncarnation(start)));
+    for (CrashSuspects.Death death : state.servers().suspects().deaths()) {
+      report.addDeaths(
+          ServerDeath.newBuilder()
+              .setFingerprint(death.fingerprint())
+              .setServerId(death.serverId())
+              .setIncarnation(death.incarnation()));
+    }
     for (BackendServer server : state.servers().all()) {
       WorkShare own = server.load().own();
       if (!own.equals(WorkShare.NONE)) {
@@ -289,6 +298,7 @@
                         departure.getServerId(),
                         departure.getIncarnation(),
                         report.getInstanceId()));
+    takeDeaths(report);
     if (known == null || known.report.getIncarnation() != report.getIncarnation()) {
       events.record(
           EventType.MEMBER_JOINED,
@@ -304,6 +314,21 @@
     }
   }
 
+  private void takeDeaths(LoadReport report) {
+    for (ServerDeath death : report.getDeathsList()) {
+      CrashSuspects.Death told =
+          new CrashSuspects.Death(
+              death.getFingerprint(), death.getServerId(), death.getIncarnation());
+      if (state.servers().suspects().addDeath(told, System.nanoTime())) {
+        events.record(
+            EventType.REQUEST_SUSPECTED,
+            EventSubject.server(death.getServerId()),
+            Long.toHexString(death.getFingerprint()),
+            1);
+      }
+    }
+  }
+
   private void dropSilentPeers(long now) {
     boolean dropped =
         peers
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayTest.java
@@ -208,6 +208,33 @@
       }
     }
 
+    /** Guards against a request that takes down one server after another. */
+    @Test
+    void refusesARequestThatCrashedThreeServers() throws Exception {
+      configure(1, "k1");
+      List<ScriptedServer> crashed = new ArrayList<>();
+      for (int i = 0; i < 4; i++) {
+        int index = i;
+        crashed.add(
+            serve(
+                "plain",
+                (request, out, socket) -> {
+                  crashed.get(index).close();
+                  entries.removeIf(entry -> entry.port() == crashed.get(index).port());
+                  gateway.updateServers(entries, "test");
+                }));
+      }
+      int dead = 0;
+      for (int i = 0; i < 6; i++) {
+        call("POST", "/write/x", "key: k1\r\n");
+        Thread.sleep(100);
+        dead = 4 - entries.size();
+      }
+
+      assertThat(dead).isEqualTo(3);
+      assertThat(call("POST", "/write/x", "key: k1\r\n")).startsWith("HTTP/1.1 503");
+    }
+
     /** Guards against a request that runs twice. */
     @Test
     void neverRepeatsARequestThatMayHaveRun() throws Exception {
