Spread the targets of simultaneous moves; cut cells into equal parts; fewer copies

Cells now have equal parts. Copies stop at 0.4 of an engine's memory, and memory is set aside for 0.9 of the expected output instead of 0.75, since copies and moves had added to the preemptions.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
@@ -1,7 +1,9 @@
 package org.basilport.gateway.forward;
 
 import io.netty.util.concurrent.ScheduledFuture;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.basilport.error.Step;
 import org.basilport.event.EventType;
@@ -38,6 +40,7 @@
   private final StreamedExchange exchange;
   private State state = State.IDLE;
   private BackendServer source;
+  private final Set<String> refusedBy = new HashSet<>();
   private BackendServer target;
   private WorkShare reserved = WorkShare.NONE;
   private boolean sourceEnded;
@@ -63,11 +66,7 @@
       return;
     }
     source = exchange.server;
-    Optional<BackendServer> chosen =
-        exchange.dispatcher.choose(
-            new MoveTargetSelector(source.entry().dataCentre()),
-            new RequestDemand(0, exchange.remainingWork().memoryTokens()),
-            exchange);
+    Optional<BackendServer> chosen = chooseTarget();
     if (chosen.isEmpty()) {
       fail(Step.LOCATE, "no engine has room");
       return;
@@ -80,6 +79,20 @@
     order(false);
   }
 
+  private Optional<BackendServer> chooseTarget() {
+    MoveTargetSelector selector =
+        new MoveTargetSelector(source.entry().dataCentre(), context.random());
+    RequestDemand demand = new RequestDemand(0, exchange.remainingWork().memoryTokens());
+    return exchange.dispatcher.choose(
+        (candidates, needed, now) ->
+            selector.select(
+                candidates.stream().filter(load -> !refusedBy.contains(load.id())).toList(),
+                needed,
+                now),
+        demand,
+        exchange);
+  }
+
   private void orderLast() {
     if (state == State.COPYING) {
       state = State.STOPPING;
@@ -108,6 +121,7 @@
                 copyNanos);
         nextStep = context.eventLoop().schedule(this::orderLast, delay, TimeUnit.NANOSECONDS);
       } else {
+        refusedBy.add(target.entry().id());
         releaseTarget();
         state = State.IDLE;
         fail(Step.SEND, "copy answered " + result.status());
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -62,7 +62,7 @@
   private boolean membersKnown;
   private boolean ready;
   private boolean watching;
-  private FleetCells cells = new FleetCells(1);
+  private FleetCells cells = new FleetCells(List.of(), List.of());
   private final Set<String> changedEngines = new HashSet<>();
   private boolean flushScheduled;
   private ConfigurationSource source;
@@ -123,16 +123,26 @@
   /** Replaces the instances that reports go to. */
   public void updateInstances(List<InstanceEntry> entries) {
     registered = entries.stream().filter(entry -> !entry.id().equals(instanceId)).toList();
-    int size = registered.size() + 1;
-    cells = new FleetCells(size);
-    state.setInstances(size);
-    String own = cells.cellOf(instanceId);
+    state.setInstances(registered.size() + 1);
+    membersKnown = true;
+    divideFleet();
+  }
+
+  private void divideFleet() {
+    List<String> instances = new ArrayList<>(registered.stream().map(InstanceEntry::id).toList());
+    instances.add(instanceId);
+    List<String> engines =
+        state.servers().all().stream()
+            .filter(server -> server.engine().isPresent() && !server.load().leaving())
+            .map(server -> server.entry().id())
+            .toList();
+    cells = new FleetCells(instances, engines);
+    int own = cells.cellOf(instanceId);
     state.setUsable(
         server ->
             cells.single()
                 || server.engine().isEmpty()
                 || cells.cellsOfEngine(server.entry().id()).contains(own));
-    membersKnown = true;
   }
 
   /** Addresses of the ready instances of the cell, with this one if it is ready. */
@@ -164,7 +174,7 @@
 
   private void flush() {
     flushScheduled = false;
-    Set<String> concerned = new HashSet<>();
+    Set<Integer> concerned = new HashSet<>();
     if (!cells.single()) {
       changedEngines.forEach(id -> concerned.addAll(cells.cellsOfEngine(id)));
     }
@@ -175,11 +185,12 @@
 
   private void heartbeat() {
     dropSilentPeers(System.nanoTime());
+    divideFleet();
     updateDuty();
     send(members(Set.of(cells.cellOf(instanceId))));
   }
 
-  private List<InetSocketAddress> members(Set<String> ofCells) {
+  private List<InetSocketAddress> members(Set<Integer> ofCells) {
     return registered.stream()
         .filter(entry -> ofCells.contains(cells.cellOf(entry.id())))
         .map(InstanceEntry::peerAddress)
@@ -193,11 +204,11 @@
       freshness.tick(List.of());
       return;
     }
-    String own = cells.cellOf(instanceId);
+    int own = cells.cellOf(instanceId);
     List<InstanceEntry> alive = new ArrayList<>();
     alive.add(new InstanceEntry(instanceId, null));
     for (InstanceEntry entry : registered) {
-      if (cells.cellOf(entry.id()).equals(own) && canWatch(entry.id())) {
+      if (cells.cellOf(entry.id()) == own && canWatch(entry.id())) {
         alive.add(entry);
       }
     }
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/CopyHolderSelector.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/CopyHolderSelector.java
@@ -11,7 +11,7 @@
  */
 public final class CopyHolderSelector implements ServerSelector {
   /** Memory occupancy, with the copy, up to which an engine holds copies. */
-  private static final double MEMORY_SHARE = 0.55;
+  private static final double MEMORY_SHARE = 0.4;
 
   @Override
   public Optional<ServerLoad> select(
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/FleetCells.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/FleetCells.java
@@ -2,49 +2,69 @@
 
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
-import java.util.stream.Collectors;
-import java.util.stream.IntStream;
-import org.basilport.policy.routing.RendezvousHash;
 
 /**
  * Divides a large fleet into cells whose members exchange load.
  *
  * <p>Answers the cost of an exchange in which each instance tells all others. A model engine is
- * used by two cells only, so the instances that share it know all work on it, and the messages of
- * an instance do not grow with the fleet. A small fleet is one cell.
+ * used by two neighbouring cells, so the instances that share it know all work on it, and the
+ * messages of an instance do not grow with the fleet. Instances and engines are put in the order of
+ * their hashes and cut into equal parts: cells have the same number of both, and a join or leave
+ * moves only those at the borders. A small fleet is one cell.
  */
 public final class FleetCells {
-  /** Instances in a cell on average; a fleet of this size is one cell. */
+  /** Instances in a cell at most; a fleet of this size is one cell. */
   private static final int CELL_SIZE = 12;
 
-  /** Cells that use one engine: with one, a cell could be left without engines. */
-  private static final int CELLS_PER_ENGINE = 2;
+  private final int count;
+  private final Map<String, Integer> cellsByInstance;
+  private final Map<String, Integer> cellsByEngine;
 
-  private final List<String> cells;
+  /** Divides a fleet and the engines that it serves. */
+  public FleetCells(Collection<String> instances, Collection<String> engines) {
+    this.count = Math.max(1, (instances.size() + CELL_SIZE - 1) / CELL_SIZE);
+    this.cellsByInstance = divide(instances);
+    this.cellsByEngine = divide(engines);
+  }
+
+  private Map<String, Integer> divide(Collection<String> ids) {
+    List<String> ordered = new ArrayList<>(ids);
+    ordered.sort(Comparator.comparingLong(FleetCells::hash).thenComparing(id -> id));
+    Map<String, Integer> cells = new HashMap<>();
+    for (int i = 0; i < ordered.size(); i++) {
+      cells.put(ordered.get(i), (int) ((long) i * count / ordered.size()));
+    }
+    return cells;
+  }
 
-  /** Divides a fleet of the given size. */
-  public FleetCells(int instances) {
-    int count = Math.max(1, (instances + CELL_SIZE - 1) / CELL_SIZE);
-    this.cells = IntStream.range(0, count).mapToObj(Integer::toString).toList();
+  private static long hash(String id) {
+    return Hashing.murmur3_128().hashString(id, StandardCharsets.UTF_8).asLong();
   }
 
   /** Whether the whole fleet is one cell. */
   public boolean single() {
-    return cells.size() == 1;
+    return count == 1;
   }
 
-  /** The cell of an instance; it changes only when the number of cells does. */
-  public String cellOf(String instanceId) {
-    long hash = Hashing.murmur3_128().hashString(instanceId, StandardCharsets.UTF_8).asLong();
-    return cells.get((int) Long.remainderUnsigned(hash, cells.size()));
+  /** The cell of an instance. */
+  public int cellOf(String instanceId) {
+    return cellsByInstance.getOrDefault(instanceId, 0);
   }
 
-  /** The cells that use a model engine. */
-  public Set<String> cellsOfEngine(String serverId) {
-    return RendezvousHash.rank(serverId, cells, cell -> cell).stream()
-        .limit(CELLS_PER_ENGINE)
-        .collect(Collectors.toUnmodifiableSet());
+  /** The cells that use a model engine; empty for an engine that is not known. */
+  public Set<Integer> cellsOfEngine(String serverId) {
+    Integer first = cellsByEngine.get(serverId);
+    if (first == null) {
+      return Set.of();
+    }
+    int second = (first + 1) % count;
+    return first == second ? Set.of(first) : Set.of(first, second);
   }
 }
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/MoveTargetSelector.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/MoveTargetSelector.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Optional;
+import java.util.SplittableRandom;
 
 /**
  * Chooses the engine that takes over a generation from an engine that leaves.
@@ -15,13 +16,21 @@
   private static final double MEMORY_SHARE = 0.97;
 
   /** Memory occupancy that another data centre must be lower by to be preferred. */
-  private static final double OTHER_DATA_CENTRE = 0.5;
+  private static final double OTHER_DATA_CENTRE = 0.35;
+
+  /**
+   * Random spread of occupancy. All instances choose at the same moment, and without it they choose
+   * the same engine: its link becomes the bottleneck and its memory is overrun.
+   */
+  private static final double SPREAD = 0.5;
 
   private final String sourceDataCentre;
+  private final SplittableRandom random;
 
   /** Creates a selector for generations of an engine in the given data centre. */
-  public MoveTargetSelector(String sourceDataCentre) {
+  public MoveTargetSelector(String sourceDataCentre, SplittableRandom random) {
     this.sourceDataCentre = sourceDataCentre;
+    this.random = random;
   }
 
   @Override
@@ -37,7 +46,7 @@
       if (work.requests() >= server.slots() || occupancy > MEMORY_SHARE) {
         continue;
       }
-      double cost = occupancy + server.health().failureRate();
+      double cost = occupancy + SPREAD * random.nextDouble() + server.health().failureRate();
       if (!server.dataCentre().equals(sourceDataCentre)) {
         cost += OTHER_DATA_CENTRE;
       }
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/RequestDemand.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/RequestDemand.java
@@ -15,7 +15,7 @@
    * Share of the expected output for which memory is set aside. Generations of a batch are at
    * different points of their output, so they rarely need their full memory at the same time.
    */
-  private static final double OUTPUT_SHARE = 0.75;
+  private static final double OUTPUT_SHARE = 0.9;
 
   /** A generation with an estimate of its output. */
   public static RequestDemand generation(int promptTokens, int expectedOutputTokens) {
