--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/MoveDecisionsTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/MoveDecisionsTest.java
@@ -109,7 +109,8 @@
         engines.add(engine);
       }
       for (int instance = 0; instance < 28; instance++) {
-        MoveTargetSelector own = new MoveTargetSelector("a", new SplittableRandom(1_000_003L * instance));
+        MoveTargetSelector own =
+            new MoveTargetSelector("a", new SplittableRandom(1_000_003L * instance));
         chosen.merge(own.select(engines, demand, 0).orElseThrow().id(), 1, Integer::sum);
       }
 
