--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/MovePacing.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/MovePacing.java
@@ -14,6 +14,9 @@
   /** Reclaimed engines are gone 1.5 s to 2 s after the notice; the last copy needs some of it. */
   private static final long LATEST_STOP_NANOS = TimeUnit.MILLISECONDS.toNanos(1_150);
 
+  /** Link time over that of copies within a data centre: some go to another, at half the rate. */
+  private static final double COPY_MARGIN = 1.6;
+
   private MovePacing() {}
 
   /**
@@ -25,7 +28,7 @@
    */
   public static long delayNanos(
       long sinceNoticeNanos, long memoryTokens, double copyNanosPerToken) {
-    long copied = Math.round(memoryTokens * copyNanosPerToken);
+    long copied = Math.round(COPY_MARGIN * memoryTokens * copyNanosPerToken);
     return Math.max(0, Math.min(copied, LATEST_STOP_NANOS) - sinceNoticeNanos);
   }
 }
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/MoveTargetSelector.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/MoveTargetSelector.java
@@ -16,13 +16,13 @@
   private static final double MEMORY_SHARE = 0.97;
 
   /** Memory occupancy that another data centre must be lower by to be preferred. */
-  private static final double OTHER_DATA_CENTRE = 0.35;
+  private static final double OTHER_DATA_CENTRE = 0.5;
 
   /**
    * Random spread of occupancy. All instances choose at the same moment, and without it they choose
    * the same engine: its link becomes the bottleneck and its memory is overrun.
    */
-  private static final double SPREAD = 0.5;
+  private static final double SPREAD = 0.35;
 
   private final String sourceDataCentre;
   private final SplittableRandom random;
