--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendServer.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendServer.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.basilport.gateway.config.EngineCapacity;
+import org.basilport.policy.dispatch.MoveSchedule;
 import org.basilport.policy.dispatch.MoveTriage;
 import org.basilport.policy.dispatch.ServerLoad;
 
@@ -14,9 +15,7 @@
   private final ServerLoad load;
   private final ConnectionPool connections;
   private final List<DepartureListener> departureListeners = new ArrayList<>();
-  private long departureNanos;
   private boolean dead;
-  private long memoryTokensAtDeparture;
 
   /** Creates a server that has no work yet. */
   public BackendServer(
@@ -50,16 +49,6 @@
     return engine;
   }
 
-  /** When the server was found to leave, on the monotonic clock; meaningless before. */
-  public long departureNanos() {
-    return departureNanos;
-  }
-
-  /** Memory of all its generations when the server was found to leave, in tokens. */
-  public long memoryTokensAtDeparture() {
-    return memoryTokensAtDeparture;
-  }
-
   /** Load and behaviour of the server. */
   public ServerLoad load() {
     return load;
@@ -85,8 +74,6 @@
     if (load.leaving()) {
       return;
     }
-    departureNanos = System.nanoTime();
-    memoryTokensAtDeparture = load.total().memoryTokens();
     load.markLeaving();
     List<MoveTriage.Candidate<DepartureListener>> candidates =
         departureListeners.stream()
@@ -96,7 +83,15 @@
             .toList();
     departureListeners.clear();
     double copyNanos = engine.map(EngineCapacity::copyNanosPerToken).orElse(0.0);
-    MoveTriage.select(candidates, memoryTokensAtDeparture, copyNanos)
-        .forEach(DepartureListener::onDeparture);
+    List<MoveTriage.Candidate<DepartureListener>> selected =
+        MoveTriage.select(candidates, load.total().memoryTokens(), copyNanos);
+    List<Long> delays =
+        MoveSchedule.delays(
+            load.tokensBefore(),
+            selected.stream().map(MoveTriage.Candidate::memoryTokens).toList(),
+            copyNanos);
+    for (int i = 0; i < selected.size(); i++) {
+      selected.get(i).generation().onDeparture(delays.get(i));
+    }
   }
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/DepartureListener.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/DepartureListener.java
@@ -9,6 +9,10 @@
   /** Worth of its completion in any unit that is the same for all generations. */
   double value();
 
-  /** The engine leaves and the generation should be moved to another one. */
-  void onDeparture();
+  /**
+   * The engine leaves and the generation should be moved to another one.
+   *
+   * @param delayNanos time until its turn on the engine's link
+   */
+  void onDeparture(long delayNanos);
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
@@ -8,10 +8,8 @@
 import org.basilport.error.Step;
 import org.basilport.event.EventType;
 import org.basilport.gateway.backend.BackendServer;
-import org.basilport.gateway.config.EngineCapacity;
 import org.basilport.gateway.message.MemoryReference;
 import org.basilport.gateway.message.MoveResult;
-import org.basilport.policy.dispatch.MovePacing;
 import org.basilport.policy.dispatch.MoveTargetSelector;
 import org.basilport.policy.dispatch.RequestDemand;
 import org.basilport.policy.dispatch.WorkShare;
@@ -20,7 +18,8 @@
  * Moves a running generation from an engine that leaves to another one.
  *
  * <p>The memory is copied twice: first while the generation runs on, then, after it stopped, only
- * what is new. The caller sees a pause as long as the second copy.
+ * what is new. The caller sees a pause as long as the second copy. The generations of an engine
+ * take turns, see {@link org.basilport.policy.dispatch.MoveSchedule}.
  */
 final class GenerationMove {
   /** Pause before a move is tried again; engines that leave are gone after about 2 s. */
@@ -60,8 +59,23 @@
     return state == State.STOPPING;
   }
 
-  /** Starts to move the generation away from its present engine. */
-  void start() {
+  /** Starts to move the generation when its turn on the engine's link has come. */
+  void startAfter(long delayNanos) {
+    BackendServer leaving = exchange.server;
+    nextStep =
+        context
+            .eventLoop()
+            .schedule(
+                () -> {
+                  if (exchange.server == leaving) {
+                    start();
+                  }
+                },
+                delayNanos,
+                TimeUnit.NANOSECONDS);
+  }
+
+  private void start() {
     if (state != State.IDLE || exchange.finished() || exchange.server == null) {
       return;
     }
@@ -93,14 +107,6 @@
         exchange);
   }
 
-  private void orderLast() {
-    if (state == State.COPYING) {
-      state = State.STOPPING;
-      stopNanos = System.nanoTime();
-      order(true);
-    }
-  }
-
   private void order(boolean last) {
     int ordered = epoch;
     MoveOrder.send(
@@ -113,13 +119,9 @@
     }
     if (!last) {
       if (result.copied()) {
-        double copyNanos = source.engine().map(EngineCapacity::copyNanosPerToken).orElse(0.0);
-        long delay =
-            MovePacing.delayNanos(
-                System.nanoTime() - source.departureNanos(),
-                source.memoryTokensAtDeparture(),
-                copyNanos);
-        nextStep = context.eventLoop().schedule(this::orderLast, delay, TimeUnit.NANOSECONDS);
+        state = State.STOPPING;
+        stopNanos = System.nanoTime();
+        order(true);
       } else {
         refusedBy.add(target.entry().id());
         releaseTarget();
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -156,7 +156,7 @@
     recharge(new WorkShare(1, 0, charge().memoryTokens()));
     context.state().pumpAll();
     if (server.load().leaving()) {
-      onServerLeaving();
+      onServerLeaving(0);
     }
   }
 
@@ -175,11 +175,11 @@
     }
   }
 
-  private void onServerLeaving() {
+  private void onServerLeaving(long delayNanos) {
     if (finished() || server == null || !firstEventSeen) {
       return;
     }
-    move.start();
+    move.startAfter(delayNanos);
   }
 
   @Override
@@ -371,8 +371,8 @@
     }
 
     @Override
-    public void onDeparture() {
-      onServerLeaving();
+    public void onDeparture(long delayNanos) {
+      onServerLeaving(delayNanos);
     }
   }
 
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/TrafficState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/TrafficState.java
@@ -106,10 +106,20 @@
     }
   }
 
-  /** Replaces what is known of the work of other instances. */
-  public void updateOthersWork(Map<String, WorkShare> workByServer) {
+  /**
+   * Replaces what is known of the work of other instances.
+   *
+   * @param tokensBeforeByServer memory of instances that go before this one when all move
+   */
+  public void updateOthersWork(
+      Map<String, WorkShare> workByServer, Map<String, Long> tokensBeforeByServer) {
     for (BackendServer server : servers.all()) {
-      server.load().setOthers(workByServer.getOrDefault(server.entry().id(), WorkShare.NONE));
+      String id = server.entry().id();
+      server
+          .load()
+          .setOthers(
+              workByServer.getOrDefault(id, WorkShare.NONE),
+              tokensBeforeByServer.getOrDefault(id, 0L));
     }
     pumpAll();
   }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -359,14 +359,18 @@
 
   private void publishOthersWork() {
     Map<String, WorkShare> sums = new HashMap<>();
+    Map<String, Long> before = new HashMap<>();
     for (Peer peer : peers.values()) {
       for (ServerWork work : peer.report.getWorkList()) {
         WorkShare share =
             new WorkShare(work.getRequests(), work.getUnreadTokens(), work.getMemoryTokens());
         sums.merge(work.getServerId(), share, WorkShare::plus);
+        if (peer.report.getInstanceId().compareTo(instanceId) < 0) {
+          before.merge(work.getServerId(), share.memoryTokens(), Long::sum);
+        }
       }
     }
-    state.updateOthersWork(sums);
+    state.updateOthersWork(sums, before);
   }
 
   /** The latest report of another instance. */
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/MoveTriage.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/MoveTriage.java
@@ -25,7 +25,7 @@
    * @param totalTokens memory of the generations of all instances, in tokens
    * @param copyNanosPerToken time to copy one token
    */
-  public static <T> List<T> select(
+  public static <T> List<Candidate<T>> select(
       List<Candidate<T>> own, long totalTokens, double copyNanosPerToken) {
     List<Candidate<T>> ranked = new ArrayList<>(own);
     ranked.sort(Comparator.comparingDouble((Candidate<T> c) -> -c.valuePerToken()));
@@ -33,13 +33,13 @@
     double linkTokens = copyNanosPerToken > 0 ? COPY_NANOS / copyNanosPerToken : Long.MAX_VALUE;
     double share = (double) ownTokens / Math.max(Math.max(1, totalTokens), ownTokens);
     double budget = linkTokens * share;
-    List<T> selected = new ArrayList<>();
+    List<Candidate<T>> selected = new ArrayList<>();
     long used = 0;
     for (Candidate<T> candidate : ranked) {
       // Half of a generation may exceed the budget, so that rounding neither adds nor loses on
       // average.
       if (used + candidate.memoryTokens() / 2.0 <= budget) {
-        selected.add(candidate.generation());
+        selected.add(candidate);
         used += candidate.memoryTokens();
       }
     }
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServerLoad.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServerLoad.java
@@ -17,6 +17,7 @@
   private final ServerHealth health = new ServerHealth();
   private WorkShare own = WorkShare.NONE;
   private WorkShare others = WorkShare.NONE;
+  private long tokensBefore;
   private Runnable changeListener = () -> {};
   private boolean leaving;
   private long slowUntilNanos = Long.MIN_VALUE;
@@ -86,9 +87,19 @@
     changeListener = listener;
   }
 
-  /** Replaces what is known of the work of other instances. */
-  public void setOthers(WorkShare work) {
+  /**
+   * Replaces what is known of the work of other instances.
+   *
+   * @param tokensOfEarlierInstances memory of instances that go before this one when all move
+   */
+  public void setOthers(WorkShare work, long tokensOfEarlierInstances) {
     others = work;
+    tokensBefore = tokensOfEarlierInstances;
+  }
+
+  /** Memory of the generations of instances that move theirs first, in tokens. */
+  public long tokensBefore() {
+    return tokensBefore;
   }
 
   /** Whether the server takes no new work because it is about to leave. */
