Take continuous copies of generations out again

What a copy holds at that moment cannot be told from outside. Ruled out: a condition on the age of the run, which would be a guess. An engine whose service does not move generations is now left alone too.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/config/EngineCapacity.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/config/EngineCapacity.java
@@ -9,12 +9,10 @@
  * @param copyNanosPerToken time to copy the memory of one token to another engine of the data
  *     centre
  * @param movesGenerations whether a running generation can be moved to another engine
- * @param copiesGenerations whether an engine can keep a copy of a running generation up to date
  */
 public record EngineCapacity(
     int batchSlots,
     long memoryTokens,
     int tokensPerEvent,
     double copyNanosPerToken,
-    boolean movesGenerations,
-    boolean copiesGenerations) {}
+    boolean movesGenerations) {}
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -205,13 +205,7 @@
         holder.map(KeyHolder::workspace),
         urgency,
         start.lastEventId().or(request::lastEventId),
-        start.memory(),
-        copyAddress());
-  }
-
-  /** Address of the engine that keeps a copy of the generation's memory. */
-  Optional<String> copyAddress() {
-    return Optional.empty();
+        start.memory());
   }
 
   /** Called right before the request is sent. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
@@ -8,6 +8,7 @@
 import org.basilport.error.Step;
 import org.basilport.event.EventType;
 import org.basilport.gateway.backend.BackendServer;
+import org.basilport.gateway.config.EngineCapacity;
 import org.basilport.gateway.message.MemoryReference;
 import org.basilport.gateway.message.MoveResult;
 import org.basilport.policy.dispatch.MoveTargetSelector;
@@ -62,6 +63,9 @@
   /** Starts to move the generation when its turn on the engine's link has come. */
   void startAfter(long delayNanos) {
     BackendServer leaving = exchange.server;
+    if (leaving.engine().filter(EngineCapacity::movesGenerations).isEmpty()) {
+      return;
+    }
     nextStep =
         context
             .eventLoop()
@@ -143,8 +147,7 @@
       releaseTarget();
       state = State.IDLE;
       sourceEnded = false;
-      exchange.recover(
-          Step.SEND, "engine stopped the generation, move answered " + result.status());
+      exchange.lose(Step.SEND, "engine stopped the generation, move answered " + result.status());
     } else {
       releaseTarget();
       state = State.IDLE;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -37,7 +37,6 @@
   private final ByteArrayOutputStream failureBody = new ByteArrayOutputStream();
   private final DepartureListener departureListener = new Departure();
   private final GenerationMove move;
-  private final CopyRecovery copy;
   private ServerAnswer answer;
   private HttpHeaders headers;
   private boolean answerStarted;
@@ -57,7 +56,6 @@
       CallerChannel caller) {
     super(context, request, route, holder, caller);
     this.move = new GenerationMove(context, this);
-    this.copy = new CopyRecovery(context, this);
   }
 
   @Override
@@ -67,9 +65,6 @@
     unreadWhenSent = server.load().total().unreadTokens();
     firstEventSeen = charge().unreadTokens() == 0;
     watchServer();
-    if (copied()) {
-      copy.chooseHolder(charge().memoryTokens());
-    }
     if (silenceTimer == null) {
       long pause = context.maxEventPause().toNanos();
       silenceTimer =
@@ -85,17 +80,6 @@
     return new ForwardingStart(reader.lastId(), Optional.empty());
   }
 
-  /** Whether the stream can only go on from its memory and its engine can copy that. */
-  private boolean copied() {
-    return route.repeatability() == Repeatability.STREAM
-        && server.engine().filter(EngineCapacity::copiesGenerations).isPresent();
-  }
-
-  @Override
-  Optional<String> copyAddress() {
-    return copy.address();
-  }
-
   private void watchServer() {
     unwatchServer();
     watched = server;
@@ -256,12 +240,7 @@
       retry(reason);
       return;
     }
-    recover(Step.STREAM, reason);
-  }
-
-  /** Continues a stream whose engine failed, if a copy of its memory exists. */
-  void recover(Step step, String reason) {
-    copy.start(step, reason);
+    lose(Step.STREAM, reason);
   }
 
   /** Ends a stream that cannot go on; the caller sees that it is incomplete. */
@@ -346,7 +325,6 @@
   void onFinished() {
     unwatchServer();
     move.cancel();
-    copy.release();
     if (silenceTimer != null) {
       silenceTimer.cancel(false);
     }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/message/ForwardingDetails.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/message/ForwardingDetails.java
@@ -12,7 +12,6 @@
  * @param urgency order of admission at the engine
  * @param lastEventId event after which a stream goes on
  * @param memory memory of the same generation that the engine goes on from
- * @param copyAddress engine that keeps a copy of the generation's memory up to date
  */
 public record ForwardingDetails(
     Duration remaining,
@@ -20,5 +19,4 @@
     Optional<String> workspace,
     Optional<Integer> urgency,
     Optional<String> lastEventId,
-    Optional<MemoryReference> memory,
-    Optional<String> copyAddress) {}
+    Optional<MemoryReference> memory) {}
--- a/basilport-gateway/src/main/java/org/basilport/gateway/message/MemoryReference.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/message/MemoryReference.java
@@ -4,6 +4,6 @@
  * Key-value memory of a generation that an engine holds.
  *
  * @param address IP address and port of the engine that issued the handle
- * @param handle handle of the copy, or the id of the generation that is copied continuously
+ * @param handle handle of the copy
  */
 public record MemoryReference(String address, String handle) {}
