Forget the move of a stream that goes on elsewhere; remove a call that nothing makes

Cause, found in reading: the results of orders were not compared with the epoch of the move, so a late answer started a move away from the engine at which the stream had been resumed. The test saw two orders instead of one before the change.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
@@ -80,7 +80,10 @@
   }
 
   private void start() {
-    if (state != State.IDLE || exchange.finished() || exchange.server == null) {
+    if (state != State.IDLE
+        || exchange.finished()
+        || exchange.server == null
+        || !exchange.server.load().leaving()) {
       return;
     }
     source = exchange.server;
@@ -114,7 +117,16 @@
   private void order(boolean last) {
     int ordered = epoch;
     MoveOrder.send(
-        context, source, target, exchange.request.id(), last, result -> onResult(last, result));
+        context,
+        source,
+        target,
+        exchange.request.id(),
+        last,
+        result -> {
+          if (ordered == epoch) {
+            onResult(last, result);
+          }
+        });
   }
 
   private void onResult(boolean last, MoveResult result) {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -225,6 +225,7 @@
       move.onSourceEnded();
       return;
     }
+    move.reset();
     suspectServerDeath();
     server.load().health().failed(System.nanoTime());
     reader.dropPartialEvent();
--- a/basilport-gateway/src/main/java/org/basilport/gateway/message/MessageCodec.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/message/MessageCodec.java
@@ -38,7 +38,4 @@
 
   /** Reads the answer to an order to move a generation. */
   MoveResult decodeMove(int status, byte[] body);
-
-  /** Writes the order to free a copy of a generation. */
-  FullHttpRequest encodeRelease(String handle, String serverAddress);
 }
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayTest.java
@@ -353,6 +353,49 @@
       assertThat(all).containsExactly("POST /stream/x");
     }
 
+    /** Guards against a move that goes on after its stream was resumed at another engine. */
+    @Test
+    void forgetsTheMoveOfAStreamThatGoesOnElsewhere() throws Exception {
+      configure(1, "k1");
+      ScriptedServer.Script script =
+          (request, out, socket) -> {
+            if (request.line().startsWith("POST /move/")) {
+              Thread.sleep(300);
+              ScriptedServer.answer(out, request, 200, "handle");
+              return;
+            }
+            ScriptedServer.startStream(out, request);
+            if (request.headers().containsKey("after")) {
+              ScriptedServer.events(out, 3, 3);
+              Thread.sleep(600);
+              ScriptedServer.events(out, 4, 4);
+              ScriptedServer.endStream(out);
+              return;
+            }
+            ScriptedServer.events(out, 1, 2);
+            gateway.updateServers(
+                entries.stream()
+                    .filter(e -> !e.id().equals(request.headers().get("server")))
+                    .toList(),
+                "test");
+            Thread.sleep(100);
+            socket.close();
+          };
+      serve("model", script);
+      serve("model", script);
+      serve("model", script);
+      String answer = call("POST", "/resume/x", "key: k1\r\ntokens: 100\r\n");
+
+      assertThat(answer).contains("data: t4");
+      assertThat(answer).endsWith("0\r\n\r\n");
+      long moves =
+          servers.stream()
+              .flatMap(server -> server.requests().stream())
+              .filter(line -> line.startsWith("POST /move/"))
+              .count();
+      assertThat(moves).isEqualTo(1);
+    }
+
     /** Guards against a generation that is lost with an engine that announced its departure. */
     @Test
     void movesAGenerationFromALeavingEngine() throws Exception {
--- a/basilport-gateway/src/test/java/org/basilport/gateway/TestCodec.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/TestCodec.java
@@ -103,10 +103,4 @@
     String handle = new String(body, StandardCharsets.UTF_8);
     return new MoveResult(status, handle.isEmpty() ? Optional.empty() : Optional.of(handle));
   }
-
-  @Override
-  public FullHttpRequest encodeRelease(String handle, String serverAddress) {
-    return new DefaultFullHttpRequest(
-        HttpVersion.HTTP_1_1, HttpMethod.DELETE, "/release/" + handle);
-  }
 }
