Report to neighbouring cells at intervals and sum work by server

A generation of several seconds changes nothing, so after 1.3 s of silence the neighbours dropped the instance and took the memory of its generations for free.

Every third report goes to the neighbours, whose silence counts after three of those. The work of a fleet is kept by server (FleetWork), so a report costs only the sums that it changes; before, each report summed all reports. The cells are divided anew only when instances or engines changed.

The test with two instances of neighbouring cells failed before.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -53,7 +53,7 @@
       GatewaySettings settings, MessageCodec codec, EventSink events, MetricRegistry metrics) {
     this.settings = settings;
     this.events = events;
-    ServerTable servers = new ServerTable(eventLoop, codec, events);
+    ServerTable servers = new ServerTable(settings.instanceId(), eventLoop, codec, events);
     this.state =
         new TrafficState(
             settings.dataCentre(), settings.retryLimits(), servers, events, new SplittableRandom());
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -17,7 +17,9 @@
 import org.basilport.gateway.config.ForwardingService;
 import org.basilport.gateway.message.MessageCodec;
 import org.basilport.policy.dispatch.CrashSuspects;
+import org.basilport.policy.dispatch.FleetWork;
 import org.basilport.policy.dispatch.ServerLoad;
+import org.basilport.policy.dispatch.WorkShare;
 
 /** All backend servers that the directory lists; confined to the traffic thread. */
 public final class ServerTable {
@@ -33,6 +35,7 @@
   private final CrashSuspects suspects = new CrashSuspects();
   private Runnable departureListener = () -> {};
   private Consumer<BackendServer> engineListener = server -> {};
+  private final FleetWork othersWork;
   private final Map<String, BackendServer> byId = new HashMap<>();
   private final Map<String, Departure> departures = new HashMap<>();
   private final Map<String, List<BackendServer>> byService = new HashMap<>();
@@ -47,8 +50,9 @@
     engineListener = listener;
   }
 
-  /** Creates an empty table. */
-  public ServerTable(EventLoop eventLoop, MessageCodec codec, EventSink events) {
+  /** Creates an empty table of an instance. */
+  public ServerTable(String instanceId, EventLoop eventLoop, MessageCodec codec, EventSink events) {
+    this.othersWork = new FleetWork(instanceId);
     this.eventLoop = eventLoop;
     this.codec = codec;
     this.events = events;
@@ -105,6 +109,7 @@
     }
     load.setSlowUntil(System.nanoTime() + entry.slowFor().toNanos());
     byId.put(entry.id(), server);
+    showOthersWork(entry.id());
     byService.computeIfAbsent(entry.service(), name -> new ArrayList<>()).add(server);
     events.record(
         EventType.BACKEND_ADDED, EventSubject.server(entry.id()), entry.id(), entry.incarnation());
@@ -133,6 +138,17 @@
     server.connections().shutDown();
   }
 
+  /** Replaces what is known of the work of another instance. */
+  public void updateOthersWork(String instanceId, Map<String, WorkShare> workByServer) {
+    othersWork.replace(instanceId, workByServer).forEach(this::showOthersWork);
+  }
+
+  private void showOthersWork(String id) {
+    server(id)
+        .ifPresent(
+            server -> server.load().setOthers(othersWork.total(id), othersWork.tokensBefore(id)));
+  }
+
   /** Marks a server as leaving because another instance says so. */
   public void markLeaving(String id, long incarnation, String source) {
     BackendServer server = byId.get(id);
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/TrafficState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/TrafficState.java
@@ -106,21 +106,9 @@
     }
   }
 
-  /**
-   * Replaces what is known of the work of other instances.
-   *
-   * @param tokensBeforeByServer memory of instances that go before this one when all move
-   */
-  public void updateOthersWork(
-      Map<String, WorkShare> workByServer, Map<String, Long> tokensBeforeByServer) {
-    for (BackendServer server : servers.all()) {
-      String id = server.entry().id();
-      server
-          .load()
-          .setOthers(
-              workByServer.getOrDefault(id, WorkShare.NONE),
-              tokensBeforeByServer.getOrDefault(id, 0L));
-    }
+  /** Replaces what is known of the work of another instance. */
+  public void updateOthersWork(String instanceId, Map<String, WorkShare> workByServer) {
+    servers.updateOthersWork(instanceId, workByServer);
     pumpAll();
   }
 
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -41,6 +41,12 @@
   /** Time for which changes are collected; the one-way time between data centres is 1 to 2 ms. */
   private static final long COLLECT_MILLIS = 15;
 
+  /**
+   * Intervals between reports to neighbouring cells, which also get each change of work on the
+   * engines that they share.
+   */
+  private static final int NEIGHBOUR_INTERVALS = 3;
+
   /** Silence after which an instance is considered dead: three reports were lost or not sent. */
   private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_300);
 
@@ -62,11 +68,12 @@
   private boolean membersKnown;
   private boolean ready;
   private boolean watching;
-  private FleetCells cells = new FleetCells(List.of(), List.of());
+  private FleetCells cells = new FleetCells(Set.of(), Set.of());
   private final Set<String> changedEngines = new HashSet<>();
   private boolean flushScheduled;
   private ConfigurationSource source;
   private long sequence;
+  private long heartbeats;
   private Map<String, Long> lastDepartures = Map.of();
   private long lastVersion;
 
@@ -129,13 +136,18 @@
   }
 
   private void divideFleet() {
-    List<String> instances = new ArrayList<>(registered.stream().map(InstanceEntry::id).toList());
+    Set<String> instances = new HashSet<>();
+    registered.forEach(entry -> instances.add(entry.id()));
     instances.add(instanceId);
-    List<String> engines =
-        state.servers().all().stream()
-            .filter(server -> server.engine().isPresent() && !server.load().leaving())
-            .map(server -> server.entry().id())
-            .toList();
+    Set<String> engines = new HashSet<>();
+    for (BackendServer server : state.servers().all()) {
+      if (server.engine().isPresent() && !server.load().leaving()) {
+        engines.add(server.entry().id());
+      }
+    }
+    if (cells.divides(instances, engines)) {
+      return;
+    }
     cells = new FleetCells(instances, engines);
     int own = cells.cellOf(instanceId);
     state.setUsable(
@@ -153,7 +165,7 @@
       addresses.add(frontendAddress);
     }
     for (Peer peer : peers.values()) {
-      if (peer.report.getReady() && now - peer.heardNanos < SILENCE_NANOS) {
+      if (peer.report.getReady() && !silent(peer, now)) {
         addresses.add(peer.report.getFrontendAddress());
       }
     }
@@ -187,7 +199,15 @@
     dropSilentPeers(System.nanoTime());
     divideFleet();
     updateDuty();
-    send(members(Set.of(cells.cellOf(instanceId))));
+    int own = cells.cellOf(instanceId);
+    boolean toNeighbours = heartbeats++ % NEIGHBOUR_INTERVALS == 0;
+    send(members(toNeighbours ? cells.neighbours(own) : Set.of(own)));
+  }
+
+  private boolean silent(Peer peer, long now) {
+    boolean sameCell = cells.cellOf(peer.report.getInstanceId()) == cells.cellOf(instanceId);
+    long limit = sameCell ? SILENCE_NANOS : NEIGHBOUR_INTERVALS * SILENCE_NANOS;
+    return now - peer.heardNanos > limit;
   }
 
   private List<InetSocketAddress> members(Set<Integer> ofCells) {
@@ -321,7 +341,7 @@
       freshness.refresh();
     }
     if (known == null || !known.report.getWorkList().equals(report.getWorkList())) {
-      publishOthersWork();
+      state.updateOthersWork(report.getInstanceId(), workByServer(report));
     }
   }
 
@@ -341,36 +361,26 @@
   }
 
   private void dropSilentPeers(long now) {
-    boolean dropped =
-        peers
-            .entrySet()
-            .removeIf(
-                entry -> {
-                  boolean silent = now - entry.getValue().heardNanos > SILENCE_NANOS;
-                  if (silent) {
-                    events.record(EventType.MEMBER_DEAD, EventSubject.NONE, entry.getKey());
-                  }
-                  return silent;
-                });
-    if (dropped) {
-      publishOthersWork();
+    List<String> silent =
+        peers.entrySet().stream()
+            .filter(entry -> silent(entry.getValue(), now))
+            .map(Map.Entry::getKey)
+            .toList();
+    for (String id : silent) {
+      peers.remove(id);
+      events.record(EventType.MEMBER_DEAD, EventSubject.NONE, id);
+      state.updateOthersWork(id, Map.of());
     }
   }
 
-  private void publishOthersWork() {
-    Map<String, WorkShare> sums = new HashMap<>();
-    Map<String, Long> before = new HashMap<>();
-    for (Peer peer : peers.values()) {
-      for (ServerWork work : peer.report.getWorkList()) {
-        WorkShare share =
-            new WorkShare(work.getRequests(), work.getUnreadTokens(), work.getMemoryTokens());
-        sums.merge(work.getServerId(), share, WorkShare::plus);
-        if (peer.report.getInstanceId().compareTo(instanceId) < 0) {
-          before.merge(work.getServerId(), share.memoryTokens(), Long::sum);
-        }
-      }
+  private static Map<String, WorkShare> workByServer(LoadReport report) {
+    Map<String, WorkShare> shares = new HashMap<>();
+    for (ServerWork work : report.getWorkList()) {
+      shares.put(
+          work.getServerId(),
+          new WorkShare(work.getRequests(), work.getUnreadTokens(), work.getMemoryTokens()));
     }
-    state.updateOthersWork(sums, before);
+    return shares;
   }
 
   /** The latest report of another instance. */
--- /dev/null
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/peer/LoadExchangeTest.java
@@ -0,0 +1,169 @@
+package org.basilport.gateway.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.basilport.event.EventSink;
+import org.basilport.gateway.TestCodec;
+import org.basilport.gateway.backend.ServerEntry;
+import org.basilport.gateway.backend.ServerTable;
+import org.basilport.gateway.config.EngineCapacity;
+import org.basilport.gateway.config.ForwardingConfiguration;
+import org.basilport.gateway.config.ForwardingService;
+import org.basilport.gateway.config.TrafficLimits;
+import org.basilport.gateway.forward.TrafficState;
+import org.basilport.gateway.forward.TrafficState.RetryLimits;
+import org.basilport.policy.dispatch.FleetCells;
+import org.basilport.policy.dispatch.WorkShare;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Two instances of a large fleet that exchange datagrams; the others are silent. */
+class LoadExchangeTest {
+  private static final int INSTANCES = 73;
+  private static final int ENGINES = 34;
+
+  /** Longer than the silence after which an instance of the own cell counts as dead. */
+  private static final long QUIET_MILLIS = 3_000;
+
+  private static final WorkShare GENERATION = new WorkShare(1, 0, 3_500);
+
+  private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(2);
+  private final List<String> instances = ids("instance-", INSTANCES);
+  private final List<String> engines = ids("engine-", ENGINES);
+  private final FleetCells cells = new FleetCells(instances, engines);
+  private final String engine = engines.get(0);
+  private Member first;
+  private Member second;
+
+  private static List<String> ids(String prefix, int count) {
+    return IntStream.range(0, count).mapToObj(i -> prefix + i).toList();
+  }
+
+  @BeforeEach
+  void startNeighbours() throws Exception {
+    List<Integer> sharing = cells.cellsOfEngine(engine).stream().sorted().toList();
+    first = new Member(memberOf(sharing.get(0)));
+    second = new Member(memberOf(sharing.get(1)));
+    first.start(second);
+    second.start(first);
+  }
+
+  private String memberOf(int cell) {
+    return instances.stream().filter(id -> cells.cellOf(id) == cell).findFirst().orElseThrow();
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    first.exchange.stop().get(5, TimeUnit.SECONDS);
+    second.exchange.stop().get(5, TimeUnit.SECONDS);
+    eventLoops.shutdownGracefully();
+  }
+
+  /**
+   * Guards against an engine that two cells overrun: a generation of several seconds changes
+   * nothing, and a neighbour that hears nothing must not take its memory for free.
+   */
+  @Test
+  void remembersLongWorkOfANeighbouringCell() throws Exception {
+    first.addWork(GENERATION);
+    Thread.sleep(500);
+    assertThat(second.totalWork()).isEqualTo(GENERATION);
+    Thread.sleep(QUIET_MILLIS);
+    assertThat(second.totalWork()).isEqualTo(GENERATION);
+  }
+
+  /** Guards against the work of an instance that died and blocks its engines for ever. */
+  @Test
+  void forgetsTheWorkOfASilentNeighbour() throws Exception {
+    first.addWork(GENERATION);
+    Thread.sleep(500);
+    first.exchange.stop().get(5, TimeUnit.SECONDS);
+    Thread.sleep(2 * QUIET_MILLIS);
+    assertThat(second.totalWork()).isEqualTo(WorkShare.NONE);
+  }
+
+  /** An instance of the fleet. */
+  private final class Member {
+    private final String id;
+    private final InetSocketAddress address = freeAddress();
+    private final EventLoop eventLoop = eventLoops.next();
+    private final TrafficState state;
+    private final LoadExchange exchange;
+
+    Member(String id) throws IOException {
+      this.id = id;
+      this.state =
+          new TrafficState(
+              "a",
+              new RetryLimits(0.2, 50, TimeUnit.SECONDS.toNanos(10)),
+              new ServerTable(id, eventLoop, new TestCodec(), EventSink.none()),
+              EventSink.none(),
+              new SplittableRandom(1));
+      this.exchange = new LoadExchange(address, eventLoop, id, false, id, state, EventSink.none());
+    }
+
+    void start(Member other) throws Exception {
+      List<InstanceEntry> entries = new ArrayList<>();
+      InetSocketAddress silent = freeAddress();
+      for (String instance : instances) {
+        entries.add(
+            new InstanceEntry(instance, instance.equals(other.id) ? other.address : silent));
+      }
+      EngineCapacity capacity = new EngineCapacity(24, 21_873, 4, 10, true);
+      exchange.start().get(5, TimeUnit.SECONDS);
+      eventLoop
+          .submit(
+              () -> {
+                state.apply(
+                    new ForwardingConfiguration(
+                        1,
+                        TrafficLimits.INITIAL,
+                        List.of(),
+                        Map.of("model", new ForwardingService("model", 9, Optional.of(capacity))),
+                        false,
+                        Map.of()),
+                    "test");
+                state.updateServers(engines.stream().map(this::entry).toList(), "test");
+                exchange.updateInstances(entries);
+              })
+          .get(5, TimeUnit.SECONDS);
+    }
+
+    private ServerEntry entry(String engineId) {
+      return new ServerEntry(engineId, 1, "model", "127.0.0.1", 1, "a", 24, false, Duration.ZERO);
+    }
+
+    void addWork(WorkShare work) throws Exception {
+      eventLoop
+          .submit(() -> state.servers().server(engine).orElseThrow().load().add(work))
+          .get(5, TimeUnit.SECONDS);
+    }
+
+    WorkShare totalWork() throws Exception {
+      return eventLoop
+          .submit(() -> state.servers().server(engine).orElseThrow().load().total())
+          .get(5, TimeUnit.SECONDS);
+    }
+  }
+
+  private static InetSocketAddress freeAddress() throws IOException {
+    try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+      return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+    }
+  }
+}
--- /dev/null
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the exchange between instances. */
+package org.basilport.gateway.peer;
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/FleetCells.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/FleetCells.java
@@ -3,9 +3,11 @@
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -34,6 +36,11 @@
     this.cellsByEngine = divide(engines);
   }
 
+  /** Whether this is the division of the given fleet and engines. */
+  public boolean divides(Set<String> instances, Set<String> engines) {
+    return cellsByInstance.keySet().equals(instances) && cellsByEngine.keySet().equals(engines);
+  }
+
   private Map<String, Integer> divide(Collection<String> ids) {
     List<String> ordered = new ArrayList<>(ids);
     ordered.sort(Comparator.comparingLong(FleetCells::hash).thenComparing(id -> id));
@@ -58,6 +65,11 @@
     return cellsByInstance.getOrDefault(instanceId, 0);
   }
 
+  /** The cells that share engines with a cell, and the cell itself. */
+  public Set<Integer> neighbours(int cell) {
+    return new HashSet<>(Arrays.asList((cell + count - 1) % count, cell, (cell + 1) % count));
+  }
+
   /** The cells that use a model engine; empty for an engine that is not known. */
   public Set<Integer> cellsOfEngine(String serverId) {
     Integer first = cellsByEngine.get(serverId);
--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/FleetWork.java
@@ -0,0 +1,73 @@
+package org.basilport.policy.dispatch;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Work of the other instances on each backend server.
+ *
+ * <p>Answers the cost of reports in a fleet: each report replaces that of one instance, and only
+ * the servers whose work it changes are summed again.
+ */
+public final class FleetWork {
+  private final String ownInstance;
+  private final Map<String, Map<String, WorkShare>> byInstance = new HashMap<>();
+  private final Map<String, TreeMap<String, WorkShare>> byServer = new HashMap<>();
+
+  /** Creates the record of a fleet without work, as one of its instances sees it. */
+  public FleetWork(String ownInstance) {
+    this.ownInstance = ownInstance;
+  }
+
+  /** Replaces the work of another instance and returns the servers whose work changed. */
+  public Set<String> replace(String instance, Map<String, WorkShare> workByServer) {
+    Map<String, WorkShare> before =
+        workByServer.isEmpty()
+            ? byInstance.remove(instance)
+            : byInstance.put(instance, Map.copyOf(workByServer));
+    Set<String> changed = new HashSet<>();
+    if (before != null) {
+      for (String server : before.keySet()) {
+        if (!workByServer.containsKey(server)) {
+          remove(server, instance);
+          changed.add(server);
+        }
+      }
+    }
+    workByServer.forEach(
+        (server, share) -> {
+          WorkShare known = before == null ? null : before.get(server);
+          if (!share.equals(known)) {
+            byServer.computeIfAbsent(server, id -> new TreeMap<>()).put(instance, share);
+            changed.add(server);
+          }
+        });
+    return changed;
+  }
+
+  private void remove(String server, String instance) {
+    Map<String, WorkShare> shares = byServer.get(server);
+    shares.remove(instance);
+    if (shares.isEmpty()) {
+      byServer.remove(server);
+    }
+  }
+
+  /** Work of all other instances on a server. */
+  public WorkShare total(String server) {
+    return sum(byServer.getOrDefault(server, new TreeMap<>()));
+  }
+
+  /** Memory of the generations of instances that go before this one when all move, in tokens. */
+  public long tokensBefore(String server) {
+    TreeMap<String, WorkShare> shares = byServer.getOrDefault(server, new TreeMap<>());
+    return sum(shares.headMap(ownInstance)).memoryTokens();
+  }
+
+  private static WorkShare sum(Map<String, WorkShare> shares) {
+    return shares.values().stream().reduce(WorkShare.NONE, WorkShare::plus);
+  }
+}
