Report work to all users of an engine, and read the store directly less often

An instance now reports to all cells that use an engine on which it has work, at each third report and at once when the engine comes to other cells. The test with an engine that changes its cells failed before.

The limit is 2.7 s, and proofs are asked for at each report.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/FreshnessExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/FreshnessExchange.java
@@ -18,11 +18,14 @@
  * the request less that age, however long the reply took. Confined to the traffic thread.
  */
 final class FreshnessExchange {
-  /** Interval of requests; several fit into the time for which a proof counts. */
-  private static final long REQUEST_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+  /** Interval of requests, that of the reports; several fit into the time that a proof counts. */
+  private static final long REQUEST_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
-  /** Age of the own proof above which the store is read directly. */
-  private static final long DIRECT_READ_AGE_MILLIS = 1_900;
+  /**
+   * Age of the own proof above which the store is read directly. The proof of a watcher is between
+   * one and two waits of its watch old (1.2 to 2.4 s), and an instance stops being ready at 3 s.
+   */
+  private static final long DIRECT_READ_AGE_MILLIS = 2_700;
 
   /**
    * Shortest interval of direct reads, so that a fleet without watchers does not flood the store.
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -148,7 +148,9 @@
     if (cells.divides(instances, engines)) {
       return;
     }
+    FleetCells before = cells;
     cells = new FleetCells(instances, engines);
+    tellNewUsers(before);
     int own = cells.cellOf(instanceId);
     state.setUsable(
         server ->
@@ -157,6 +159,17 @@
                 || cells.cellsOfEngine(server.entry().id()).contains(own));
   }
 
+  /** Reports the own work on engines that came to other cells, whose instances do not know it. */
+  private void tellNewUsers(FleetCells before) {
+    for (BackendServer server : state.servers().all()) {
+      String id = server.entry().id();
+      if (!server.load().own().equals(WorkShare.NONE)
+          && !before.cellsOfEngine(id).equals(cells.cellsOfEngine(id))) {
+        onEngineWork(server);
+      }
+    }
+  }
+
   /** Addresses of the ready instances of the cell, with this one if it is ready. */
   public List<String> readyAddresses() {
     long now = System.nanoTime();
@@ -201,7 +214,18 @@
     updateDuty();
     int own = cells.cellOf(instanceId);
     boolean toNeighbours = heartbeats++ % NEIGHBOUR_INTERVALS == 0;
-    send(members(toNeighbours ? cells.neighbours(own) : Set.of(own)));
+    send(members(toNeighbours ? concerned(own) : Set.of(own)));
+  }
+
+  /** The cells whose instances may use an engine on which this instance has work. */
+  private Set<Integer> concerned(int own) {
+    Set<Integer> concerned = new HashSet<>(cells.neighbours(own));
+    for (BackendServer server : state.servers().all()) {
+      if (!server.load().own().equals(WorkShare.NONE)) {
+        concerned.addAll(cells.cellsOfEngine(server.entry().id()));
+      }
+    }
+    return concerned;
   }
 
   private boolean silent(Peer peer, long now) {
--- a/basilport-gateway/src/test/java/org/basilport/gateway/peer/LoadExchangeTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/peer/LoadExchangeTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -29,7 +30,6 @@
 import org.basilport.policy.dispatch.FleetCells;
 import org.basilport.policy.dispatch.WorkShare;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Two instances of a large fleet that exchange datagrams; the others are silent. */
@@ -46,7 +46,7 @@
   private final List<String> instances = ids("instance-", INSTANCES);
   private final List<String> engines = ids("engine-", ENGINES);
   private final FleetCells cells = new FleetCells(instances, engines);
-  private final String engine = engines.get(0);
+  private final String engine = engineOfCell(3);
   private Member first;
   private Member second;
 
@@ -54,11 +54,9 @@
     return IntStream.range(0, count).mapToObj(i -> prefix + i).toList();
   }
 
-  @BeforeEach
-  void startNeighbours() throws Exception {
-    List<Integer> sharing = cells.cellsOfEngine(engine).stream().sorted().toList();
-    first = new Member(memberOf(sharing.get(0)));
-    second = new Member(memberOf(sharing.get(1)));
+  private void startMembersOf(int cell, int otherCell) throws Exception {
+    first = new Member(memberOf(cell));
+    second = new Member(memberOf(otherCell));
     first.start(second);
     second.start(first);
   }
@@ -67,6 +65,13 @@
     return instances.stream().filter(id -> cells.cellOf(id) == cell).findFirst().orElseThrow();
   }
 
+  private String engineOfCell(int cell) {
+    return engines.stream()
+        .filter(id -> cells.cellsOfEngine(id).equals(Set.of(cell, cell + 1)))
+        .findFirst()
+        .orElseThrow();
+  }
+
   @AfterEach
   void stop() throws Exception {
     first.exchange.stop().get(5, TimeUnit.SECONDS);
@@ -80,6 +85,7 @@
    */
   @Test
   void remembersLongWorkOfANeighbouringCell() throws Exception {
+    startMembersOf(3, 4);
     first.addWork(GENERATION);
     Thread.sleep(500);
     assertThat(second.totalWork()).isEqualTo(GENERATION);
@@ -90,6 +96,7 @@
   /** Guards against the work of an instance that died and blocks its engines for ever. */
   @Test
   void forgetsTheWorkOfASilentNeighbour() throws Exception {
+    startMembersOf(3, 4);
     first.addWork(GENERATION);
     Thread.sleep(500);
     first.exchange.stop().get(5, TimeUnit.SECONDS);
@@ -97,6 +104,24 @@
     assertThat(second.totalWork()).isEqualTo(WorkShare.NONE);
   }
 
+  /**
+   * Guards against an engine that comes to other cells when others leave, and whose new users do
+   * not know what still runs there.
+   */
+  @Test
+  void tellsTheNewCellsOfAnEngineOfItsWork() throws Exception {
+    startMembersOf(3, 1);
+    first.addWork(GENERATION);
+    List<String> remaining = List.of(engine);
+    assertThat(new FleetCells(instances, remaining).cellsOfEngine(engine)).contains(1);
+    first.list(remaining);
+    second.list(remaining);
+    Thread.sleep(1_000);
+    assertThat(second.totalWork()).isEqualTo(GENERATION);
+    Thread.sleep(QUIET_MILLIS);
+    assertThat(second.totalWork()).isEqualTo(GENERATION);
+  }
+
   /** An instance of the fleet. */
   private final class Member {
     private final String id;
@@ -138,10 +163,16 @@
                         false,
                         Map.of()),
                     "test");
-                state.updateServers(engines.stream().map(this::entry).toList(), "test");
                 exchange.updateInstances(entries);
               })
           .get(5, TimeUnit.SECONDS);
+      list(engines);
+    }
+
+    void list(List<String> listed) throws Exception {
+      eventLoop
+          .submit(() -> state.updateServers(listed.stream().map(this::entry).toList(), "test"))
+          .get(5, TimeUnit.SECONDS);
     }
 
     private ServerEntry entry(String engineId) {
