Keep to the connections that a server accepts

The limit of a service was read and not used. An instance sends at most its share of nine tenths of it at once; since a connection is opened only when none is idle, the number of connections follows. The pool no longer counts.

The test with six calls to a server that accepts three connections failed before. Members of other cells are no longer logged as joined or dead.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
@@ -33,7 +33,6 @@
 
   private final MessageCodec codec;
   private final Consumer<BackendConnection> onIdle;
-  private final Consumer<BackendConnection> onClosed;
   private Channel channel;
   private AnswerListener listener;
   private String requestId = "";
@@ -47,13 +46,9 @@
   private long idleNanos = DEFAULT_IDLE_NANOS;
   private long idleSinceNanos;
 
-  BackendConnection(
-      MessageCodec codec,
-      Consumer<BackendConnection> onIdle,
-      Consumer<BackendConnection> onClosed) {
+  BackendConnection(MessageCodec codec, Consumer<BackendConnection> onIdle) {
     this.codec = codec;
     this.onIdle = onIdle;
-    this.onClosed = onClosed;
   }
 
   @Override
@@ -191,7 +186,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     closed = true;
-    onClosed.accept(this);
+
     if (listener != null && headSeen && endsWithConnection) {
       finish();
     } else {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendServer.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendServer.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.basilport.gateway.config.EngineCapacity;
+import org.basilport.gateway.config.ForwardingService;
 import org.basilport.policy.dispatch.MoveSchedule;
 import org.basilport.policy.dispatch.MoveTriage;
 import org.basilport.policy.dispatch.ServerLoad;
@@ -11,6 +12,14 @@
 /** A backend server with its connections and load. */
 public final class BackendServer {
   private final ServerEntry entry;
+
+  /**
+   * Part of the connections of a server that the instances share; the rest is for probes, for
+   * orders to engines and for connections of instances that left.
+   */
+  private static final double CONNECTION_SHARE = 0.9;
+
+  private final int maxConnections;
   private final Optional<EngineCapacity> engine;
   private final ServerLoad load;
   private final ConnectionPool connections;
@@ -19,12 +28,10 @@
 
   /** Creates a server that has no work yet. */
   public BackendServer(
-      ServerEntry entry,
-      Optional<EngineCapacity> engine,
-      ServerLoad load,
-      ConnectionPool connections) {
+      ServerEntry entry, ForwardingService service, ServerLoad load, ConnectionPool connections) {
     this.entry = entry;
-    this.engine = engine;
+    this.maxConnections = service.maxConnections();
+    this.engine = service.engine();
     this.load = load;
     this.connections = connections;
   }
@@ -54,6 +61,17 @@
     return load;
   }
 
+  /**
+   * Whether a request can be sent without taking a connection from another instance. Each request
+   * takes one, and a new one is opened only when none is idle.
+   *
+   * @param instances number of instances that share the connections which the server accepts
+   */
+  public boolean hasConnection(int instances) {
+    int share = (int) (CONNECTION_SHARE * maxConnections / Math.max(1, instances));
+    return load.own().requests() < Math.max(1, share);
+  }
+
   /** Connections to the server. */
   public ConnectionPool connections() {
     return connections;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ConnectionPool.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ConnectionPool.java
@@ -9,8 +9,6 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.ArrayDeque;
-import java.util.HashSet;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.basilport.gateway.message.MessageCodec;
 
@@ -23,7 +21,6 @@
   private final EventLoop eventLoop;
   private final MessageCodec codec;
   private final ArrayDeque<BackendConnection> idle = new ArrayDeque<>();
-  private final Set<BackendConnection> open = new HashSet<>();
   private boolean closing;
 
   /** Creates an empty pool. */
@@ -33,11 +30,6 @@
     this.codec = codec;
   }
 
-  /** Number of connections that are open. */
-  public int size() {
-    return open.size();
-  }
-
   /**
    * Provides a connection; exactly one of the callbacks is called.
    *
@@ -69,8 +61,7 @@
   }
 
   private void connect(Consumer<BackendConnection> onConnected, Consumer<String> onFailed) {
-    BackendConnection connection =
-        new BackendConnection(codec, this::release, closed -> open.remove(closed));
+    BackendConnection connection = new BackendConnection(codec, this::release);
     new Bootstrap()
         .group(eventLoop)
         .channel(NioSocketChannel.class)
@@ -89,7 +80,6 @@
         .addListener(
             result -> {
               if (result.isSuccess()) {
-                open.add(connection);
                 onConnected.accept(connection);
               } else {
                 onFailed.accept("cannot connect to " + server.address() + ": " + result.cause());
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -102,8 +102,7 @@
     long memory = service.engine().map(engine -> engine.memoryTokens()).orElse(0L);
     ServerLoad load = new ServerLoad(entry.id(), entry.dataCentre(), slots, memory);
     BackendServer server =
-        new BackendServer(
-            entry, service.engine(), load, new ConnectionPool(entry, eventLoop, codec));
+        new BackendServer(entry, service, load, new ConnectionPool(entry, eventLoop, codec));
     if (server.engine().isPresent()) {
       load.onChange(() -> engineListener.accept(server));
     }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 import org.basilport.gateway.backend.BackendServer;
 import org.basilport.gateway.backend.ServerTable;
@@ -23,6 +24,7 @@
   private final String service;
   private final ServerTable servers;
   private final Predicate<BackendServer> usable;
+  private final IntSupplier fleetSize;
   private final ServerSelector selector;
   private final WindowedRetryBudget retries;
   private final WaitingLine<PlacementRequest> line = new WaitingLine<>(LINE_LIMIT);
@@ -31,9 +33,11 @@
       String service,
       ServerTable servers,
       Predicate<BackendServer> usable,
+      IntSupplier fleetSize,
       ServerSelector selector,
       WindowedRetryBudget retries) {
     this.usable = usable;
+    this.fleetSize = fleetSize;
     this.service = service;
     this.servers = servers;
     this.selector = selector;
@@ -118,10 +122,11 @@
   Optional<BackendServer> choose(
       ServerSelector criteria, RequestDemand demand, PlacementRequest request) {
     long now = System.nanoTime();
+    int instances = fleetSize.getAsInt();
     List<ServerLoad> candidates = new ArrayList<>();
     List<ServerLoad> suspended = new ArrayList<>();
     for (BackendServer server : usableServers()) {
-      if (server.load().leaving() || !request.accepts(server)) {
+      if (server.load().leaving() || !request.accepts(server) || !server.hasConnection(instances)) {
         continue;
       }
       boolean avoid = server.load().health().suspended(now);
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/TrafficState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/TrafficState.java
@@ -152,7 +152,8 @@
         engine
             ? new EarliestFirstTokenSelector(dataCentre, FIRST_TOKEN_LIMIT_NANOS, random)
             : new LeastOccupiedSelector(dataCentre, random);
-    return new ServiceDispatcher(service, servers, this::usable, selector, retryLimits.newBudget());
+    return new ServiceDispatcher(
+        service, servers, this::usable, this::instances, selector, retryLimits.newBudget());
   }
 
   /** Places requests that wait for any service. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -229,8 +229,7 @@
   }
 
   private boolean silent(Peer peer, long now) {
-    boolean sameCell = cells.cellOf(peer.report.getInstanceId()) == cells.cellOf(instanceId);
-    long limit = sameCell ? SILENCE_NANOS : NEIGHBOUR_INTERVALS * SILENCE_NANOS;
+    long limit = inOwnCell(peer.report) ? SILENCE_NANOS : NEIGHBOUR_INTERVALS * SILENCE_NANOS;
     return now - peer.heardNanos > limit;
   }
 
@@ -354,7 +353,7 @@
                         departure.getIncarnation(),
                         report.getInstanceId()));
     takeDeaths(report);
-    if (known == null || known.report.getIncarnation() != report.getIncarnation()) {
+    if (inOwnCell(report) && (known == null || restarted(known.report, report))) {
       events.record(
           EventType.MEMBER_JOINED,
           EventSubject.NONE,
@@ -369,6 +368,14 @@
     }
   }
 
+  private boolean inOwnCell(LoadReport report) {
+    return cells.cellOf(report.getInstanceId()) == cells.cellOf(instanceId);
+  }
+
+  private static boolean restarted(LoadReport known, LoadReport report) {
+    return known.getIncarnation() != report.getIncarnation();
+  }
+
   private void takeDeaths(LoadReport report) {
     for (ServerDeath death : report.getDeathsList()) {
       CrashSuspects.Death told =
@@ -391,8 +398,11 @@
             .map(Map.Entry::getKey)
             .toList();
     for (String id : silent) {
-      peers.remove(id);
-      events.record(EventType.MEMBER_DEAD, EventSubject.NONE, id);
+      // An instance of another cell reports only while it shares an engine, so its silence says
+      // nothing of its life.
+      if (inOwnCell(peers.remove(id).report)) {
+        events.record(EventType.MEMBER_DEAD, EventSubject.NONE, id);
+      }
       state.updateOthersWork(id, Map.of());
     }
   }
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayTest.java
@@ -4,6 +4,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -14,7 +15,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.basilport.event.EventSink;
 import org.basilport.gateway.backend.ServerEntry;
 import org.basilport.gateway.config.EngineCapacity;
@@ -35,6 +38,8 @@
 class GatewayTest {
   private static final EngineCapacity ENGINE = new EngineCapacity(24, 34_000, 4, 10, true);
 
+  private static final int NARROW_CONNECTIONS = 3;
+
   private final List<ScriptedServer> servers = new ArrayList<>();
   private final List<ServerEntry> entries = new ArrayList<>();
   private Gateway gateway;
@@ -98,10 +103,12 @@
             List.of(
                 route("/read/", "plain", Repeatability.IDEMPOTENT),
                 route("/write/", "plain", Repeatability.AT_MOST_ONCE),
+                route("/narrow/", "narrow", Repeatability.IDEMPOTENT),
                 route("/stream/", "model", Repeatability.STREAM),
                 route("/resume/", "model", Repeatability.RESUMABLE_STREAM)),
             Map.of(
                 "plain", new ForwardingService("plain", 10, Optional.empty()),
+                "narrow", new ForwardingService("narrow", NARROW_CONNECTIONS, Optional.empty()),
                 "model", new ForwardingService("model", 10, Optional.of(ENGINE))),
             true,
             holders),
@@ -208,6 +215,38 @@
       }
     }
 
+    /** Guards against connections beyond those that a server accepts, which it resets. */
+    @Test
+    void keepsToTheConnectionsThatAServerAccepts() throws Exception {
+      configure(1, "k1");
+      AtomicInteger open = new AtomicInteger();
+      AtomicInteger mostOpen = new AtomicInteger();
+      serve(
+          "narrow",
+          (request, out, socket) -> {
+            mostOpen.accumulateAndGet(open.incrementAndGet(), Math::max);
+            Thread.sleep(60);
+            open.decrementAndGet();
+            ScriptedServer.answer(out, request, 200, "ok");
+          });
+      List<CompletableFuture<String>> answers = new ArrayList<>();
+      for (int i = 0; i < 6; i++) {
+        answers.add(
+            CompletableFuture.supplyAsync(
+                () -> {
+                  try {
+                    return call("GET", "/narrow/x", "key: k1\r\n");
+                  } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                  }
+                }));
+      }
+      for (CompletableFuture<String> answer : answers) {
+        answer.get(5, TimeUnit.SECONDS);
+      }
+      assertThat(mostOpen.get()).isAtMost(NARROW_CONNECTIONS);
+    }
+
     /** Guards against a request that takes down one server after another. */
     @Test
     void refusesARequestThatCrashedThreeServers() throws Exception {
--- a/basilport-gateway/src/test/java/org/basilport/gateway/backend/BackendConnectionTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/backend/BackendConnectionTest.java
@@ -24,8 +24,7 @@
 class BackendConnectionTest {
   private final List<BackendConnection> idle = new ArrayList<>();
   private final Recorder recorder = new Recorder();
-  private final BackendConnection connection =
-      new BackendConnection(new TestCodec(), idle::add, closed -> {});
+  private final BackendConnection connection = new BackendConnection(new TestCodec(), idle::add);
   private final EmbeddedChannel channel =
       new EmbeddedChannel(new HttpRequestEncoder(), new HttpResponseDecoder(), connection);
 
