Move generations to engines of other cells when the own cell has no room

The load of other engines is not known, but an engine refuses a copy for which it has no room, so the generation is safe while it looks.

The test with a fleet whose own cell refuses failed before.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
@@ -13,6 +13,7 @@
 import org.basilport.gateway.message.MoveResult;
 import org.basilport.policy.dispatch.MoveTargetSelector;
 import org.basilport.policy.dispatch.RequestDemand;
+import org.basilport.policy.dispatch.ServerSelector;
 import org.basilport.policy.dispatch.WorkShare;
 
 /**
@@ -104,14 +105,16 @@
     MoveTargetSelector selector =
         new MoveTargetSelector(source.entry().dataCentre(), context.random());
     RequestDemand demand = new RequestDemand(0, exchange.remainingWork().memoryTokens());
-    return exchange.dispatcher.choose(
+    ServerSelector notRefused =
         (candidates, needed, now) ->
             selector.select(
                 candidates.stream().filter(load -> !refusedBy.contains(load.id())).toList(),
                 needed,
-                now),
-        demand,
-        exchange);
+                now);
+    return exchange
+        .dispatcher
+        .choose(notRefused, demand, exchange)
+        .or(() -> exchange.dispatcher.chooseAnywhere(notRefused, demand, exchange));
   }
 
   private void order(boolean last) {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
@@ -121,11 +121,28 @@
   /** Chooses a server by other criteria than the service's own, without changing its load. */
   Optional<BackendServer> choose(
       ServerSelector criteria, RequestDemand demand, PlacementRequest request) {
+    return choose(usableServers(), criteria, demand, request);
+  }
+
+  /**
+   * Chooses among all servers of the service. The load of those that other instances use is known
+   * in part only, so the choice serves where a server refuses what it has no room for.
+   */
+  Optional<BackendServer> chooseAnywhere(
+      ServerSelector criteria, RequestDemand demand, PlacementRequest request) {
+    return choose(servers.servers(service), criteria, demand, request);
+  }
+
+  private Optional<BackendServer> choose(
+      List<BackendServer> among,
+      ServerSelector criteria,
+      RequestDemand demand,
+      PlacementRequest request) {
     long now = System.nanoTime();
     int instances = fleetSize.getAsInt();
     List<ServerLoad> candidates = new ArrayList<>();
     List<ServerLoad> suspended = new ArrayList<>();
-    for (BackendServer server : usableServers()) {
+    for (BackendServer server : among) {
       if (server.load().leaving() || !request.accepts(server) || !server.hasConnection(instances)) {
         continue;
       }
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.Sets;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
@@ -12,12 +13,17 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
 import org.basilport.event.EventSink;
 import org.basilport.gateway.backend.ServerEntry;
 import org.basilport.gateway.config.EngineCapacity;
@@ -29,6 +35,8 @@
 import org.basilport.gateway.config.TrafficLimits;
 import org.basilport.gateway.config.WeightedService;
 import org.basilport.gateway.forward.TrafficState.RetryLimits;
+import org.basilport.gateway.peer.InstanceEntry;
+import org.basilport.policy.dispatch.FleetCells;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -435,6 +443,96 @@
       assertThat(moves).isEqualTo(1);
     }
 
+    /** Guards against a generation that is lost because the engines of its own cell are full. */
+    @Test
+    void movesAGenerationToAnEngineOfAnotherCell() throws Exception {
+      configure(1, "k1");
+      CountDownLatch stop = new CountDownLatch(1);
+      Set<String> targets = ConcurrentHashMap.newKeySet();
+      for (int i = 0; i < 8; i++) {
+        serve(
+            "model",
+            (request, out, socket) -> {
+              if (request.line().startsWith("POST /move/")) {
+                boolean room = targets.contains(request.headers().get("target"));
+                boolean last = request.line().contains("/true");
+                if (room && last) {
+                  stop.countDown();
+                  Thread.sleep(30);
+                }
+                ScriptedServer.answer(out, request, room ? 200 : 503, room ? "h" : "");
+                return;
+              }
+              ScriptedServer.startStream(out, request);
+              if (request.headers().containsKey("memory")) {
+                ScriptedServer.events(out, 4, 5);
+                ScriptedServer.endStream(out);
+              } else {
+                ScriptedServer.events(out, 1, 3);
+                stop.await(5, TimeUnit.SECONDS);
+                socket.close();
+              }
+            });
+      }
+      Set<String> engines = entries.stream().map(ServerEntry::id).collect(Collectors.toSet());
+      Set<String> fleet = fleetThatLeaves(3, engines);
+      Set<String> unused = unused(fleet, engines);
+      entries.stream()
+          .filter(entry -> unused.contains(entry.id()))
+          .forEach(entry -> targets.add(entry.address()));
+      gateway.updateInstances(
+          fleet.stream()
+              .map(id -> new InstanceEntry(id, new InetSocketAddress("127.0.0.1", 9)))
+              .toList());
+      Thread.sleep(100);
+      CompletableFuture<Void> leaving =
+          CompletableFuture.runAsync(
+              () -> {
+                int source = 0;
+                while (servers.get(source).requests().isEmpty()) {
+                  source = (source + 1) % servers.size();
+                }
+                List<ServerEntry> remaining = new ArrayList<>(entries);
+                remaining.remove(source);
+                gateway.updateServers(remaining, "test");
+              });
+      String answer = call("POST", "/stream/x", "key: k1\r\ntokens: 100\r\n");
+      leaving.get(5, TimeUnit.SECONDS);
+
+      assertThat(answer).contains("data: t5");
+      assertThat(answer).endsWith("0\r\n\r\n");
+    }
+
+    /** A fleet in which the gateway's cell leaves some engines to others. */
+    private Set<String> fleetThatLeaves(int count, Set<String> engines) {
+      for (int fleet = 0; ; fleet++) {
+        Set<String> instances = new HashSet<>(Set.of("gateway-1"));
+        for (int i = 0; i < 37; i++) {
+          instances.add("fleet-" + fleet + "-" + i);
+        }
+        if (unused(instances, engines).size() >= count) {
+          return instances;
+        }
+      }
+    }
+
+    /** Engines that the gateway's cell uses neither now nor after the departure of one it uses. */
+    private Set<String> unused(Set<String> instances, Set<String> engines) {
+      Set<String> unused = new HashSet<>(engines);
+      unused.removeAll(used(instances, engines));
+      for (String left : used(instances, engines)) {
+        unused.removeAll(used(instances, Sets.difference(engines, Set.of(left))));
+      }
+      return unused;
+    }
+
+    private Set<String> used(Set<String> instances, Set<String> engines) {
+      FleetCells cells = new FleetCells(instances, engines);
+      return engines.stream()
+          .filter(id -> cells.cellsOfEngine(id).contains(cells.cellOf("gateway-1")))
+          .collect(Collectors.toSet());
+    }
+
     /** Guards against a generation that is lost with an engine that announced its departure. */
     @Test
     void movesAGenerationFromALeavingEngine() throws Exception {
