Spread the tries of waiting requests after a report

Cause of the remaining overrun: all instances that wait hear of freed room in the same moment and take it.

Room that the instance itself frees is used at once, as before.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/TrafficState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/TrafficState.java
@@ -109,7 +109,6 @@
   /** Replaces what is known of the work of another instance. */
   public void updateOthersWork(String instanceId, Map<String, WorkShare> workByServer) {
     servers.updateOthersWork(instanceId, workByServer);
-    pumpAll();
   }
 
   /** Sets which backend servers this instance sends requests to. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.basilport.event.EventSink;
@@ -19,6 +20,7 @@
 import org.basilport.misc.Service;
 import org.basilport.policy.dispatch.CrashSuspects;
 import org.basilport.policy.dispatch.FleetCells;
+import org.basilport.policy.dispatch.FreedRoomDelay;
 import org.basilport.policy.dispatch.WatchDuty;
 import org.basilport.policy.dispatch.WorkShare;
 import org.basilport.protocol.LoadReport;
@@ -70,6 +72,8 @@
   private boolean watching;
   private FleetCells cells = new FleetCells(Set.of(), Set.of());
   private final Set<String> changedEngines = new HashSet<>();
+  private final FreedRoomDelay freedRoomDelay = new FreedRoomDelay(new SplittableRandom());
+  private boolean placementScheduled;
   private boolean flushScheduled;
   private ConfigurationSource source;
   private long sequence;
@@ -365,6 +369,21 @@
     }
     if (known == null || !known.report.getWorkList().equals(report.getWorkList())) {
       state.updateOthersWork(report.getInstanceId(), workByServer(report));
+      schedulePlacement();
+    }
+  }
+
+  /** Tries requests that wait, after a delay that differs among the instances. */
+  private void schedulePlacement() {
+    if (!placementScheduled && state.waiting() > 0) {
+      placementScheduled = true;
+      eventLoop.schedule(
+          () -> {
+            placementScheduled = false;
+            state.pumpAll();
+          },
+          freedRoomDelay.nextNanos(),
+          TimeUnit.NANOSECONDS);
     }
   }
 
@@ -404,6 +423,7 @@
         events.record(EventType.MEMBER_DEAD, EventSubject.NONE, id);
       }
       state.updateOthersWork(id, Map.of());
+      schedulePlacement();
     }
   }
 
