Count the memory of generations that outgrow their estimate

The estimate of a caller is often far off, and a generation that runs on took memory that all instances counted as free. The memory set aside for it now grows with it, in steps that keep reports rare.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -20,6 +20,7 @@
 import org.basilport.gateway.message.MemoryReference;
 import org.basilport.gateway.message.Prompt;
 import org.basilport.gateway.message.ServerAnswer;
+import org.basilport.policy.dispatch.RequestDemand;
 import org.basilport.policy.dispatch.WorkShare;
 
 /**
@@ -118,11 +119,21 @@
     if (!firstEventSeen) {
       onFirstEvent();
     }
+    chargeGrowth();
     startAnswer();
     caller.write(whole);
     connection.setReading(caller.writable());
   }
 
+  /** Reports the memory of a generation that is longer than its caller expected. */
+  private void chargeGrowth() {
+    long setAside = charge().memoryTokens();
+    long grown = RequestDemand.grown(setAside, usedTokens());
+    if (grown > setAside) {
+      recharge(new WorkShare(1, 0, grown));
+    }
+  }
+
   private boolean streaming() {
     return answer.successful() && answer.sealed() && !answer.encoded();
   }
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/ServerSelectorTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/ServerSelectorTest.java
@@ -48,6 +48,29 @@
           .isEmpty();
     }
 
+    /**
+     * Guards against engines that are overrun by generations longer than their callers expected:
+     * estimates are often far off, and such a generation takes memory that others count as free.
+     */
+    @Test
+    void countsGenerationsThatOutgrewTheirEstimate() {
+      ServerLoad engine = engine("engine", "a");
+      RequestDemand shortEstimate = RequestDemand.generation(3_000, 100);
+      for (int i = 0; i < 8; i++) {
+        engine.add(new WorkShare(1, 0, shortEstimate.memoryTokens()));
+      }
+      RequestDemand next = RequestDemand.generation(2_000, 40);
+      assertThat(selector.select(List.of(engine), next, NOW)).hasValue(engine);
+
+      long grown = RequestDemand.grown(shortEstimate.memoryTokens(), 3_800);
+      for (int i = 0; i < 8; i++) {
+        engine.remove(new WorkShare(1, 0, shortEstimate.memoryTokens()));
+        engine.add(new WorkShare(1, 0, grown));
+      }
+      assertThat(grown).isAtLeast(3_800);
+      assertThat(selector.select(List.of(engine), next, NOW)).isEmpty();
+    }
+
     /** Guards against a request that is never placed because it alone exceeds the share. */
     @Test
     void givesIdleEngineToLargestRequest() {
