--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -40,9 +40,6 @@
   /** Share of the target latency that a request waits for a server before it is refused. */
   private static final double WAIT_SHARE = 0.8;
 
-  /** Urgency that engines assume for requests without one. */
-  private static final int DEFAULT_URGENCY = 5;
-
   final ForwardingContext context;
   final CallerRequest request;
   final ForwardingRoute route;
@@ -197,13 +194,10 @@
   }
 
   private ForwardingDetails details(ForwardingStart start) {
-    Optional<Integer> urgency =
-        request.prompt().map(prompt -> route.priority() == 0 ? 2 : DEFAULT_URGENCY);
     return new ForwardingDetails(
         Duration.ofNanos(Math.max(1_000_000, deadlineNanos - System.nanoTime())),
         server.entry().id(),
         holder.map(KeyHolder::workspace),
-        urgency,
         start.lastEventId().or(request::lastEventId),
         start.memory());
   }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/message/ForwardingDetails.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/message/ForwardingDetails.java
@@ -9,7 +9,6 @@
  * @param remaining time after which the backend server may stop work
  * @param serverId the only backend server that may run the request
  * @param workspace workspace of the caller
- * @param urgency order of admission at the engine
  * @param lastEventId event after which a stream goes on
  * @param memory memory of the same generation that the engine goes on from
  */
@@ -17,6 +16,5 @@
     Duration remaining,
     String serverId,
     Optional<String> workspace,
-    Optional<Integer> urgency,
     Optional<String> lastEventId,
     Optional<MemoryReference> memory) {}
