Place waiting plain calls at once after a report

The spread of placements protects the memory of engines. Both tests are new; the one of plain calls failed before.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
@@ -22,6 +22,7 @@
   private static final int OFFER_LIMIT = 4;
 
   private final String service;
+  private final boolean placesGenerations;
   private final ServerTable servers;
   private final Predicate<BackendServer> usable;
   private final IntSupplier fleetSize;
@@ -31,6 +32,7 @@
 
   ServiceDispatcher(
       String service,
+      boolean placesGenerations,
       ServerTable servers,
       Predicate<BackendServer> usable,
       IntSupplier fleetSize,
@@ -39,6 +41,7 @@
     this.usable = usable;
     this.fleetSize = fleetSize;
     this.service = service;
+    this.placesGenerations = placesGenerations;
     this.servers = servers;
     this.selector = selector;
     this.retries = retries;
@@ -49,6 +52,11 @@
     return retries;
   }
 
+  /** Whether the servers are model engines, whose memory limits what they run at once. */
+  boolean placesGenerations() {
+    return placesGenerations;
+  }
+
   /** Number of requests that wait for a server. */
   int waiting() {
     return line.size();
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/TrafficState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/TrafficState.java
@@ -106,9 +106,16 @@
     }
   }
 
-  /** Replaces what is known of the work of another instance. */
+  /**
+   * Replaces what is known of the work of another instance. Waiting calls of plain services are
+   * placed at once, since a server queues a few of them; generations wait for {@link #pumpAll()}.
+   */
   public void updateOthersWork(String instanceId, Map<String, WorkShare> workByServer) {
     servers.updateOthersWork(instanceId, workByServer);
+    dispatchers.values().stream()
+        .filter(dispatcher -> !dispatcher.placesGenerations())
+        .toList()
+        .forEach(ServiceDispatcher::pump);
   }
 
   /** Sets which backend servers this instance sends requests to. */
@@ -152,7 +159,7 @@
             ? new EarliestFirstTokenSelector(dataCentre, FIRST_TOKEN_LIMIT_NANOS, random)
             : new LeastOccupiedSelector(dataCentre, random);
     return new ServiceDispatcher(
-        service, servers, this::usable, this::instances, selector, retryLimits.newBudget());
+        service, engine, servers, this::usable, this::instances, selector, retryLimits.newBudget());
   }
 
   /** Places requests that wait for any service. */
--- /dev/null
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/forward/TrafficStateTest.java
@@ -0,0 +1,132 @@
+package org.basilport.gateway.forward;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.basilport.event.EventSink;
+import org.basilport.gateway.TestCodec;
+import org.basilport.gateway.backend.BackendServer;
+import org.basilport.gateway.backend.ServerEntry;
+import org.basilport.gateway.backend.ServerTable;
+import org.basilport.gateway.config.EngineCapacity;
+import org.basilport.gateway.config.ForwardingConfiguration;
+import org.basilport.gateway.config.ForwardingService;
+import org.basilport.gateway.config.TrafficLimits;
+import org.basilport.gateway.forward.TrafficState.RetryLimits;
+import org.basilport.policy.dispatch.RequestDemand;
+import org.basilport.policy.dispatch.WaitingLine;
+import org.basilport.policy.dispatch.WorkShare;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Requests that wait because other instances occupy the servers. */
+class TrafficStateTest {
+  private static final WorkShare FULL = new WorkShare(24, 0, 34_000);
+
+  private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(1);
+  private TrafficState state;
+
+  @BeforeEach
+  void occupyServers() {
+    state =
+        new TrafficState(
+            "a",
+            new RetryLimits(0.2, 50, TimeUnit.SECONDS.toNanos(10)),
+            new ServerTable("this", eventLoops.next(), new TestCodec(), EventSink.none()),
+            EventSink.none(),
+            new SplittableRandom(1));
+    EngineCapacity capacity = new EngineCapacity(24, 34_000, 4, 10, true);
+    state.apply(
+        new ForwardingConfiguration(
+            1,
+            TrafficLimits.INITIAL,
+            List.of(),
+            Map.of(
+                "plain", new ForwardingService("plain", 99, Optional.empty()),
+                "model", new ForwardingService("model", 99, Optional.of(capacity))),
+            false,
+            Map.of()),
+        "test");
+    state.updateServers(List.of(entry("plain-1", "plain"), entry("model-1", "model")), "test");
+    state.updateOthersWork("other", Map.of("plain-1", FULL, "model-1", FULL));
+  }
+
+  @AfterEach
+  void stop() {
+    eventLoops.shutdownGracefully();
+  }
+
+  private static ServerEntry entry(String id, String service) {
+    return new ServerEntry(id, 1, service, "127.0.0.1", 1, "a", 6, false, Duration.ZERO);
+  }
+
+  private Waiting submit(String service, RequestDemand demand) {
+    Waiting request = new Waiting(demand);
+    state.dispatcher(service).submit(request);
+    assertThat(request.server).isEmpty();
+    return request;
+  }
+
+  /** Guards against a short call that waits longer than its target for room that is there. */
+  @Test
+  void placesPlainCallsAtOnceWhenOthersReportRoom() {
+    Waiting call = submit("plain", RequestDemand.PLAIN_CALL);
+    state.updateOthersWork("other", Map.of());
+    assertThat(call.server).hasValue("plain-1");
+  }
+
+  /** Guards against instances that all take the memory that one report shows as free. */
+  @Test
+  void leavesGenerationsForASpreadTry() {
+    Waiting generation = submit("model", RequestDemand.generation(3_000, 100));
+    state.updateOthersWork("other", Map.of());
+    assertThat(generation.server).isEmpty();
+    state.pumpAll();
+    assertThat(generation.server).hasValue("model-1");
+  }
+
+  /** A request that records where it was placed. */
+  private static final class Waiting implements PlacementRequest {
+    private final RequestDemand demand;
+    private Optional<String> server = Optional.empty();
+
+    private Waiting(RequestDemand demand) {
+      this.demand = demand;
+    }
+
+    @Override
+    public RequestDemand demand() {
+      return demand;
+    }
+
+    @Override
+    public int priority() {
+      return 0;
+    }
+
+    @Override
+    public boolean accepts(BackendServer candidate) {
+      return true;
+    }
+
+    @Override
+    public void onQueued(WaitingLine.Entry<PlacementRequest> entry) {}
+
+    @Override
+    public void onPlaced(BackendServer chosen) {
+      server = Optional.of(chosen.entry().id());
+    }
+
+    @Override
+    public void onLineFull() {
+      throw new AssertionError("the line is empty");
+    }
+  }
+}
