Spread the tries of waiting requests when servers are added

The spread now covers added servers and new configurations as well. The test with an engine that is added does not compile without the listener.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/TrafficState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/TrafficState.java
@@ -49,6 +49,7 @@
   private String entriesSource = "";
   private Predicate<BackendServer> usable = server -> true;
   private int instances = 1;
+  private Runnable sharedRoomListener = this::pumpAll;
 
   /** Creates the state of an instance that knows nothing yet. */
   public TrafficState(
@@ -82,7 +83,7 @@
     configuration = Optional.of(offered);
     events.record(EventType.CONFIGURATION_IN_FORCE, EventSubject.NONE, offered.version(), source);
     servers.update(entries, offered, entriesSource);
-    pumpAll();
+    onRoom();
   }
 
   /** Takes over the backend servers that the directory lists. */
@@ -91,7 +92,7 @@
     lastListed = List.copyOf(listed);
     entriesSource = source;
     configuration.ifPresent(current -> servers.update(entries, current, source));
-    pumpAll();
+    onRoom();
   }
 
   /** The directory is back after an outage, during which entries of living servers may lapse. */
@@ -106,16 +107,29 @@
     }
   }
 
-  /**
-   * Replaces what is known of the work of another instance. Waiting calls of plain services are
-   * placed at once, since a server queues a few of them; generations wait for {@link #pumpAll()}.
-   */
+  /** Replaces what is known of the work of another instance. */
   public void updateOthersWork(String instanceId, Map<String, WorkShare> workByServer) {
     servers.updateOthersWork(instanceId, workByServer);
+    onRoom();
+  }
+
+  /** Sets what is called when servers or reports show room that other instances see as well. */
+  public void onSharedRoom(Runnable listener) {
+    sharedRoomListener = listener;
+  }
+
+  /**
+   * Waiting calls of plain services are placed at once, since a server queues a few of them.
+   * Generations wait for the listener to call {@link #pumpAll()}.
+   */
+  private void onRoom() {
     dispatchers.values().stream()
         .filter(dispatcher -> !dispatcher.placesGenerations())
         .toList()
         .forEach(ServiceDispatcher::pump);
+    if (waiting() > 0) {
+      sharedRoomListener.run();
+    }
   }
 
   /** Sets which backend servers this instance sends requests to. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -100,6 +100,7 @@
     this.freshness = new FreshnessExchange(instanceId, channel, state);
     state.servers().onEngineWork(this::onEngineWork);
     state.servers().onDeparture(this::scheduleFlush);
+    state.onSharedRoom(this::schedulePlacement);
   }
 
   /** Sets where the configuration is read; called before the start. */
@@ -369,13 +370,12 @@
     }
     if (known == null || !known.report.getWorkList().equals(report.getWorkList())) {
       state.updateOthersWork(report.getInstanceId(), workByServer(report));
-      schedulePlacement();
     }
   }
 
   /** Tries requests that wait, after a delay that differs among the instances. */
   private void schedulePlacement() {
-    if (!placementScheduled && state.waiting() > 0) {
+    if (!placementScheduled) {
       placementScheduled = true;
       eventLoop.schedule(
           () -> {
@@ -423,7 +423,6 @@
         events.record(EventType.MEMBER_DEAD, EventSubject.NONE, id);
       }
       state.updateOthersWork(id, Map.of());
-      schedulePlacement();
     }
   }
 
--- a/basilport-gateway/src/test/java/org/basilport/gateway/forward/TrafficStateTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/forward/TrafficStateTest.java
@@ -32,6 +32,7 @@
 
   private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(1);
   private TrafficState state;
+  private int spreadTries;
 
   @BeforeEach
   void occupyServers() {
@@ -42,6 +43,7 @@
             new ServerTable("this", eventLoops.next(), new TestCodec(), EventSink.none()),
             EventSink.none(),
             new SplittableRandom(1));
+    state.onSharedRoom(() -> spreadTries++);
     EngineCapacity capacity = new EngineCapacity(24, 34_000, 4, 10, true);
     state.apply(
         new ForwardingConfiguration(
@@ -88,10 +90,22 @@
     Waiting generation = submit("model", RequestDemand.generation(3_000, 100));
     state.updateOthersWork("other", Map.of());
     assertThat(generation.server).isEmpty();
+    assertThat(spreadTries).isEqualTo(1);
     state.pumpAll();
     assertThat(generation.server).hasValue("model-1");
   }
 
+  /** Guards against instances that all send their waiting generations to an engine that is new. */
+  @Test
+  void leavesANewEngineForASpreadTry() {
+    Waiting generation = submit("model", RequestDemand.generation(3_000, 100));
+    state.updateServers(List.of(entry("model-1", "model"), entry("model-2", "model")), "test");
+    assertThat(generation.server).isEmpty();
+    assertThat(spreadTries).isEqualTo(1);
+    state.pumpAll();
+    assertThat(generation.server).hasValue("model-2");
+  }
+
   /** A request that records where it was placed. */
   private static final class Waiting implements PlacementRequest {
     private final RequestDemand demand;
