Share what the gateway wrote several times

The three selectors use one search for the lowest cost, refusals, failures and ends of requests are recorded in one place each, answers of the system itself are written in one place, and the dispatcher reserves a server in one place. The version in force and the age of its proof are asked of TrafficState. LoadExchange kept the last departures and version without ever reading them; both fields are gone.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -109,14 +109,13 @@
   }
 
   private void housekeeping() {
-    long age = state.proof().ageMillis(System.nanoTime(), System.currentTimeMillis());
+    long age = state.proofAgeMillis();
     boolean nowProven = age <= settings.readinessProofLimit().toMillis();
     if (nowProven != proven && state.configuration().isPresent()) {
-      long version = state.configuration().get().version();
       events.record(
           nowProven ? EventType.CONFIGURATION_PROVEN : EventType.CONFIGURATION_UNPROVEN,
           EventSubject.NONE,
-          version,
+          state.configurationVersion(),
           age);
       proven = nowProven;
     }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -208,6 +208,13 @@
     return List.copyOf(byId.values());
   }
 
+  /** Returns the servers on which this instance has work. */
+  public List<BackendServer> withOwnWork() {
+    return byId.values().stream()
+        .filter(server -> !server.load().own().equals(WorkShare.NONE))
+        .toList();
+  }
+
   /** Returns a server by its id. */
   public Optional<BackendServer> server(String id) {
     return Optional.ofNullable(byId.get(id));
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
@@ -1,6 +1,7 @@
 package org.basilport.gateway.forward;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
@@ -9,7 +10,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.basilport.error.Step;
-import org.basilport.event.EventType;
 import org.basilport.gateway.backend.BackendServer;
 import org.basilport.gateway.config.ForwardingRoute;
 import org.basilport.gateway.config.KeyHolder;
@@ -81,9 +81,7 @@
 
   @Override
   public void onContent(ByteBuf content) {
-    byte[] bytes = new byte[content.readableBytes()];
-    content.readBytes(bytes);
-    body.writeBytes(bytes);
+    body.writeBytes(ByteBufUtil.getBytes(content));
   }
 
   @Override
@@ -111,22 +109,11 @@
   }
 
   private void deliver() {
-    context.metrics().counter("forward.answers." + answer.status()).inc();
     context
         .metrics()
         .histogram("forward.latency_ms." + route.repeatability().name().toLowerCase())
         .update(elapsedMillis());
-    context
-        .events()
-        .record(
-            EventType.REQUEST_FINISHED,
-            subject(),
-            request.id(),
-            answer.status(),
-            serverName(),
-            elapsedMillis(),
-            elapsedMillis(),
-            0);
+    recordFinished(answer.status(), elapsedMillis());
     if (!callerGone()) {
       caller.answer(answer.status(), headers, body.toByteArray());
     }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/CallerChannel.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/CallerChannel.java
@@ -1,7 +1,9 @@
 package org.basilport.gateway.forward;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
 
 /** The answer side of a caller's request; called on the traffic thread. */
 public interface CallerChannel {
@@ -23,4 +25,10 @@
 
   /** Whether the caller reads as fast as parts are written. */
   boolean writable();
+
+  /** Sends a whole answer of the system itself, whose body says why. */
+  default void answerReason(int status, HttpHeaders headers, String reason) {
+    headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
+    answer(status, headers, reason.getBytes(StandardCharsets.UTF_8));
+  }
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -2,10 +2,8 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
@@ -347,8 +345,7 @@
   final void answerOwn(int status, HttpHeaders headers, Step step, String reason) {
     logOwnAnswer(status, step, reason);
     if (!callerGone) {
-      headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
-      caller.answer(status, headers, reason.getBytes(StandardCharsets.UTF_8));
+      caller.answerReason(status, headers, reason);
     }
     finish();
   }
@@ -356,32 +353,42 @@
   private void logOwnAnswer(int status, Step step, String reason) {
     context.metrics().counter("forward.answers." + status).inc();
     if (status == 503) {
-      context
-          .events()
-          .record(
-              EventType.REQUEST_REFUSED,
-              subject(),
-              request.id(),
-              status,
-              step,
-              reason,
-              context.state().configuration().map(c -> c.version()).orElse(0L),
-              context.state().proof().ageMillis(System.nanoTime(), System.currentTimeMillis()),
-              dispatcher.waiting());
+      context.recordRefused(subject(), request.id(), status, step, reason, dispatcher.waiting());
     } else {
-      context
-          .events()
-          .record(
-              EventType.REQUEST_FAILED,
-              subject(),
-              request.id(),
-              status,
-              serverName(),
-              eventCount(),
-              step + ": " + reason);
+      recordFailed(status, step, reason);
     }
   }
 
+  /** Records that the caller gets no complete answer of a server. */
+  final void recordFailed(int status, Step step, String reason) {
+    context
+        .events()
+        .record(
+            EventType.REQUEST_FAILED,
+            subject(),
+            request.id(),
+            status,
+            serverName(),
+            eventCount(),
+            step + ": " + reason);
+  }
+
+  /** Counts and records the complete answer of a server. */
+  final void recordFinished(int status, long firstEventMillis) {
+    context.metrics().counter("forward.answers." + status).inc();
+    context
+        .events()
+        .record(
+            EventType.REQUEST_FINISHED,
+            subject(),
+            request.id(),
+            status,
+            serverName(),
+            elapsedMillis(),
+            firstEventMillis,
+            eventCount());
+  }
+
   /** Ends the exchange: timers, place in the line and load are given back. */
   final void finish() {
     if (finished) {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingContext.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingContext.java
@@ -4,7 +4,10 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.SplittableRandom;
+import org.basilport.error.Step;
 import org.basilport.event.EventSink;
+import org.basilport.event.EventSubject;
+import org.basilport.event.EventType;
 import org.basilport.gateway.message.MessageCodec;
 
 /**
@@ -25,4 +28,20 @@
     EventSink events,
     MetricRegistry metrics,
     SplittableRandom random,
-    Duration maxEventPause) {}
+    Duration maxEventPause) {
+
+  /** Records a refusal with the configuration that decided it and the age of its proof. */
+  void recordRefused(
+      EventSubject subject, String id, int status, Step step, String reason, int waiting) {
+    events.record(
+        EventType.REQUEST_REFUSED,
+        subject,
+        id,
+        status,
+        step,
+        reason,
+        state.configurationVersion(),
+        state.proofAgeMillis(),
+        waiting);
+  }
+}
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/MoveOrder.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/MoveOrder.java
@@ -1,6 +1,7 @@
 package org.basilport.gateway.forward;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.ByteArrayOutputStream;
@@ -74,9 +75,7 @@
 
   @Override
   public void onContent(ByteBuf content) {
-    byte[] bytes = new byte[content.readableBytes()];
-    content.readBytes(bytes);
-    body.writeBytes(bytes);
+    body.writeBytes(ByteBufUtil.getBytes(content));
   }
 
   @Override
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/RequestForwarder.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/RequestForwarder.java
@@ -3,10 +3,8 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
@@ -15,7 +13,6 @@
 import org.basilport.error.Step;
 import org.basilport.event.EventSink;
 import org.basilport.event.EventSubject;
-import org.basilport.event.EventType;
 import org.basilport.gateway.config.ForwardingConfiguration;
 import org.basilport.gateway.config.ForwardingRoute;
 import org.basilport.gateway.config.KeyHolder;
@@ -95,8 +92,7 @@
   }
 
   private boolean proven() {
-    long age = context.state().proof().ageMillis(System.nanoTime(), System.currentTimeMillis());
-    return age <= proofLimit.toMillis();
+    return context.state().proofAgeMillis() <= proofLimit.toMillis();
   }
 
   /** A configuration that may be out of date is no reason for a final refusal. */
@@ -109,26 +105,15 @@
   private CallerHandle reject(
       String id, int status, Step step, String reason, CallerChannel caller) {
     context.metrics().counter("forward.answers." + status).inc();
-    context
-        .events()
-        .record(
-            EventType.REQUEST_REFUSED,
-            EventSubject.request(id, ""),
-            id,
-            status,
-            step,
-            reason,
-            context.state().configuration().map(ForwardingConfiguration::version).orElse(0L),
-            context.state().proof().ageMillis(System.nanoTime(), System.currentTimeMillis()),
-            context.state().waiting());
+    context.recordRefused(
+        EventSubject.request(id, ""), id, status, step, reason, context.state().waiting());
     HttpHeaders headers = new DefaultHttpHeaders();
-    headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
     if (status == 503) {
       context
           .codec()
           .addRetryDelay(headers, draining ? STOPPING_RETRY_SECONDS : UNPROVEN_RETRY_SECONDS);
     }
-    caller.answer(status, headers, reason.getBytes(StandardCharsets.UTF_8));
+    caller.answerReason(status, headers, reason);
     return CallerHandle.NONE;
   }
 
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
@@ -95,12 +95,8 @@
     List<Runnable> placed = new ArrayList<>();
     line.offer(
         request -> {
-          Optional<BackendServer> server = choose(selector, request.demand(), request);
-          server.ifPresent(
-              chosen -> {
-                chosen.load().add(request.demand().asWork());
-                placed.add(() -> request.onPlaced(chosen));
-              });
+          Optional<BackendServer> server = reserve(request);
+          server.ifPresent(chosen -> placed.add(() -> request.onPlaced(chosen)));
           return server.isPresent();
         },
         OFFER_LIMIT);
@@ -109,15 +105,18 @@
   }
 
   private boolean place(PlacementRequest request) {
-    Optional<BackendServer> server = choose(selector, request.demand(), request);
-    server.ifPresent(
-        chosen -> {
-          chosen.load().add(request.demand().asWork());
-          request.onPlaced(chosen);
-        });
+    Optional<BackendServer> server = reserve(request);
+    server.ifPresent(request::onPlaced);
     return server.isPresent();
   }
 
+  /** Chooses a server for a request and counts the request in its load. */
+  private Optional<BackendServer> reserve(PlacementRequest request) {
+    Optional<BackendServer> server = choose(selector, request.demand(), request);
+    server.ifPresent(chosen -> chosen.load().add(request.demand().asWork()));
+    return server;
+  }
+
   /** The servers of this instance's share of the service, all when that has none. */
   private List<BackendServer> usableServers() {
     List<BackendServer> all = servers.servers(service);
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -1,6 +1,7 @@
 package org.basilport.gateway.forward;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
@@ -9,7 +10,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.basilport.error.Step;
-import org.basilport.event.EventType;
 import org.basilport.gateway.backend.BackendServer;
 import org.basilport.gateway.backend.DepartureListener;
 import org.basilport.gateway.config.EngineCapacity;
@@ -106,9 +106,7 @@
   @Override
   public void onContent(ByteBuf content) {
     if (!streaming()) {
-      byte[] bytes = new byte[content.readableBytes()];
-      content.readBytes(bytes);
-      failureBody.writeBytes(bytes);
+      failureBody.writeBytes(ByteBufUtil.getBytes(content));
       return;
     }
     ByteBuf whole = reader.read(content);
@@ -194,18 +192,7 @@
 
   private void deliverEnd() {
     server.load().health().succeeded();
-    context.metrics().counter("forward.answers." + answer.status()).inc();
-    context
-        .events()
-        .record(
-            EventType.REQUEST_FINISHED,
-            subject(),
-            request.id(),
-            answer.status(),
-            serverName(),
-            elapsedMillis(),
-            firstEventMillis,
-            reader.events());
+    recordFinished(answer.status(), firstEventMillis);
     startAnswer();
     caller.finishAnswer();
     finish();
@@ -261,16 +248,7 @@
       answerOwn(502, new DefaultHttpHeaders(), step, reason);
       return;
     }
-    context
-        .events()
-        .record(
-            EventType.REQUEST_FAILED,
-            subject(),
-            request.id(),
-            answer.status(),
-            serverName(),
-            reader.events(),
-            step + ": " + reason);
+    recordFailed(answer.status(), step, reason);
     context.metrics().counter("forward.lost_streams").inc();
     caller.abort();
     finish();
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/TrafficState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/TrafficState.java
@@ -75,6 +75,16 @@
     return proof;
   }
 
+  /** Version of the configuration in force; 0 before the first one. */
+  public long configurationVersion() {
+    return configuration.map(ForwardingConfiguration::version).orElse(0L);
+  }
+
+  /** Age of the proof that the configuration is the newest one. */
+  public long proofAgeMillis() {
+    return proof.ageMillis(System.nanoTime(), System.currentTimeMillis());
+  }
+
   /** Takes a configuration into force; one that is not newer is ignored. */
   public void apply(ForwardingConfiguration offered, String source) {
     if (configuration.isPresent() && offered.version() <= configuration.get().version()) {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/frontend/CallerConnection.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/frontend/CallerConnection.java
@@ -1,6 +1,7 @@
 package org.basilport.gateway.frontend;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -25,7 +26,6 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 import org.basilport.gateway.config.TrafficLimits;
@@ -157,9 +157,7 @@
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
       return;
     }
-    byte[] copy = new byte[bytes.readableBytes()];
-    bytes.readBytes(copy);
-    body.writeBytes(copy);
+    body.writeBytes(ByteBufUtil.getBytes(bytes));
     if (content instanceof LastHttpContent) {
       completeRequest();
     }
@@ -190,9 +188,7 @@
     head = null;
     keepAlive = false;
     answering = true;
-    HttpHeaders headers = new DefaultHttpHeaders();
-    headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
-    answer(status.code(), headers, reason.getBytes(StandardCharsets.UTF_8));
+    answerReason(status.code(), new DefaultHttpHeaders(), reason);
   }
 
   @Override
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/FreshnessExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/FreshnessExchange.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import org.basilport.gateway.config.ForwardingConfiguration;
 import org.basilport.gateway.forward.TrafficState;
 import org.basilport.protocol.PeerDatagram;
 import org.basilport.protocol.ProofReply;
@@ -61,7 +60,7 @@
       lastRequestNanos = now;
       request(watchers);
     }
-    if (state.proof().ageMillis(now, System.currentTimeMillis()) > DIRECT_READ_AGE_MILLIS) {
+    if (state.proofAgeMillis() > DIRECT_READ_AGE_MILLIS) {
       refresh();
     }
   }
@@ -91,8 +90,8 @@
 
   /** Answers a request if the own configuration is known to be current. */
   void onRequest(ProofRequest request, InetSocketAddress sender) {
-    long age = state.proof().ageMillis(System.nanoTime(), System.currentTimeMillis());
-    long version = version();
+    long age = state.proofAgeMillis();
+    long version = state.configurationVersion();
     if (age > DIRECT_READ_AGE_MILLIS || version == 0) {
       return;
     }
@@ -114,7 +113,7 @@
     if (start == null || reply.getAgeMillis() < 0) {
       return;
     }
-    if (reply.getConfigurationVersion() > version()) {
+    if (reply.getConfigurationVersion() > state.configurationVersion()) {
       refresh();
     } else {
       state
@@ -125,10 +124,6 @@
     }
   }
 
-  private long version() {
-    return state.configuration().map(ForwardingConfiguration::version).orElse(0L);
-  }
-
   /** Both clocks when a request was sent. */
   private record Start(long nanos, long wallMillis) {}
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -15,7 +15,6 @@
 import org.basilport.event.EventSubject;
 import org.basilport.event.EventType;
 import org.basilport.gateway.backend.BackendServer;
-import org.basilport.gateway.config.ForwardingConfiguration;
 import org.basilport.gateway.forward.TrafficState;
 import org.basilport.misc.Service;
 import org.basilport.policy.dispatch.CrashSuspects;
@@ -78,8 +77,6 @@
   private ConfigurationSource source;
   private long sequence;
   private long heartbeats;
-  private Map<String, Long> lastDepartures = Map.of();
-  private long lastVersion;
 
   /** Creates an exchange; it sends after its start. */
   public LoadExchange(
@@ -128,7 +125,7 @@
   public void setReady(boolean value) {
     if (ready != value) {
       ready = value;
-      send(members(Set.of(cells.cellOf(instanceId))));
+      send(members(Set.of(ownCell())));
     }
   }
 
@@ -156,7 +153,7 @@
     FleetCells before = cells;
     cells = new FleetCells(instances, engines);
     tellNewUsers(before);
-    int own = cells.cellOf(instanceId);
+    int own = ownCell();
     state.setUsable(
         server ->
             cells.single()
@@ -166,10 +163,9 @@
 
   /** Reports the own work on engines that came to other cells, whose instances do not know it. */
   private void tellNewUsers(FleetCells before) {
-    for (BackendServer server : state.servers().all()) {
+    for (BackendServer server : state.servers().withOwnWork()) {
       String id = server.entry().id();
-      if (!server.load().own().equals(WorkShare.NONE)
-          && !before.cellsOfEngine(id).equals(cells.cellsOfEngine(id))) {
+      if (!before.cellsOfEngine(id).equals(cells.cellsOfEngine(id))) {
         onEngineWork(server);
       }
     }
@@ -208,7 +204,7 @@
     if (!cells.single()) {
       changedEngines.forEach(id -> concerned.addAll(cells.cellsOfEngine(id)));
     }
-    concerned.add(cells.cellOf(instanceId));
+    concerned.add(ownCell());
     changedEngines.clear();
     send(members(concerned));
   }
@@ -217,7 +213,7 @@
     dropSilentPeers(System.nanoTime());
     divideFleet();
     updateDuty();
-    int own = cells.cellOf(instanceId);
+    int own = ownCell();
     boolean toNeighbours = heartbeats++ % NEIGHBOUR_INTERVALS == 0;
     send(members(toNeighbours ? concerned(own) : Set.of(own)));
   }
@@ -225,10 +221,8 @@
   /** The cells whose instances may use an engine on which this instance has work. */
   private Set<Integer> concerned(int own) {
     Set<Integer> concerned = new HashSet<>(cells.neighbours(own));
-    for (BackendServer server : state.servers().all()) {
-      if (!server.load().own().equals(WorkShare.NONE)) {
-        concerned.addAll(cells.cellsOfEngine(server.entry().id()));
-      }
+    for (BackendServer server : state.servers().withOwnWork()) {
+      concerned.addAll(cells.cellsOfEngine(server.entry().id()));
     }
     return concerned;
   }
@@ -252,7 +246,7 @@
       freshness.tick(List.of());
       return;
     }
-    int own = cells.cellOf(instanceId);
+    int own = ownCell();
     List<InstanceEntry> alive = new ArrayList<>();
     alive.add(new InstanceEntry(instanceId, null));
     for (InstanceEntry entry : registered) {
@@ -281,13 +275,7 @@
     return entries.stream().map(InstanceEntry::peerAddress).toList();
   }
 
-  private long version() {
-    return state.configuration().map(ForwardingConfiguration::version).orElse(0L);
-  }
-
   private void send(List<InetSocketAddress> receivers) {
-    lastDepartures = state.servers().recentDepartures();
-    lastVersion = version();
     LoadReport.Builder report =
         LoadReport.newBuilder()
             .setInstanceId(instanceId)
@@ -295,11 +283,14 @@
             .setSequence(++sequence)
             .setReady(ready)
             .setFrontendAddress(frontendAddress)
-            .setConfigurationVersion(lastVersion);
-    lastDepartures.forEach(
-        (id, start) ->
-            report.addDepartures(
-                ServerDeparture.newBuilder().setServerId(id).setIncarnation(start)));
+            .setConfigurationVersion(state.configurationVersion());
+    state
+        .servers()
+        .recentDepartures()
+        .forEach(
+            (id, start) ->
+                report.addDepartures(
+                    ServerDeparture.newBuilder().setServerId(id).setIncarnation(start)));
     for (CrashSuspects.Death death : state.servers().suspects().deaths()) {
       report.addDeaths(
           ServerDeath.newBuilder()
@@ -307,16 +298,14 @@
               .setServerId(death.serverId())
               .setIncarnation(death.incarnation()));
     }
-    for (BackendServer server : state.servers().all()) {
+    for (BackendServer server : state.servers().withOwnWork()) {
       WorkShare own = server.load().own();
-      if (!own.equals(WorkShare.NONE)) {
-        report.addWork(
-            ServerWork.newBuilder()
-                .setServerId(server.entry().id())
-                .setRequests(own.requests())
-                .setUnreadTokens(own.unreadTokens())
-                .setMemoryTokens(own.memoryTokens()));
-      }
+      report.addWork(
+          ServerWork.newBuilder()
+              .setServerId(server.entry().id())
+              .setRequests(own.requests())
+              .setUnreadTokens(own.unreadTokens())
+              .setMemoryTokens(own.memoryTokens()));
     }
     channel.send(
         PeerDatagram.newBuilder().setSenderId(instanceId).setLoad(report).build(), receivers);
@@ -365,7 +354,7 @@
           report.getInstanceId(),
           report.getIncarnation());
     }
-    if (report.getConfigurationVersion() > version()) {
+    if (report.getConfigurationVersion() > state.configurationVersion()) {
       freshness.refresh();
     }
     if (known == null || !known.report.getWorkList().equals(report.getWorkList())) {
@@ -387,8 +376,12 @@
     }
   }
 
+  private int ownCell() {
+    return cells.cellOf(instanceId);
+  }
+
   private boolean inOwnCell(LoadReport report) {
-    return cells.cellOf(report.getInstanceId()) == cells.cellOf(instanceId);
+    return cells.cellOf(report.getInstanceId()) == ownCell();
   }
 
   private static boolean restarted(LoadReport known, LoadReport report) {
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/EarliestFirstTokenSelector.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/EarliestFirstTokenSelector.java
@@ -55,23 +55,18 @@
   @Override
   public Optional<ServerLoad> select(
       Collection<ServerLoad> candidates, RequestDemand demand, long nowNanos) {
-    ServerLoad best = null;
-    double bestCost = Double.MAX_VALUE;
-    for (ServerLoad server : candidates) {
-      if (!hasRoom(server, demand)) {
-        continue;
-      }
-      double firstToken = expectedFirstTokenNanos(server, demand);
-      if (firstToken > firstTokenLimitNanos && server.total().unreadTokens() > 0) {
-        continue;
-      }
-      double cost = firstToken * (1 + SPREAD * random.nextDouble()) + penalty(server, nowNanos);
-      if (cost < bestCost) {
-        best = server;
-        bestCost = cost;
-      }
+    return ServerSelector.cheapest(candidates, server -> cost(server, demand, nowNanos));
+  }
+
+  private double cost(ServerLoad server, RequestDemand demand, long nowNanos) {
+    if (!hasRoom(server, demand)) {
+      return Double.POSITIVE_INFINITY;
+    }
+    double firstToken = expectedFirstTokenNanos(server, demand);
+    if (firstToken > firstTokenLimitNanos && server.total().unreadTokens() > 0) {
+      return Double.POSITIVE_INFINITY;
     }
-    return Optional.ofNullable(best);
+    return firstToken * (1 + SPREAD * random.nextDouble()) + penalty(server, nowNanos);
   }
 
   /** Whether batch and memory of an engine can take a generation without preempting another. */
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/LeastOccupiedSelector.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/LeastOccupiedSelector.java
@@ -32,25 +32,21 @@
   @Override
   public Optional<ServerLoad> select(
       Collection<ServerLoad> candidates, RequestDemand demand, long nowNanos) {
-    ServerLoad best = null;
-    double bestCost = Double.MAX_VALUE;
-    for (ServerLoad server : candidates) {
-      double occupancy = (double) server.total().requests() / server.slots();
-      if (occupancy >= REQUESTS_PER_SLOT) {
-        continue;
-      }
-      double cost = occupancy + SPREAD * random.nextDouble() + server.health().failureRate();
-      if (!server.dataCentre().equals(dataCentre)) {
-        cost += OTHER_DATA_CENTRE;
-      }
-      if (server.slowAfterStart(nowNanos)) {
-        cost += OTHER_DATA_CENTRE;
-      }
-      if (cost < bestCost) {
-        best = server;
-        bestCost = cost;
-      }
+    return ServerSelector.cheapest(candidates, server -> cost(server, nowNanos));
+  }
+
+  private double cost(ServerLoad server, long nowNanos) {
+    double occupancy = (double) server.total().requests() / server.slots();
+    if (occupancy >= REQUESTS_PER_SLOT) {
+      return Double.POSITIVE_INFINITY;
+    }
+    double cost = occupancy + SPREAD * random.nextDouble() + server.health().failureRate();
+    if (!server.dataCentre().equals(dataCentre)) {
+      cost += OTHER_DATA_CENTRE;
+    }
+    if (server.slowAfterStart(nowNanos)) {
+      cost += OTHER_DATA_CENTRE;
     }
-    return Optional.ofNullable(best);
+    return cost;
   }
 }
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/MoveTargetSelector.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/MoveTargetSelector.java
@@ -36,25 +36,17 @@
   @Override
   public Optional<ServerLoad> select(
       Collection<ServerLoad> candidates, RequestDemand demand, long nowNanos) {
-    ServerLoad best = null;
-    double bestCost = Double.MAX_VALUE;
-    for (ServerLoad server : candidates) {
-      WorkShare work = server.total();
-      double occupancy =
-          (double) (work.memoryTokens() + demand.memoryTokens())
-              / Math.max(1, server.memoryTokens());
-      if (work.requests() >= server.slots() || occupancy > MEMORY_SHARE) {
-        continue;
-      }
-      double cost = occupancy + SPREAD * random.nextDouble() + server.health().failureRate();
-      if (!server.dataCentre().equals(sourceDataCentre)) {
-        cost += OTHER_DATA_CENTRE;
-      }
-      if (cost < bestCost) {
-        best = server;
-        bestCost = cost;
-      }
+    return ServerSelector.cheapest(candidates, server -> cost(server, demand));
+  }
+
+  private double cost(ServerLoad server, RequestDemand demand) {
+    WorkShare work = server.total();
+    double occupancy =
+        (double) (work.memoryTokens() + demand.memoryTokens()) / Math.max(1, server.memoryTokens());
+    if (work.requests() >= server.slots() || occupancy > MEMORY_SHARE) {
+      return Double.POSITIVE_INFINITY;
     }
-    return Optional.ofNullable(best);
+    double cost = occupancy + SPREAD * random.nextDouble() + server.health().failureRate();
+    return server.dataCentre().equals(sourceDataCentre) ? cost : cost + OTHER_DATA_CENTRE;
   }
 }
