Keep the work of silent instances and partition the fleet on changes only

Cause: an instance without a report for 1.3 s was held for dead and its work at the engines was given to others, although its generations went on; engines then preempt. Each heartbeat also compared all instances and engines with the last partition and filtered all addresses, which grows with the fleet. Change: PeerLiveness separates silent (no callers are sent there) from gone (5 s, work freed); FleetMembers partitions when instances or servers have changed and keeps the addresses by cell. LoadExchangeTest.retainsTheWorkOfASilentInstance fails when work is freed at once.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -45,6 +45,7 @@
   private final Map<String, BackendServer> byId = new HashMap<>();
   private final Map<String, Departure> departures = new HashMap<>();
   private final Map<String, List<BackendServer>> byService = new HashMap<>();
+  private long revision;
 
   /** Sets the listener that is called when a departure or a crash of a server was recorded. */
   public void onDeparture(Runnable listener) {
@@ -114,6 +115,7 @@
     }
     load.setWarmUpEnd(System.nanoTime() + entry.warmUpRemaining().toNanos());
     byId.put(entry.id(), server);
+    revision++;
     applyPeerWork(entry.id());
     byService.computeIfAbsent(entry.service(), name -> new ArrayList<>()).add(server);
     events.record(
@@ -167,6 +169,7 @@
   private void startDeparture(BackendServer server) {
     departures.put(
         server.entry().id(), new Departure(server.entry().incarnation(), System.nanoTime()));
+    revision++;
     departureListener.run();
     server.startDeparture();
   }
@@ -213,6 +216,11 @@
     return byService.getOrDefault(service, List.of());
   }
 
+  /** Number that increases with each change of the servers that may receive new work. */
+  public long revision() {
+    return revision;
+  }
+
   /** The servers of all services. */
   public List<BackendServer> allServers() {
     return List.copyOf(byId.values());
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/FleetMembers.java
@@ -0,0 +1,85 @@
+package org.basilport.gateway.peer;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.basilport.policy.dispatch.CellPartition;
+
+/** The registered instances with their cells and addresses. Confined to the event loop thread. */
+final class FleetMembers {
+  private final String ownId;
+  private List<InstanceEntry> others = List.of();
+  private Map<Integer, List<InetSocketAddress>> addressesByCell = Map.of();
+  private CellPartition cells = new CellPartition(Set.of(), Set.of());
+  private boolean changed;
+
+  FleetMembers(String ownId) {
+    this.ownId = ownId;
+  }
+
+  /** Replaces the instances; {@link #partition} takes them into account. */
+  void update(List<InstanceEntry> entries) {
+    others = entries.stream().filter(entry -> !entry.id().equals(ownId)).toList();
+    changed = true;
+  }
+
+  /** Number of instances, including the own one. */
+  int size() {
+    return others.size() + 1;
+  }
+
+  /** Whether the instances were replaced since the last partition. */
+  boolean changed() {
+    return changed;
+  }
+
+  /**
+   * Partitions the instances and engines again.
+   *
+   * @return the previous partition; empty if it has not changed
+   */
+  Optional<CellPartition> partition(Set<String> engines) {
+    changed = false;
+    Set<String> ids = new HashSet<>();
+    others.forEach(entry -> ids.add(entry.id()));
+    ids.add(ownId);
+    Optional<CellPartition> previous = Optional.empty();
+    if (!cells.matches(ids, engines)) {
+      previous = Optional.of(cells);
+      cells = new CellPartition(ids, engines);
+    }
+    addressesByCell =
+        others.stream()
+            .collect(
+                Collectors.groupingBy(
+                    entry -> cells.cellOf(entry.id()),
+                    Collectors.mapping(InstanceEntry::peerAddress, Collectors.toList())));
+    return previous;
+  }
+
+  CellPartition cells() {
+    return cells;
+  }
+
+  int ownCell() {
+    return cells.cellOf(ownId);
+  }
+
+  /** The other instances of the own cell. */
+  List<InstanceEntry> ownCellMembers() {
+    int own = ownCell();
+    return others.stream().filter(entry -> cells.cellOf(entry.id()) == own).toList();
+  }
+
+  /** Addresses of the other instances of some cells. */
+  List<InetSocketAddress> addresses(Set<Integer> ofCells) {
+    List<InetSocketAddress> addresses = new ArrayList<>();
+    ofCells.forEach(cell -> addresses.addAll(addressesByCell.getOrDefault(cell, List.of())));
+    return addresses;
+  }
+}
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -21,6 +21,7 @@
 import org.basilport.policy.dispatch.CrashingRequestDetector;
 import org.basilport.policy.dispatch.FreedCapacityDelay;
 import org.basilport.policy.dispatch.OutstandingWork;
+import org.basilport.policy.dispatch.PeerLiveness;
 import org.basilport.policy.dispatch.WatcherSelector;
 import org.basilport.protocol.LoadReport;
 import org.basilport.protocol.PeerDatagram;
@@ -50,7 +51,8 @@
   private static final int NEIGHBOUR_HEARTBEAT_INTERVALS = 3;
 
   /**
-   * Time without a report after which an instance is considered dead; three heartbeats were missed.
+   * Time without a report after which an instance is considered silent; three heartbeats were
+   * missed.
    */
   private static final long PEER_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_300);
 
@@ -68,11 +70,12 @@
   private final long startNanos = System.nanoTime();
   private final boolean firstStart;
   private final Map<String, ReceivedReport> peers = new HashMap<>();
-  private List<InstanceEntry> registered = List.of();
+  private final Set<String> silentPeers = new HashSet<>();
+  private final FleetMembers members;
   private boolean instancesKnown;
+  private long partitionedRevision = -1;
   private boolean ready;
   private boolean watching;
-  private CellPartition cells = new CellPartition(Set.of(), Set.of());
   private final Set<String> changedEngines = new HashSet<>();
   private final FreedCapacityDelay freedCapacityDelay =
       new FreedCapacityDelay(new SplittableRandom());
@@ -93,6 +96,7 @@
       EventSink events) {
     this.eventLoop = eventLoop;
     this.instanceId = instanceId;
+    this.members = new FleetMembers(instanceId);
     this.firstStart = firstStart;
     this.frontendAddress = frontendAddress;
     this.state = state;
@@ -132,35 +136,36 @@
   public void setReady(boolean value) {
     if (ready != value) {
       ready = value;
-      send(memberAddresses(Set.of(ownCell())));
+      send(members.addresses(Set.of(members.ownCell())));
     }
   }
 
   /** Replaces the registered instances, which receive the reports. */
   public void updateInstances(List<InstanceEntry> entries) {
-    registered = entries.stream().filter(entry -> !entry.id().equals(instanceId)).toList();
-    state.setInstanceCount(registered.size() + 1);
+    members.update(entries);
+    state.setInstanceCount(members.size());
     instancesKnown = true;
     updateCells();
   }
 
   private void updateCells() {
-    Set<String> instances = new HashSet<>();
-    registered.forEach(entry -> instances.add(entry.id()));
-    instances.add(instanceId);
+    if (!members.changed() && state.servers().revision() == partitionedRevision) {
+      return;
+    }
+    partitionedRevision = state.servers().revision();
     Set<String> engines = new HashSet<>();
     for (BackendServer server : state.servers().allServers()) {
       if (server.engine().isPresent() && !server.load().leaving()) {
         engines.add(server.entry().id());
       }
     }
-    if (cells.matches(instances, engines)) {
-      return;
-    }
-    CellPartition previousCells = cells;
-    cells = new CellPartition(instances, engines);
+    members.partition(engines).ifPresent(this::onCellsChanged);
+  }
+
+  private void onCellsChanged(CellPartition previousCells) {
     reportWorkToNewCells(previousCells);
-    int own = ownCell();
+    CellPartition cells = members.cells();
+    int own = members.ownCell();
     state.setServerFilter(
         server ->
             cells.singleCell()
@@ -175,7 +180,7 @@
   private void reportWorkToNewCells(CellPartition previousCells) {
     for (BackendServer server : state.servers().serversWithOwnWork()) {
       String id = server.entry().id();
-      if (!previousCells.cellsOfEngine(id).equals(cells.cellsOfEngine(id))) {
+      if (!previousCells.cellsOfEngine(id).equals(members.cells().cellsOfEngine(id))) {
         onEngineWorkChange(server);
       }
     }
@@ -192,7 +197,7 @@
       addresses.add(frontendAddress);
     }
     for (ReceivedReport peer : peers.values()) {
-      if (peer.report.getReady() && !timedOut(peer, now)) {
+      if (peer.report.getReady() && liveness(peer, now) == PeerLiveness.REPORTING) {
         addresses.add(peer.report.getFrontendAddress());
       }
     }
@@ -214,47 +219,40 @@
   private void flush() {
     flushScheduled = false;
     Set<Integer> affectedCells = new HashSet<>();
-    if (!cells.singleCell()) {
-      changedEngines.forEach(id -> affectedCells.addAll(cells.cellsOfEngine(id)));
+    if (!members.cells().singleCell()) {
+      changedEngines.forEach(id -> affectedCells.addAll(members.cells().cellsOfEngine(id)));
     }
-    affectedCells.add(ownCell());
+    affectedCells.add(members.ownCell());
     changedEngines.clear();
-    send(memberAddresses(affectedCells));
+    send(members.addresses(affectedCells));
   }
 
   private void heartbeat() {
-    removeTimedOutPeers(System.nanoTime());
+    judgePeers(System.nanoTime());
     updateCells();
     updateWatching();
-    int own = ownCell();
+    int own = members.ownCell();
     boolean toNeighbours = heartbeatCount++ % NEIGHBOUR_HEARTBEAT_INTERVALS == 0;
-    send(memberAddresses(toNeighbours ? affectedCells(own) : Set.of(own)));
+    send(members.addresses(toNeighbours ? affectedCells(own) : Set.of(own)));
   }
 
   /**
    * The own and neighbouring cells, and those that share an engine on which this instance has work.
    */
   private Set<Integer> affectedCells(int own) {
-    Set<Integer> affectedCells = new HashSet<>(cells.neighbours(own));
+    Set<Integer> affectedCells = new HashSet<>(members.cells().neighbours(own));
     for (BackendServer server : state.servers().serversWithOwnWork()) {
-      affectedCells.addAll(cells.cellsOfEngine(server.entry().id()));
+      affectedCells.addAll(members.cells().cellsOfEngine(server.entry().id()));
     }
     return affectedCells;
   }
 
-  private boolean timedOut(ReceivedReport peer, long now) {
+  private PeerLiveness liveness(ReceivedReport peer, long now) {
     long limit =
         isInOwnCell(peer.report)
             ? PEER_TIMEOUT_NANOS
             : NEIGHBOUR_HEARTBEAT_INTERVALS * PEER_TIMEOUT_NANOS;
-    return now - peer.receivedNanos > limit;
-  }
-
-  private List<InetSocketAddress> memberAddresses(Set<Integer> ofCells) {
-    return registered.stream()
-        .filter(entry -> ofCells.contains(cells.cellOf(entry.id())))
-        .map(InstanceEntry::peerAddress)
-        .toList();
+    return PeerLiveness.of(now - peer.receivedNanos, limit);
   }
 
   /**
@@ -267,17 +265,14 @@
       freshness.requestProof(List.of());
       return;
     }
-    int own = ownCell();
     List<InstanceEntry> watcherCandidates = new ArrayList<>();
     // The own address is not used: an instance that is selected sends no requests for proofs.
     watcherCandidates.add(new InstanceEntry(instanceId, null));
-    for (InstanceEntry entry : registered) {
-      if (cells.cellOf(entry.id()) == own && isReady(entry.id())) {
-        watcherCandidates.add(entry);
-      }
-    }
+    members.ownCellMembers().stream()
+        .filter(entry -> isReady(entry.id()))
+        .forEach(watcherCandidates::add);
     List<InstanceEntry> watchers =
-        WatcherSelector.select(watcherCandidates, cells.singleCell(), InstanceEntry::id);
+        WatcherSelector.select(watcherCandidates, members.cells().singleCell(), InstanceEntry::id);
     boolean watches = watchers.stream().anyMatch(entry -> entry.id().equals(instanceId));
     if (watches != watching) {
       watching = watches;
@@ -294,7 +289,9 @@
    */
   private boolean isReady(String id) {
     ReceivedReport peer = peers.get(id);
-    return peer != null && peer.report.getReady();
+    return peer != null
+        && peer.report.getReady()
+        && liveness(peer, System.nanoTime()) == PeerLiveness.REPORTING;
   }
 
   private static List<InetSocketAddress> addresses(List<InstanceEntry> entries) {
@@ -374,7 +371,8 @@
                         departure.getIncarnation(),
                         report.getInstanceId()));
     recordReportedCrashes(report);
-    if (isInOwnCell(report) && (known == null || restarted(known.report, report))) {
+    boolean silentBefore = silentPeers.remove(report.getInstanceId());
+    if (isInOwnCell(report) && (known == null || silentBefore || restarted(known.report, report))) {
       events.record(
           EventType.MEMBER_JOINED,
           EventSubject.NONE,
@@ -403,12 +401,8 @@
     }
   }
 
-  private int ownCell() {
-    return cells.cellOf(instanceId);
-  }
-
   private boolean isInOwnCell(LoadReport report) {
-    return cells.cellOf(report.getInstanceId()) == ownCell();
+    return members.cells().cellOf(report.getInstanceId()) == members.ownCell();
   }
 
   private static boolean restarted(LoadReport known, LoadReport report) {
@@ -430,19 +424,25 @@
     }
   }
 
-  private void removeTimedOutPeers(long now) {
-    List<String> timedOutIds =
-        peers.entrySet().stream()
-            .filter(entry -> timedOut(entry.getValue(), now))
-            .map(Map.Entry::getKey)
-            .toList();
-    for (String id : timedOutIds) {
-      // An instance of another cell reports only while it shares an engine, so a missing report
-      // does not mean that it is dead.
-      if (isInOwnCell(peers.remove(id).report)) {
-        events.record(EventType.MEMBER_DEAD, EventSubject.NONE, id);
+  private void judgePeers(long now) {
+    for (Map.Entry<String, ReceivedReport> peer : List.copyOf(peers.entrySet())) {
+      String id = peer.getKey();
+      switch (liveness(peer.getValue(), now)) {
+        case SILENT:
+          // An instance of another cell reports only while it shares an engine, so a missing
+          // report does not mean that it is dead.
+          if (silentPeers.add(id) && isInOwnCell(peer.getValue().report)) {
+            events.record(EventType.MEMBER_DEAD, EventSubject.NONE, id);
+          }
+          break;
+        case GONE:
+          peers.remove(id);
+          silentPeers.remove(id);
+          state.updatePeerWork(id, Map.of());
+          break;
+        default:
+          break;
       }
-      state.updatePeerWork(id, Map.of());
     }
   }
 
--- a/basilport-gateway/src/test/java/org/basilport/gateway/peer/LoadExchangeTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/peer/LoadExchangeTest.java
@@ -100,6 +100,29 @@
     assertThat(second.totalWork()).isEqualTo(GENERATION);
   }
 
+  /**
+   * Guards against giving the capacity of an instance to others that was only silent: its
+   * generations continue at the engines, which would preempt them.
+   */
+  @Test
+  void retainsTheWorkOfASilentInstance() throws Exception {
+    second = new TestInstance(instanceOf(3));
+    first =
+        new TestInstance(
+            instances.stream()
+                .filter(id -> cells.cellOf(id) == 3 && !id.equals(second.id))
+                .findFirst()
+                .orElseThrow());
+    first.start(second);
+    second.start(first);
+    first.addWork(GENERATION);
+    Thread.sleep(500);
+    first.exchange.stop().get(5, TimeUnit.SECONDS);
+    Thread.sleep(QUIET_PERIOD_MILLIS);
+    assertThat(second.totalWork()).isEqualTo(GENERATION);
+    assertThat(second.exchange.readyAddresses()).isEmpty();
+  }
+
   /** Guards against permanently counting the work of a dead instance. */
   @Test
   void removesTheWorkOfADeadNeighbour() throws Exception {
