--- a/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -58,14 +58,7 @@
         new ForwardingState(
             settings.dataCentre(), settings.retryLimits(), servers, events, new SplittableRandom());
     this.forwarder =
-        new RequestForwarder(
-            eventLoop,
-            codec,
-            state,
-            events,
-            metrics,
-            settings.maxProofAge(),
-            settings.maxEventGap());
+        new RequestForwarder(eventLoop, codec, state, events, metrics, settings.forwardingLimits());
     this.frontend =
         new FrontendServer(
             settings.frontend(),
@@ -109,6 +102,14 @@
   }
 
   private void housekeeping() {
+    long pause = state.pauseDetector().tick(System.nanoTime(), System.currentTimeMillis());
+    if (pause > 0) {
+      events.record(
+          EventType.INSTANCE_PAUSED,
+          EventSubject.NONE,
+          settings.instanceId(),
+          TimeUnit.NANOSECONDS.toMillis(pause));
+    }
     long age = state.proofAgeMillis();
     boolean nowProven = age <= settings.maxReadinessProofAge().toMillis();
     if (nowProven != configurationProven && state.configuration().isPresent()) {
@@ -171,7 +172,9 @@
   }
 
   /**
-   * Stops being ready and completes when the requests in progress have ended.
+   * Stops being ready and completes when the requests in progress have ended. Each response closes
+   * its connection; idle connections stay open for the minimum duration, because a request may be
+   * on its way on any of them.
    *
    * @param minDuration minimum duration, during which callers with an outdated address list are
    *     still served
@@ -190,7 +193,7 @@
               "stop requested");
           loadExchange.setReady(false);
           forwarder.drain(maxDuration);
-          frontend.closeIdleConnections();
+          eventLoop.schedule(frontend::stopAccepting, minDuration.toNanos(), TimeUnit.NANOSECONDS);
           awaitDrained(System.nanoTime(), minDuration, maxDuration, drained);
         });
     return drained;
@@ -202,7 +205,8 @@
       Duration maxDuration,
       CompletableFuture<Void> drained) {
     long elapsed = System.nanoTime() - startNanos;
-    boolean idle = forwarder.openRequests() == 0 && elapsed >= minDuration.toNanos();
+    boolean idle =
+        forwarder.openRequests() == 0 && !frontend.receiving() && elapsed >= minDuration.toNanos();
     if (idle || elapsed >= maxDuration.toNanos()) {
       drained.complete(null);
       return;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/GatewaySettings.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import org.basilport.gateway.forward.ForwardingLimits;
 import org.basilport.gateway.forward.ForwardingState.RetryLimits;
 
 /**
@@ -13,9 +14,8 @@
  * @param frontend address to which callers connect
  * @param peerAddress address that receives datagrams of other instances
  * @param retryLimits limits on retries
- * @param maxProofAge age of the freshness proof above which access keys are not accepted
  * @param maxReadinessProofAge age of the freshness proof above which the instance is not ready
- * @param maxEventGap longest gap between two events of a stream; the server is abandoned afterwards
+ * @param forwardingLimits limits on proofs and on gaps between events
  */
 public record GatewaySettings(
     String instanceId,
@@ -24,9 +24,8 @@
     InetSocketAddress frontend,
     InetSocketAddress peerAddress,
     RetryLimits retryLimits,
-    Duration maxProofAge,
     Duration maxReadinessProofAge,
-    Duration maxEventGap) {
+    ForwardingLimits forwardingLimits) {
 
   /** Front-end address as host and port, separated by a colon. */
   public String frontendAddress() {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
@@ -37,6 +37,12 @@
    */
   private static final long MAX_IDLE_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(8);
 
+  /** Interim responses to one request above which the server is considered faulty. */
+  private static final int MAX_INTERIM_RESPONSES = 16;
+
+  /** Size of a discarded response, in bytes, above which its end is not awaited. */
+  private static final int MAX_DISCARDED_BYTES = 262_144;
+
   private final MessageCodec codec;
   private final Consumer<BackendConnection> onIdle;
   private Channel channel;
@@ -46,6 +52,9 @@
   private boolean headReceived;
   private boolean discarding;
   private boolean interimResponse;
+  private int interimResponses;
+  private int discardedBytes;
+  private boolean reused;
   private boolean delimitedByClose;
   private boolean reusable;
   private boolean closed;
@@ -69,6 +78,9 @@
     requestWritten = false;
     headReceived = false;
     discarding = false;
+    interimResponses = 0;
+    discardedBytes = 0;
+    setReading(true);
     channel
         .writeAndFlush(request)
         .addListener(
@@ -94,6 +106,12 @@
     }
   }
 
+  /** Returns a connection on which nothing was sent to its pool. */
+  public void release() {
+    markIdle();
+    onIdle.accept(this);
+  }
+
   /** Pauses or resumes reading, to apply the back-pressure of the caller. */
   public void setReading(boolean reading) {
     channel.config().setAutoRead(reading);
@@ -130,6 +148,10 @@
   private void readHead(HttpResponse head) {
     interimResponse = head.status().code() >= 100 && head.status().code() < 200;
     if (interimResponse) {
+      interimResponses++;
+      if (interimResponses > MAX_INTERIM_RESPONSES) {
+        fail("more than " + MAX_INTERIM_RESPONSES + " interim responses");
+      }
       return;
     }
     ServerResponse response = codec.decodeResponse(head);
@@ -138,7 +160,7 @@
     if (discarding) {
       return;
     }
-    if (echoed.isEmpty() && response.successful() && response.signed()) {
+    if (echoed.isEmpty() && listener.requiresRequestId(response, reused)) {
       fail("answer without a request id");
       return;
     }
@@ -157,8 +179,15 @@
 
   private void readContent(HttpContent content) {
     boolean last = content instanceof LastHttpContent;
-    if (interimResponse || discarding) {
-      discarding = discarding && !last;
+    if (interimResponse) {
+      return;
+    }
+    if (discarding) {
+      discarding = !last;
+      discardedBytes += content.content().readableBytes();
+      if (discardedBytes > MAX_DISCARDED_BYTES) {
+        fail("answer to another request exceeds " + MAX_DISCARDED_BYTES + " bytes");
+      }
       return;
     }
     if (listener != null && content.content().isReadable()) {
@@ -174,6 +203,9 @@
     listener = null;
     if (reusable && requestWritten && channel.isActive()) {
       idleSinceNanos = System.nanoTime();
+      reused = true;
+      // An idle connection must read, to detect that the server closes it.
+      setReading(true);
       finished.onComplete();
       onIdle.accept(this);
     } else {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/config/ForwardingRoute.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/config/ForwardingRoute.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Route from a host and a path prefix to services.
@@ -12,6 +13,7 @@
  * @param repeatability whether requests may be repeated
  * @param timeout time limit for the complete response
  * @param targetLatency target time to the complete response, or to the first event of a stream
+ * @param targetEventGap target gap between two events of a stream; zero if there is none
  * @param maxAttempts maximum number of backend servers that may execute one request
  * @param priority priority; 0 is the highest
  * @param anonymous whether requests require no access key
@@ -24,11 +26,17 @@
     Repeatability repeatability,
     Duration timeout,
     Duration targetLatency,
+    Duration targetEventGap,
     int maxAttempts,
     int priority,
     boolean anonymous,
     List<WeightedService> services) {
 
+  /** Time limit for a request whose caller waits for the given time, if it says so. */
+  public Duration timeLimit(Optional<Duration> callerTimeout) {
+    return callerTimeout.filter(limit -> limit.compareTo(timeout) < 0).orElse(timeout);
+  }
+
   /** Selects the service for a request; the same request id always selects the same service. */
   public String serviceFor(String requestId) {
     if (services.size() == 1) {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
@@ -1,12 +1,10 @@
 package org.basilport.gateway.forward;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.basilport.error.Step;
@@ -29,7 +27,7 @@
   private static final double ATTEMPT_TIMEOUT_RATIO = 3;
 
   private ScheduledFuture<?> attemptTimer;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final ResponseBody body = new ResponseBody(context.responseBuffer());
   private ServerResponse response;
   private HttpHeaders headers;
 
@@ -70,18 +68,22 @@
   @Override
   void onFinished() {
     cancelAttemptTimer();
+    body.clear();
   }
 
   @Override
   public void onHead(ServerResponse serverResponse, HttpResponse httpResponse) {
     response = serverResponse;
     headers = context.codec().responseHeaders(httpResponse);
-    body.reset();
+    body.clear();
   }
 
   @Override
   public void onContent(ByteBuf content) {
-    body.writeBytes(ByteBufUtil.getBytes(content));
+    if (!body.append(content)) {
+      connection.abandon();
+      onFailure("answer is too large to be kept");
+    }
   }
 
   @Override
@@ -114,7 +116,7 @@
         .metrics()
         .histogram("forward.latency_ms." + route.repeatability().name().toLowerCase())
         .update(elapsedMillis());
-    recordFinished(response.status(), elapsedMillis());
+    recorder.finished(response.status(), elapsedMillis());
     if (!callerDisconnected()) {
       caller.send(response.status(), headers, body.toByteArray());
     }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/EventStreamReader.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/EventStreamReader.java
@@ -1,5 +1,6 @@
 package org.basilport.gateway.forward;
 
+import com.google.common.primitives.Longs;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
@@ -10,7 +11,8 @@
  * Splits a stream of server-sent events into complete events.
  *
  * <p>A backend server may fail within an event. Only complete events are forwarded, so a stream can
- * be resumed after the last one.
+ * be resumed after the last one. An event with a new id is progress; comments and events without an
+ * id are forwarded but do not count.
  */
 final class EventStreamReader {
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
@@ -19,7 +21,13 @@
    * Size limit of one event. A body without an event boundary within this limit is not an event
    * stream.
    */
-  private static final int MAX_EVENT_BYTES = 1_048_576;
+  private static final int MAX_EVENT_BYTES = 262_144;
+
+  /**
+   * Bytes without a new event, in complete lines, above which the stream is faulty. Comments that
+   * keep a connection open are far shorter.
+   */
+  private static final int MAX_BYTES_WITHOUT_PROGRESS = 65_536;
 
   private byte[] pending = new byte[512];
   private int length;
@@ -28,16 +36,22 @@
   private Optional<String> lastId = Optional.empty();
   private Optional<String> pendingId = Optional.empty();
   private int eventCount;
+  private int bytesWithoutProgress;
+  private Optional<String> problem = Optional.empty();
 
   /**
    * Appends received bytes and returns the events that they complete; empty if there are none.
-   *
-   * @throws IllegalStateException if an event exceeds the size limit
+   * Stops before the first event that must not be forwarded; {@link #problem()} then holds the
+   * reason.
    */
   ByteBuf read(ByteBuf content) {
     int receivedBytes = content.readableBytes();
+    if (problem.isPresent()) {
+      return Unpooled.EMPTY_BUFFER;
+    }
     if (length + receivedBytes > MAX_EVENT_BYTES) {
-      throw new IllegalStateException("event longer than " + MAX_EVENT_BYTES + " bytes");
+      problem = Optional.of("event longer than " + MAX_EVENT_BYTES + " bytes");
+      return Unpooled.EMPTY_BUFFER;
     }
     if (length + receivedBytes > pending.length) {
       pending = Arrays.copyOf(pending, Math.max(2 * pending.length, length + receivedBytes));
@@ -58,16 +72,13 @@
   }
 
   private void scanLines(int from) {
-    for (int i = from; i < length; i++) {
+    for (int i = from; i < length && problem.isEmpty(); i++) {
       if (pending[i] != '\n') {
         continue;
       }
       int end = i > lineStart && pending[i - 1] == '\r' ? i - 1 : i;
       if (end == lineStart) {
-        completeLength = i + 1;
-        eventCount++;
-        pendingId.ifPresent(id -> lastId = Optional.of(id));
-        pendingId = Optional.empty();
+        endEvent(i + 1);
       } else {
         readField(lineStart, end);
       }
@@ -75,6 +86,35 @@
     }
   }
 
+  private void endEvent(int end) {
+    if (pendingId.isPresent()) {
+      if (!follows(pendingId.get())) {
+        problem = Optional.of("event " + pendingId.get() + " after event " + lastId.get());
+        return;
+      }
+      lastId = pendingId;
+      pendingId = Optional.empty();
+      eventCount++;
+      bytesWithoutProgress = 0;
+    } else {
+      bytesWithoutProgress += end - completeLength;
+      if (bytesWithoutProgress > MAX_BYTES_WITHOUT_PROGRESS) {
+        problem = Optional.of("no new event within " + MAX_BYTES_WITHOUT_PROGRESS + " bytes");
+      }
+    }
+    completeLength = end;
+  }
+
+  /** Whether an id may follow the last one: ids increase, and other texts differ. */
+  private boolean follows(String id) {
+    if (lastId.isEmpty()) {
+      return true;
+    }
+    Long number = Longs.tryParse(id);
+    Long lastNumber = Longs.tryParse(lastId.get());
+    return number == null || lastNumber == null ? !id.equals(lastId.get()) : number > lastNumber;
+  }
+
   private void readField(int start, int end) {
     if (end - start < ID_FIELD.length
         || !Arrays.equals(pending, start, start + ID_FIELD.length, ID_FIELD, 0, ID_FIELD.length)) {
@@ -86,8 +126,15 @@
             new String(pending, valueStart, end - valueStart, StandardCharsets.US_ASCII).trim());
   }
 
-  /** Discards the bytes of an incomplete event. */
+  /** Why the rest of the stream must not be forwarded; empty while it may be. */
+  Optional<String> problem() {
+    return problem;
+  }
+
+  /** Discards the bytes of an incomplete event, and the problem, before the stream is resumed. */
   void dropPartialEvent() {
+    problem = Optional.empty();
+    bytesWithoutProgress = 0;
     length = 0;
     lineStart = 0;
     pendingId = Optional.empty();
@@ -103,7 +150,7 @@
     return lastId;
   }
 
-  /** Number of complete events. */
+  /** Number of complete events with a new id. */
   int eventCount() {
     return eventCount;
   }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -10,8 +10,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.basilport.error.Step;
-import org.basilport.event.EventSubject;
-import org.basilport.event.EventType;
 import org.basilport.gateway.backend.BackendConnection;
 import org.basilport.gateway.backend.BackendServer;
 import org.basilport.gateway.backend.ResponseListener;
@@ -22,9 +20,11 @@
 import org.basilport.gateway.message.CallerRequest;
 import org.basilport.gateway.message.ForwardingDetails;
 import org.basilport.gateway.message.KvCacheReference;
+import org.basilport.policy.dispatch.Deadline;
 import org.basilport.policy.dispatch.OutstandingWork;
 import org.basilport.policy.dispatch.PendingRequestQueue;
 import org.basilport.policy.dispatch.RequestDemand;
+import org.basilport.policy.dispatch.SendCheck;
 
 /**
  * Handles one request from its arrival to its response: placement, sending, retries and deadline.
@@ -41,6 +41,8 @@
   /** Queue timeout as a fraction of the target latency; the request is rejected afterwards. */
   private static final double QUEUE_TIMEOUT_RATIO = 0.8;
 
+  private static final String NOT_PROVEN = "key cannot be proven valid";
+
   final ForwardingContext context;
   final CallerRequest request;
   final ForwardingRoute route;
@@ -48,7 +50,7 @@
   final ResponseChannel caller;
   final ServiceDispatcher dispatcher;
   final long arrivalNanos = System.nanoTime();
-  private final long deadlineNanos;
+  private final Deadline deadline;
   private final Set<String> triedServerIds = new HashSet<>();
   private final ScheduledFuture<?> deadlineTimer;
   private ScheduledFuture<?> queueTimer;
@@ -59,6 +61,7 @@
   private boolean callerDisconnected;
   private boolean finished;
   private Runnable endListener = () -> {};
+  final ExchangeRecorder recorder;
   BackendServer server;
   BackendConnection connection;
 
@@ -73,31 +76,25 @@
     this.route = route;
     this.holder = holder;
     this.caller = caller;
+    this.recorder = new ExchangeRecorder(context, this);
     this.dispatcher = context.state().dispatcher(route.serviceFor(request.id()));
-    Duration timeout =
-        request
-            .callerTimeout()
-            .filter(callerTimeout -> callerTimeout.compareTo(route.timeout()) < 0)
-            .orElse(route.timeout());
-    this.deadlineNanos = arrivalNanos + timeout.toNanos();
+    Duration timeout = route.timeLimit(request.callerTimeout());
+    this.deadline = new Deadline(arrivalNanos, System.currentTimeMillis(), timeout);
     this.deadlineTimer =
         context.eventLoop().schedule(this::onDeadline, timeout.toNanos(), TimeUnit.NANOSECONDS);
   }
 
   /** Starts the placement of the request at a backend server. */
   final void start() {
+    if (finished) {
+      return;
+    }
     if (context
         .state()
         .servers()
         .crashingRequestDetector()
         .quarantined(request.fingerprint(), arrivalNanos)) {
-      context
-          .events()
-          .record(
-              EventType.REQUEST_QUARANTINED,
-              subject(),
-              Long.toHexString(request.fingerprint()),
-              "several");
+      recorder.quarantined();
       reject(Step.ADMIT, "the request crashed several backend servers");
       return;
     }
@@ -191,23 +188,72 @@
   }
 
   private void send(BackendConnection opened, ResumePoint resumePoint) {
-    if (server.load().leaving() && resumePoint.kvCache().isEmpty()) {
-      opened.close();
-      onNotExecuted(Step.SEND, "backend server is leaving");
+    SendCheck.Result result = checkSend(resumePoint);
+    if (result != SendCheck.Result.PERMITTED) {
+      opened.release();
+      onSendNotPermitted(result);
       return;
     }
     connection = opened;
     sentAttempts++;
-    recordSent();
+    recorder.sent(sentAttempts);
     beforeSend();
     FullHttpRequest message =
         context.codec().encodeRequest(request, details(resumePoint), server.entry().address());
     opened.send(message, request.id(), this);
   }
 
+  private SendCheck.Result checkSend(ResumePoint resumePoint) {
+    Optional<KeyHolder> current =
+        request
+            .accessKey()
+            .flatMap(key -> context.state().configuration().flatMap(c -> c.keyHolder(key)));
+    return SendCheck.check(
+        new SendCheck.Conditions(
+            !callerDisconnected,
+            remaining().toMillis(),
+            holder.isPresent() && !route.anonymous() && eventCount() == 0,
+            current.equals(holder),
+            context.state().proofAgeMillis(),
+            context.limits().maxProofAge().toMillis(),
+            server.load().leaving() && resumePoint.kvCache().isEmpty()));
+  }
+
+  private Duration remaining() {
+    return deadline.remaining(System.nanoTime(), System.currentTimeMillis());
+  }
+
+  private void onSendNotPermitted(SendCheck.Result result) {
+    switch (result) {
+      case CALLER_LEFT:
+        finish();
+        break;
+      case DEADLINE_PASSED:
+        connection = null;
+        onDeadline();
+        break;
+      case SERVER_LEAVING:
+        onNotExecuted(Step.SEND, "backend server is leaving");
+        break;
+      default:
+        failWithoutRetry(Step.AUTHENTICATE, result);
+        break;
+    }
+  }
+
+  /** Ends a request whose key is not accepted any more; an earlier attempt may have executed it. */
+  private void failWithoutRetry(Step step, SendCheck.Result result) {
+    String reason = result == SendCheck.Result.KEY_WITHDRAWN ? "key was withdrawn" : NOT_PROVEN;
+    if (result == SendCheck.Result.KEY_WITHDRAWN && !mayHaveBeenExecuted()) {
+      sendLocalReply(401, new DefaultHttpHeaders(), step, reason);
+    } else {
+      reject(step, reason);
+    }
+  }
+
   private ForwardingDetails details(ResumePoint resumePoint) {
     return new ForwardingDetails(
-        Duration.ofNanos(Math.max(1_000_000, deadlineNanos - System.nanoTime())),
+        remaining(),
         server.entry().id(),
         holder.map(KeyHolder::workspace),
         resumePoint.lastEventId().or(request::lastEventId),
@@ -291,6 +337,7 @@
     return !callerDisconnected
         && route.repeatability().repeatable()
         && sentAttempts < route.maxAttempts() + refusedAttempts
+        && dispatcher.hasServerFor(this)
         && dispatcher
             .retryBudget()
             .tryAcquireRetry(context.state().instanceCount(), System.nanoTime());
@@ -298,7 +345,7 @@
 
   /** Releases the assigned server and places the request again. */
   final void retry(String reason) {
-    recordRetry(reason);
+    recorder.retried(reason);
     releaseServer();
     placeOrQueue();
   }
@@ -341,9 +388,7 @@
       return;
     }
     callerDisconnected = true;
-    context
-        .events()
-        .record(EventType.CALLER_LEFT, subject(), request.id(), serverId(), eventCount());
+    recorder.callerLeft();
     if (connection == null) {
       finish();
     } else if (route.repeatability() != Repeatability.AT_MOST_ONCE) {
@@ -353,17 +398,26 @@
   }
 
   /**
-   * Rejects a request that has not been executed, with a delay after which the caller may retry.
+   * Rejects a request with a delay after which the caller may retry; fails one that a server may
+   * have executed, since a rejection states that none has.
    */
   final void reject(Step step, String reason) {
     if (finished) {
       return;
     }
+    if (mayHaveBeenExecuted()) {
+      sendLocalReply(502, new DefaultHttpHeaders(), step, reason);
+      return;
+    }
     HttpHeaders headers = new DefaultHttpHeaders();
     context.codec().addRetryAfter(headers, retryAfterSeconds());
     sendLocalReply(503, headers, step, reason);
   }
 
+  private boolean mayHaveBeenExecuted() {
+    return sentAttempts > refusedAttempts;
+  }
+
   private double retryAfterSeconds() {
     double base = route.targetLatency().toMillis() / 1_000.0;
     return base * (0.5 + context.random().nextDouble());
@@ -371,53 +425,15 @@
 
   /** Ends the exchange with a response that the gateway generates itself. */
   final void sendLocalReply(int status, HttpHeaders headers, Step step, String reason) {
-    recordLocalReply(status, step, reason);
-    if (!callerDisconnected) {
+    recorder.localReply(status, step, reason);
+    if (responseStarted()) {
+      caller.abort();
+    } else if (!callerDisconnected) {
       caller.sendReason(status, headers, reason);
     }
     finish();
   }
 
-  private void recordLocalReply(int status, Step step, String reason) {
-    context.metrics().counter("forward.answers." + status).inc();
-    if (status == 503) {
-      context.recordRejection(
-          subject(), request.id(), status, step, reason, dispatcher.queueLength());
-    } else {
-      recordFailed(status, step, reason);
-    }
-  }
-
-  /** Records that the caller receives no complete response of a server. */
-  final void recordFailed(int status, Step step, String reason) {
-    context
-        .events()
-        .record(
-            EventType.REQUEST_FAILED,
-            subject(),
-            request.id(),
-            status,
-            serverId(),
-            eventCount(),
-            step + ": " + reason);
-  }
-
-  /** Counts and records the complete response of a server. */
-  final void recordFinished(int status, long firstEventMillis) {
-    context.metrics().counter("forward.answers." + status).inc();
-    context
-        .events()
-        .record(
-            EventType.REQUEST_FINISHED,
-            subject(),
-            request.id(),
-            status,
-            serverId(),
-            elapsedMillis(),
-            firstEventMillis,
-            eventCount());
-  }
-
   /** Ends the exchange: cancels its timers, leaves the queue and releases the server. */
   final void finish() {
     if (finished) {
@@ -443,6 +459,11 @@
   /** Called once when the exchange ends. */
   void onFinished() {}
 
+  /** Whether a part of the response was sent to the caller. */
+  boolean responseStarted() {
+    return false;
+  }
+
   /** Number of events received from servers for the caller. */
   int eventCount() {
     return 0;
@@ -452,36 +473,10 @@
     return server == null ? "none" : server.entry().id();
   }
 
-  final EventSubject subject() {
-    return EventSubject.request(request.id(), holder.map(KeyHolder::workspace).orElse(""))
-        .withServer(serverId());
-  }
-
   final long elapsedMillis() {
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - arrivalNanos);
   }
 
-  private void recordSent() {
-    OutstandingWork total = server.load().totalWork();
-    context
-        .events()
-        .record(
-            EventType.REQUEST_SENT,
-            subject(),
-            request.id(),
-            route.name(),
-            serverId(),
-            sentAttempts,
-            total.requests(),
-            total.pendingPrefillTokens(),
-            total.memoryTokens(),
-            elapsedMillis());
-  }
-
-  private void recordRetry(String reason) {
-    context.events().record(EventType.REQUEST_RETRIED, subject(), request.id(), serverId(), reason);
-  }
-
   /**
    * Point at which a server starts or resumes a request.
    *
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ExchangeRecorder.java
@@ -0,0 +1,125 @@
+package org.basilport.gateway.forward;
+
+import org.basilport.error.Step;
+import org.basilport.event.EventSubject;
+import org.basilport.event.EventType;
+import org.basilport.gateway.config.KeyHolder;
+import org.basilport.policy.dispatch.OutstandingWork;
+
+/** Records the events and counters of one exchange. */
+final class ExchangeRecorder {
+  private final ForwardingContext context;
+  private final Exchange exchange;
+
+  ExchangeRecorder(ForwardingContext context, Exchange exchange) {
+    this.context = context;
+    this.exchange = exchange;
+  }
+
+  EventSubject subject() {
+    return EventSubject.request(
+            exchange.request.id(), exchange.holder.map(KeyHolder::workspace).orElse(""))
+        .withServer(exchange.serverId());
+  }
+
+  /** Records that the request is quarantined. */
+  void quarantined() {
+    context
+        .events()
+        .record(
+            EventType.REQUEST_QUARANTINED,
+            subject(),
+            Long.toHexString(exchange.request.fingerprint()),
+            "several");
+  }
+
+  /**
+   * Records that the request is sent to its server, with the load that the decision was based on.
+   */
+  void sent(int attempts) {
+    OutstandingWork total = exchange.server.load().totalWork();
+    context
+        .events()
+        .record(
+            EventType.REQUEST_SENT,
+            subject(),
+            exchange.request.id(),
+            exchange.route.name(),
+            exchange.serverId(),
+            attempts,
+            total.requests(),
+            total.pendingPrefillTokens(),
+            total.memoryTokens(),
+            exchange.elapsedMillis());
+  }
+
+  /** Records that the request is placed again. */
+  void retried(String reason) {
+    context
+        .events()
+        .record(
+            EventType.REQUEST_RETRIED,
+            subject(),
+            exchange.request.id(),
+            exchange.serverId(),
+            reason);
+  }
+
+  /** Records that the caller disconnected before the response was complete. */
+  void callerLeft() {
+    context
+        .events()
+        .record(
+            EventType.CALLER_LEFT,
+            subject(),
+            exchange.request.id(),
+            exchange.serverId(),
+            exchange.eventCount());
+  }
+
+  /** Counts and records a response that the gateway generates itself. */
+  void localReply(int status, Step step, String reason) {
+    context.metrics().counter("forward.answers." + status).inc();
+    if (status == 503) {
+      context.recordRejection(
+          subject(),
+          exchange.request.id(),
+          status,
+          step,
+          reason,
+          exchange.dispatcher.queueLength());
+    } else {
+      failed(status, step, reason);
+    }
+  }
+
+  /** Records that the caller receives no complete response of a server. */
+  void failed(int status, Step step, String reason) {
+    context
+        .events()
+        .record(
+            EventType.REQUEST_FAILED,
+            subject(),
+            exchange.request.id(),
+            status,
+            exchange.serverId(),
+            exchange.eventCount(),
+            step + ": " + reason);
+  }
+
+  /** Counts and records the complete response of a server. */
+  void finished(int status, long firstEventMillis) {
+    context.metrics().counter("forward.answers." + status).inc();
+    context
+        .events()
+        .record(
+            EventType.REQUEST_FINISHED,
+            subject(),
+            exchange.request.id(),
+            status,
+            exchange.serverId(),
+            exchange.elapsedMillis(),
+            firstEventMillis,
+            exchange.eventCount());
+  }
+}
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingContext.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingContext.java
@@ -2,13 +2,13 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
-import java.time.Duration;
 import java.util.SplittableRandom;
 import org.basilport.error.Step;
 import org.basilport.event.EventSink;
 import org.basilport.event.EventSubject;
 import org.basilport.event.EventType;
 import org.basilport.gateway.message.MessageCodec;
+import org.basilport.policy.dispatch.ResponseBufferBudget;
 
 /**
  * Dependencies that all exchanges of an instance share.
@@ -19,7 +19,8 @@
  * @param events receives the events of requests and moves
  * @param metrics counters and histograms
  * @param random source of jitter; confined to the event loop thread
- * @param maxEventGap longest gap between two events of a stream; the server is abandoned afterwards
+ * @param responseBuffer memory of the response bodies that are kept until they are complete
+ * @param limits limits on proofs and on gaps between events
  */
 record ForwardingContext(
     EventLoop eventLoop,
@@ -28,7 +29,8 @@
     EventSink events,
     MetricRegistry metrics,
     SplittableRandom random,
-    Duration maxEventGap) {
+    ResponseBufferBudget responseBuffer,
+    ForwardingLimits limits) {
 
   /**
    * Records a rejection with the version of the applied configuration and the age of its freshness
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingLimits.java
@@ -0,0 +1,11 @@
+package org.basilport.gateway.forward;
+
+import java.time.Duration;
+
+/**
+ * Limits on what an instance may rely on.
+ *
+ * @param maxProofAge age of the freshness proof above which access keys are not accepted
+ * @param minEventGap gap between two events of a stream that is permitted on every route
+ */
+public record ForwardingLimits(Duration maxProofAge, Duration minEventGap) {}
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
@@ -20,6 +20,7 @@
 import org.basilport.policy.dispatch.FreshnessProof;
 import org.basilport.policy.dispatch.LeastOccupiedSelector;
 import org.basilport.policy.dispatch.OutstandingWork;
+import org.basilport.policy.dispatch.PauseDetector;
 import org.basilport.policy.dispatch.ServerSelector;
 import org.basilport.policy.dispatch.WindowedRetryBudget;
 
@@ -37,12 +38,16 @@
    */
   private static final long FIRST_TOKEN_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
+  /** Time without a periodic task above which the process was paused; the interval is 200 ms. */
+  private static final long PAUSE_THRESHOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
   private final String dataCentre;
   private final RetryLimits retryLimits;
   private final ServerTable servers;
   private final EventSink events;
   private final SplittableRandom random;
   private final FreshnessProof freshnessProof = new FreshnessProof();
+  private final PauseDetector pauseDetector = new PauseDetector(PAUSE_THRESHOLD_NANOS);
   private final Map<String, ServiceDispatcher> dispatchers = new HashMap<>();
   private volatile Optional<ForwardingConfiguration> configuration = Optional.empty();
   private final ExpiredEntryRetention entryRetention = new ExpiredEntryRetention();
@@ -77,6 +82,11 @@
     return freshnessProof;
   }
 
+  /** Detector of pauses of this process. */
+  public PauseDetector pauseDetector() {
+    return pauseDetector;
+  }
+
   /** Version of the applied configuration; 0 before the first one. */
   public long configurationVersion() {
     return configuration.map(ForwardingConfiguration::version).orElse(0L);
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
@@ -190,7 +190,7 @@
         .events()
         .record(
             EventType.MOVE_FINISHED,
-            exchange.subject(),
+            exchange.recorder.subject(),
             exchange.request.id(),
             source.entry().id(),
             target.entry().id(),
@@ -214,7 +214,7 @@
         .events()
         .record(
             EventType.MOVE_FAILED,
-            exchange.subject(),
+            exchange.recorder.subject(),
             exchange.request.id(),
             source.entry().id(),
             target == null ? "none" : target.entry().id(),
@@ -240,7 +240,7 @@
         .events()
         .record(
             type,
-            exchange.subject(),
+            exchange.recorder.subject(),
             exchange.request.id(),
             source.entry().id(),
             target.entry().id(),
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/MoveRequest.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/MoveRequest.java
@@ -1,10 +1,8 @@
 package org.basilport.gateway.forward;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.io.ByteArrayOutputStream;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.basilport.gateway.backend.BackendConnection;
@@ -21,7 +19,7 @@
   private final ForwardingContext context;
   private final BackendConnection connection;
   private final Consumer<MoveResult> onResult;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final ResponseBody body;
   private final ScheduledFuture<?> timeout;
   private int status;
 
@@ -30,6 +28,7 @@
     this.context = context;
     this.connection = connection;
     this.onResult = onResult;
+    this.body = new ResponseBody(context.responseBuffer());
     this.timeout =
         context.eventLoop().schedule(this::onTimeout, TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
   }
@@ -69,9 +68,16 @@
 
   private void onTimeout() {
     connection.abandon();
+    body.clear();
     onResult.accept(MoveResult.NO_RESPONSE);
   }
 
+  /** Engines do not echo the id of a generation in the response to a request to move it. */
+  @Override
+  public boolean requiresRequestId(ServerResponse response, boolean reusedConnection) {
+    return false;
+  }
+
   @Override
   public void onHead(ServerResponse response, HttpResponse head) {
     status = response.status();
@@ -79,18 +85,24 @@
 
   @Override
   public void onContent(ByteBuf content) {
-    body.writeBytes(ByteBufUtil.getBytes(content));
+    if (!body.append(content)) {
+      connection.abandon();
+      onFailure("answer is too large to be kept");
+    }
   }
 
   @Override
   public void onComplete() {
     timeout.cancel(false);
-    onResult.accept(context.codec().decodeMoveResult(status, body.toByteArray()));
+    byte[] answer = body.toByteArray();
+    body.clear();
+    onResult.accept(context.codec().decodeMoveResult(status, answer));
   }
 
   @Override
   public void onFailure(String reason) {
     timeout.cancel(false);
+    body.clear();
     onResult.accept(MoveResult.NO_RESPONSE);
   }
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/RequestForwarder.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/RequestForwarder.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import org.basilport.error.Step;
 import org.basilport.event.EventSink;
 import org.basilport.event.EventSubject;
@@ -23,6 +24,7 @@
 import org.basilport.gateway.message.MalformedMessageException;
 import org.basilport.gateway.message.MessageCodec;
 import org.basilport.policy.dispatch.DrainAdmission;
+import org.basilport.policy.dispatch.ResponseBufferBudget;
 
 /** Validates each request against the applied configuration and starts its exchange. */
 public final class RequestForwarder implements RequestHandler {
@@ -38,8 +40,16 @@
    */
   private static final double STOPPING_RETRY_AFTER_SECONDS = 0.1;
 
+  /**
+   * Delay before a request is sent that was read right after a pause of the process. If its caller
+   * left meanwhile, the end of the connection is read within this time.
+   */
+  private static final long START_DELAY_MILLIS = 10;
+
+  /** Share of the heap that response bodies may use until they are complete. */
+  private static final double RESPONSE_BUFFER_SHARE = 0.2;
+
   private final ForwardingContext context;
-  private final Duration maxProofAge;
   private final Set<Exchange> openRequests = new HashSet<>();
   private boolean draining;
   private long cutoffNanos;
@@ -47,9 +57,7 @@
   /**
    * Creates a forwarder.
    *
-   * @param maxProofAge age of the freshness proof above which access keys are not accepted
-   * @param maxEventGap longest gap between two events of a stream; the server is abandoned
-   *     afterwards
+   * @param limits limits on proofs and on gaps between events
    */
   public RequestForwarder(
       EventLoop eventLoop,
@@ -57,12 +65,21 @@
       ForwardingState state,
       EventSink events,
       MetricRegistry metrics,
-      Duration maxProofAge,
-      Duration maxEventGap) {
+      ForwardingLimits limits) {
+    ResponseBufferBudget responseBuffer =
+        new ResponseBufferBudget(
+            Math.round(RESPONSE_BUFFER_SHARE * Runtime.getRuntime().maxMemory()));
     this.context =
         new ForwardingContext(
-            eventLoop, codec, state, events, metrics, new SplittableRandom(), maxEventGap);
-    this.maxProofAge = maxProofAge;
+            eventLoop,
+            codec,
+            state,
+            events,
+            metrics,
+            new SplittableRandom(),
+            responseBuffer,
+            limits);
+    metrics.gauge("forward.buffered_bytes", () -> responseBuffer::usedBytes);
   }
 
   @Override
@@ -99,7 +116,7 @@
   }
 
   private boolean configurationProven() {
-    return context.state().proofAgeMillis() <= maxProofAge.toMillis();
+    return context.state().proofAgeMillis() <= context.limits().maxProofAge().toMillis();
   }
 
   /**
@@ -140,7 +157,12 @@
     }
     openRequests.add(exchange);
     exchange.onEnd(() -> openRequests.remove(exchange));
-    exchange.start();
+    if (context.state().pauseDetector().pauseNanos(System.nanoTime(), System.currentTimeMillis())
+        > 0) {
+      context.eventLoop().schedule(exchange::start, START_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+    } else {
+      exchange.start();
+    }
     return exchange;
   }
 
@@ -150,7 +172,7 @@
   }
 
   /**
-   * Closes each connection of a caller after its current response.
+   * Closes each connection of a caller after its next response.
    *
    * @param untilCutoff time after which requests in progress are aborted
    */
@@ -159,12 +181,17 @@
     cutoffNanos = System.nanoTime() + untilCutoff.toNanos();
   }
 
-  /** Whether a generation would still be in progress when this instance stops. */
+  /** Whether a request could still be in progress when this instance stops. */
   private boolean endsAfterCutoff(CallerRequest request, ForwardingRoute route) {
-    int output = request.generationSize().map(GenerationSize::maxOutputTokens).orElse(0);
-    return draining
-        && route.repeatability().streamed()
-        && !DrainAdmission.accepts(cutoffNanos - System.nanoTime(), output);
+    if (!draining) {
+      return false;
+    }
+    long remaining = cutoffNanos - System.nanoTime();
+    if (route.repeatability().streamed()) {
+      int output = request.generationSize().map(GenerationSize::maxOutputTokens).orElse(0);
+      return !DrainAdmission.accepts(remaining, output);
+    }
+    return !DrainAdmission.acceptsCall(remaining, route.timeLimit(request.callerTimeout()));
   }
 
   @Override
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
@@ -71,6 +71,12 @@
     return servers.servers(service).stream().anyMatch(server -> !server.load().leaving());
   }
 
+  /** Whether any server may accept a request. */
+  boolean hasServerFor(PlacementRequest request) {
+    return servers.servers(service).stream()
+        .anyMatch(server -> !server.load().leaving() && request.accepts(server));
+  }
+
   /** Places a request immediately or queues it. */
   void submit(PlacementRequest request) {
     if (queue.size() == 0 && place(request)) {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -1,12 +1,11 @@
 package org.basilport.gateway.forward;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.io.ByteArrayOutputStream;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.basilport.error.Step;
@@ -20,6 +19,7 @@
 import org.basilport.gateway.message.GenerationSize;
 import org.basilport.gateway.message.KvCacheReference;
 import org.basilport.gateway.message.ServerResponse;
+import org.basilport.policy.dispatch.EventGapLimit;
 import org.basilport.policy.dispatch.OutstandingWork;
 import org.basilport.policy.dispatch.RequestDemand;
 
@@ -36,7 +36,7 @@
   private static final double PROBE_RATIO = 0.25;
 
   private final EventStreamReader reader = new EventStreamReader();
-  private final ByteArrayOutputStream errorBody = new ByteArrayOutputStream();
+  private final ResponseBody errorBody = new ResponseBody(context.responseBuffer());
   private final DepartureListener departureListener = new GenerationDepartureListener();
   private final GenerationMove move;
   private ServerResponse response;
@@ -49,6 +49,7 @@
   private long lastEventNanos;
   private BackendServer observedServer;
   private ScheduledFuture<?> eventGapTimer;
+  private final Duration maxEventGap;
 
   StreamedExchange(
       ForwardingContext context,
@@ -58,6 +59,9 @@
       ResponseChannel caller) {
     super(context, request, route, holder, caller);
     this.move = new GenerationMove(context, this);
+    this.maxEventGap =
+        EventGapLimit.of(
+            context.limits().minEventGap(), route.targetLatency(), route.targetEventGap());
   }
 
   @Override
@@ -68,7 +72,7 @@
     firstEventReceived = reservedWork().pendingPrefillTokens() == 0;
     observeDeparture();
     if (eventGapTimer == null) {
-      long maxGapNanos = context.maxEventGap().toNanos();
+      long maxGapNanos = maxEventGap.toNanos();
       eventGapTimer =
           context
               .eventLoop()
@@ -101,27 +105,36 @@
     if (headers == null || !responseStarted) {
       headers = context.codec().responseHeaders(httpResponse);
     }
-    errorBody.reset();
+    errorBody.clear();
   }
 
   @Override
   public void onContent(ByteBuf content) {
     if (!streaming()) {
-      errorBody.writeBytes(ByteBufUtil.getBytes(content));
+      if (!errorBody.append(content)) {
+        abandonServer("answer is too large to be kept");
+      }
       return;
     }
+    int previousEvents = reader.eventCount();
     ByteBuf completeEvents = reader.read(content);
-    if (!completeEvents.isReadable()) {
-      return;
+    if (reader.eventCount() > previousEvents) {
+      onProgress();
     }
+    if (completeEvents.isReadable()) {
+      startResponse();
+      caller.write(completeEvents);
+      connection.setReading(caller.isWritable());
+    }
+    reader.problem().ifPresent(this::abandonServer);
+  }
+
+  private void onProgress() {
     lastEventNanos = System.nanoTime();
     if (!firstEventReceived) {
       onFirstEvent();
     }
     reserveGrowth();
-    startResponse();
-    caller.write(completeEvents);
-    connection.setReading(caller.isWritable());
   }
 
   /** Increases the reservation of a generation that is longer than its caller estimated. */
@@ -195,7 +208,7 @@
 
   private void finishStream() {
     server.load().health().recordSuccess();
-    recordFinished(response.status(), firstEventMillis);
+    recorder.finished(response.status(), firstEventMillis);
     startResponse();
     caller.finishResponse();
     finish();
@@ -245,16 +258,17 @@
     failStream(Step.STREAM, reason);
   }
 
+  @Override
+  boolean responseStarted() {
+    return responseStarted;
+  }
+
   /** Fails a stream that cannot be resumed; the connection is reset if the response has started. */
   void failStream(Step step, String reason) {
-    if (!responseStarted) {
-      sendLocalReply(502, new DefaultHttpHeaders(), step, reason);
-      return;
+    if (responseStarted) {
+      context.metrics().counter("forward.lost_streams").inc();
     }
-    recordFailed(response.status(), step, reason);
-    context.metrics().counter("forward.lost_streams").inc();
-    caller.abort();
-    finish();
+    sendLocalReply(502, new DefaultHttpHeaders(), step, reason);
   }
 
   /** Resumes the stream at a server whose load already includes it. */
@@ -283,9 +297,9 @@
       return;
     }
     long gapNanos = System.nanoTime() - lastEventNanos;
-    if (gapNanos > context.maxEventGap().toNanos()) {
-      abandonServer("no event for " + context.maxEventGap().toMillis() + " ms");
-    } else if (gapNanos > PROBE_RATIO * context.maxEventGap().toNanos()) {
+    if (gapNanos > maxEventGap.toNanos()) {
+      abandonServer("no event for " + maxEventGap.toMillis() + " ms");
+    } else if (gapNanos > PROBE_RATIO * maxEventGap.toNanos()) {
       BackendServer probed = server;
       server
           .connections()
@@ -319,6 +333,7 @@
   void onFinished() {
     stopObservingDeparture();
     move.cancel();
+    errorBody.clear();
     if (eventGapTimer != null) {
       eventGapTimer.cancel(false);
     }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/frontend/CallerConnection.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/frontend/CallerConnection.java
@@ -41,6 +41,7 @@
 
   private final RequestHandler requestHandler;
   private final FrontendLimits limits;
+  private final HeaderTimeoutHandler heads;
   private final ArrayDeque<Object> pending = new ArrayDeque<>();
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private ChannelHandlerContext context;
@@ -52,7 +53,9 @@
   private boolean headReceived;
   private ScheduledFuture<?> idleTimer;
 
-  CallerConnection(RequestHandler requestHandler, FrontendLimits limits) {
+  CallerConnection(
+      RequestHandler requestHandler, FrontendLimits limits, HeaderTimeoutHandler heads) {
+    this.heads = heads;
     this.requestHandler = requestHandler;
     this.limits = limits;
   }
@@ -135,6 +138,7 @@
     }
     head = request;
     headReceived = true;
+    heads.onHead();
     body.reset();
     startTimer(limits.idleTimeout().toNanos());
     if (HttpUtil.is100ContinueExpected(request)) {
@@ -280,9 +284,14 @@
     return headReceived;
   }
 
+  /** Whether a part of a request was received, but not yet all of it. */
+  boolean receiving() {
+    return head != null || heads.headStarted();
+  }
+
   /** Closes the connection if it carries no request. */
   void closeIfIdle() {
-    if (!responding && head == null) {
+    if (!responding && !receiving()) {
       context.close();
     }
   }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/frontend/FrontendServer.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/frontend/FrontendServer.java
@@ -72,23 +72,37 @@
 
   private void accept(Channel channel) {
     FrontendLimits current = limits.get();
-    CallerConnection connection = new CallerConnection(requestHandler, current);
+    HeaderTimeoutHandler heads = new HeaderTimeoutHandler(current.headerTimeout());
+    CallerConnection connection = new CallerConnection(requestHandler, current, heads);
     connections.add(connection);
     channel.closeFuture().addListener(closed -> connections.remove(connection));
     channel
         .pipeline()
         .addLast(
-            new HeaderTimeoutHandler(current.headerTimeout()),
+            heads,
             new StrictRequestDecoder(current.maxHeaderBytes()),
             new HttpResponseEncoder(),
             connection);
   }
 
-  /** Closes the connections that carry no request; to be called on the event loop thread. */
-  public void closeIdleConnections() {
+  /**
+   * Accepts no further connections and closes those that carry no request; to be called on the
+   * event loop thread, which has read all bytes that were there before.
+   */
+  public void stopAccepting() {
+    if (listener != null) {
+      listener.close();
+    }
     Set.copyOf(connections).forEach(CallerConnection::closeIfIdle);
   }
 
+  /**
+   * Whether a connection has received a part of a request; to be called on the event loop thread.
+   */
+  public boolean receiving() {
+    return connections.stream().anyMatch(CallerConnection::receiving);
+  }
+
   @Override
   public CompletableFuture<Void> stop() {
     CompletableFuture<Void> stopped = new CompletableFuture<>();
--- a/basilport-gateway/src/main/java/org/basilport/gateway/frontend/HeaderTimeoutHandler.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/frontend/HeaderTimeoutHandler.java
@@ -13,6 +13,7 @@
 final class HeaderTimeoutHandler extends ChannelInboundHandlerAdapter {
   private final Duration timeout;
   private ScheduledFuture<?> timer;
+  private boolean headStarted;
 
   HeaderTimeoutHandler(Duration timeout) {
     this.timeout = timeout;
@@ -20,6 +21,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
+    headStarted = true;
     if (timer == null) {
       timer =
           context
@@ -29,6 +31,16 @@
     context.fireChannelRead(message);
   }
 
+  /** Called when a head is complete. */
+  void onHead() {
+    headStarted = false;
+  }
+
+  /** Whether bytes of a request were received whose head is not complete. */
+  boolean headStarted() {
+    return headStarted;
+  }
+
   private void onTimer(ChannelHandlerContext context) {
     CallerConnection connection = context.pipeline().get(CallerConnection.class);
     if (!connection.hasReceivedHead()) {
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
@@ -2,10 +2,12 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -23,6 +25,7 @@
 import org.basilport.gateway.config.KeyHolder;
 import org.basilport.gateway.config.Repeatability;
 import org.basilport.gateway.config.WeightedService;
+import org.basilport.gateway.forward.ForwardingLimits;
 import org.basilport.gateway.forward.ForwardingState.RetryLimits;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -35,6 +38,7 @@
 
   final List<ScriptedServer> servers = new ArrayList<>();
   final List<ServerEntry> entries = new ArrayList<>();
+  final MetricRegistry metrics = new MetricRegistry();
   Gateway gateway;
   InetSocketAddress frontend;
 
@@ -49,10 +53,9 @@
             frontend,
             freeAddress(),
             new RetryLimits(0.2, 50, TimeUnit.SECONDS.toNanos(10)),
-            Duration.ofSeconds(4),
             Duration.ofSeconds(3),
-            Duration.ofMillis(800));
-    gateway = new Gateway(settings, new TestCodec(), EventSink.none(), new MetricRegistry());
+            new ForwardingLimits(Duration.ofSeconds(4), Duration.ofMillis(800)));
+    gateway = new Gateway(settings, new TestCodec(), EventSink.none(), metrics);
     gateway.start().get(5, TimeUnit.SECONDS);
   }
 
@@ -78,13 +81,21 @@
         repeatability,
         Duration.ofMillis(1_500),
         Duration.ofMillis(150),
+        Duration.ofMillis(90),
         2,
         0,
         false,
         List.of(new WeightedService(service, 1)));
   }
 
+  /** Applies a configuration that is proven to be the latest. */
   void configure(long version, String... keys) {
+    apply(version, keys);
+    gateway.recordFreshnessProof(System.nanoTime(), System.currentTimeMillis());
+  }
+
+  /** Applies a configuration without a proof. */
+  void apply(long version, String... keys) {
     Map<String, KeyHolder> holders = new java.util.HashMap<>();
     for (String key : keys) {
       holders.put(key, new KeyHolder("workspace-1", -1));
@@ -106,7 +117,6 @@
             true,
             holders),
         "test");
-    gateway.recordFreshnessProof(System.nanoTime(), System.currentTimeMillis());
   }
 
   ScriptedServer serve(String service, ScriptedServer.Script script) throws IOException {
@@ -127,7 +137,16 @@
     return server;
   }
 
+  /** Memory of the response bodies that the gateway keeps, in bytes. */
+  long bufferedBytes() {
+    return (Long) metrics.gauge("forward.buffered_bytes", () -> () -> 0L).getValue();
+  }
+
   String call(String method, String target, String headers) throws IOException {
+    return callAs("r1", method, target, headers);
+  }
+
+  String callAs(String id, String method, String target, String headers) throws IOException {
     try (Socket socket = new Socket(frontend.getAddress(), frontend.getPort())) {
       socket.setSoTimeout(5_000);
       socket
@@ -136,12 +155,16 @@
               (method
                       + " "
                       + target
-                      + " HTTP/1.1\r\nhost: h\r\nid: r1\r\nConnection: close\r\n"
+                      + " HTTP/1.1\r\nhost: h\r\nid: "
+                      + id
+                      + "\r\nConnection: close\r\n"
                       + headers
                       + "\r\n")
                   .getBytes(StandardCharsets.ISO_8859_1));
       return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
-    } catch (java.net.SocketException e) {
+    } catch (ConnectException e) {
+      throw e;
+    } catch (SocketException e) {
       return "reset";
     }
   }
--- /dev/null
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayPermissionsTest.java
@@ -0,0 +1,182 @@
+package org.basilport.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.ConnectException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Requests whose permission runs out before they are sent, and planned stops under load. */
+class GatewayPermissionsTest extends GatewayFixture {
+  private CompletableFuture<String> callAsync(String id, String target, String headers) {
+    return CompletableFuture.supplyAsync(
+        () -> {
+          try {
+            return callAs(id, "POST", target, headers);
+          } catch (IOException e) {
+            throw new UncheckedIOException(e);
+          }
+        });
+  }
+
+  @Nested
+  class QueuedRequests {
+    /** Guards against sending a request whose key was withdrawn while it was queued. */
+    @Test
+    void doesNotSendARequestWhoseKeyWasWithdrawn() throws Exception {
+      configure(1, "k1", "k2");
+      CountDownLatch release = new CountDownLatch(1);
+      ScriptedServer server =
+          serve(
+              "narrow",
+              (request, out, socket) -> {
+                release.await(5, TimeUnit.SECONDS);
+                ScriptedServer.sendResponse(out, request, 200, "ok");
+              });
+      List<CompletableFuture<String>> running = new ArrayList<>();
+      int share = 2;
+      for (int i = 0; i < share; i++) {
+        running.add(callAsync("a" + i, "/narrow/x", "key: k1\r\n"));
+      }
+      while (server.requests().size() < share) {
+        Thread.sleep(1);
+      }
+      CompletableFuture<String> queued = callAsync("b", "/narrow/x", "key: k2\r\n");
+      Thread.sleep(20);
+      configure(2, "k1");
+      Thread.sleep(20);
+      release.countDown();
+
+      assertThat(queued.get(5, TimeUnit.SECONDS)).startsWith("HTTP/1.1 401");
+      assertThat(server.requests()).hasSize(share);
+    }
+  }
+
+  @Nested
+  class Restarts {
+    /** Guards against accepting a key that was withdrawn while the process was down. */
+    @Test
+    void acceptsNoKeyBeforeTheConfigurationIsProven() throws Exception {
+      apply(1, "k1");
+      ScriptedServer server =
+          serve(
+              "plain",
+              (request, out, socket) -> ScriptedServer.sendResponse(out, request, 200, "ok"));
+
+      assertThat(call("POST", "/write/x", "key: k1\r\n")).startsWith("HTTP/1.1 503");
+      assertThat(server.requests()).isEmpty();
+    }
+  }
+
+  @Nested
+  class PlannedStops {
+    private static final Duration MIN_DURATION = Duration.ofMillis(400);
+    private static final Duration MAX_DURATION = Duration.ofMillis(2_500);
+    private static final int CALLERS = 8;
+
+    /** Guards against cutting a request that crosses the announcement of the stop. */
+    @Test
+    void answersARequestOnAnIdleConnection() throws Exception {
+      configure(1, "k1");
+      serve(
+          "plain", (request, out, socket) -> ScriptedServer.sendResponse(out, request, 200, "ok"));
+      try (Socket socket = new Socket(frontend.getAddress(), frontend.getPort())) {
+        socket.setSoTimeout(5_000);
+        Thread.sleep(50);
+        gateway.drain(MIN_DURATION, MAX_DURATION);
+        Thread.sleep(50);
+        socket
+            .getOutputStream()
+            .write(
+                "POST /write/x HTTP/1.1\r\nhost: h\r\nid: r1\r\nkey: k1\r\n\r\n"
+                    .getBytes(StandardCharsets.ISO_8859_1));
+        String response =
+            new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+
+        assertThat(response).startsWith("HTTP/1.1 200");
+        assertThat(response.toLowerCase()).contains("connection: close");
+      }
+    }
+
+    /** Guards against closing a connection on which a request has begun to arrive. */
+    @Test
+    void awaitsARequestThatIsArriving() throws Exception {
+      configure(1, "k1");
+      serve(
+          "plain", (request, out, socket) -> ScriptedServer.sendResponse(out, request, 200, "ok"));
+      try (Socket socket = new Socket(frontend.getAddress(), frontend.getPort())) {
+        socket.setSoTimeout(5_000);
+        gateway.drain(MIN_DURATION, MAX_DURATION);
+        socket.getOutputStream().write("POST /write/x HT".getBytes(StandardCharsets.ISO_8859_1));
+        Thread.sleep(2 * MIN_DURATION.toMillis());
+        socket
+            .getOutputStream()
+            .write(
+                "TP/1.1\r\nhost: h\r\nid: r1\r\nkey: k1\r\n\r\n"
+                    .getBytes(StandardCharsets.ISO_8859_1));
+        String response =
+            new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+
+        assertThat(response).startsWith("HTTP/1.1 200");
+      }
+    }
+
+    /** Load: callers connect again and again until the process is gone; none is cut off. */
+    @Test
+    void cutsOffNoAcceptedRequestUnderLoad() throws Exception {
+      configure(1, "k1");
+      for (int i = 0; i < 4; i++) {
+        serve(
+            "plain",
+            (request, out, socket) -> {
+              Thread.sleep(60);
+              ScriptedServer.sendResponse(out, request, 200, "ok");
+            });
+      }
+      ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
+      List<Future<Long>> answers = new ArrayList<>();
+      for (int i = 0; i < CALLERS; i++) {
+        answers.add(callers.submit(this::answersUntilRefused));
+      }
+      Thread.sleep(200);
+      long start = System.nanoTime();
+      gateway.drain(MIN_DURATION, MAX_DURATION).get(5, TimeUnit.SECONDS);
+
+      assertThat(System.nanoTime() - start).isLessThan(MAX_DURATION.toNanos());
+      long received = 0;
+      for (Future<Long> answer : answers) {
+        received += answer.get(5, TimeUnit.SECONDS);
+      }
+      callers.shutdown();
+      assertThat(received).isAtLeast(CALLERS);
+      assertThat(received).isEqualTo(metrics.counter("forward.requests").getCount());
+    }
+
+    /** Calls until no connection is accepted any more; returns the number of whole answers. */
+    private long answersUntilRefused() throws IOException {
+      long answers = 0;
+      while (true) {
+        try {
+          if (call("POST", "/write/x", "key: k1\r\n").startsWith("HTTP/1.1 ")) {
+            answers++;
+          }
+        } catch (ConnectException e) {
+          return answers;
+        }
+      }
+    }
+  }
+}
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayStreamsTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayStreamsTest.java
@@ -1,10 +1,15 @@
 package org.basilport.gateway;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.common.collect.Sets;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -76,6 +81,42 @@
       assertThat(second.requests()).isEmpty();
     }
 
+    /** Guards against the head of a refusal in the middle of a stream that cannot be resumed. */
+    @Test
+    void abortsAStartedStreamThatNoServerCanResume() throws Exception {
+      configure(1, "k1");
+      ScriptedServer.Script script =
+          (request, out, socket) -> {
+            ScriptedServer.startStream(out, request);
+            ScriptedServer.writeEvents(out, 1, 2);
+            Thread.sleep(50);
+            gateway.updateServers(List.of(), "test");
+            Thread.sleep(50);
+            socket.close();
+          };
+      serve("model", script);
+      StringBuilder response = new StringBuilder();
+      try (Socket socket = new Socket(frontend.getAddress(), frontend.getPort())) {
+        socket.setSoTimeout(500);
+        socket
+            .getOutputStream()
+            .write(
+                "POST /resume/x HTTP/1.1\r\nhost: h\r\nid: r1\r\nkey: k1\r\ntokens: 100\r\n\r\n"
+                    .getBytes(StandardCharsets.ISO_8859_1));
+        InputStream in = socket.getInputStream();
+        assertThrows(
+            SocketException.class,
+            () -> {
+              for (int next = in.read(); next >= 0; next = in.read()) {
+                response.append((char) next);
+              }
+            });
+      }
+
+      assertThat(response.toString()).contains("data: t2");
+      assertThat(response.toString()).doesNotContain("503");
+    }
+
     /** Guards against executing a generation at another engine after its engine crashed. */
     @Test
     void doesNotRetryAGenerationWhoseEngineCrashed() throws Exception {
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayTest.java
@@ -164,6 +164,48 @@
       }
     }
 
+    /** Guards against a refusal that says that a request was not executed although it was. */
+    @Test
+    void doesNotRefuseARequestThatWasExecuted() throws Exception {
+      configure(1, "k1");
+      serve(
+          "plain",
+          (request, out, socket) -> ScriptedServer.sendResponse(out, request, 500, "own failure"));
+      long start = System.nanoTime();
+      String response = call("GET", "/read/x", "key: k1\r\n");
+
+      assertThat(response).startsWith("HTTP/1.1 500");
+      assertThat(response).contains("own failure");
+      assertThat(System.nanoTime() - start).isLessThan(TimeUnit.MILLISECONDS.toNanos(100));
+    }
+
+    /** Guards against the same refusal when the other server has no room for the retry. */
+    @Test
+    void doesNotRefuseAnExecutedRequestForWantOfRoom() throws Exception {
+      configure(1, "k1");
+      serve("plain", (request, out, socket) -> socket.close());
+      serve("plain", (request, out, socket) -> Thread.sleep(5_000));
+      for (int i = 0; i < 12; i++) {
+        CompletableFuture.runAsync(() -> callQuietly("/read/x"));
+      }
+      Thread.sleep(50);
+      for (int i = 0; i < 3; i++) {
+        int before = servers.get(0).requests().size();
+        String response = call("GET", "/read/x", "key: k1\r\n");
+        if (servers.get(0).requests().size() > before) {
+          assertThat(response).doesNotContain("HTTP/1.1 503");
+        }
+      }
+    }
+
+    private void callQuietly(String target) {
+      try {
+        call("GET", target, "key: k1\r\n");
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+
     /** Guards against forwarding a successful response that is not signed by the server. */
     @Test
     void rejectsUnsignedResponses() throws Exception {
--- a/basilport-gateway/src/test/java/org/basilport/gateway/backend/BackendConnectionTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/backend/BackendConnectionTest.java
@@ -18,7 +18,10 @@
 import org.basilport.gateway.TestCodec;
 import org.basilport.gateway.message.ServerResponse;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Writes the responses of faulty servers to a connection. */
 class BackendConnectionTest {
@@ -113,6 +116,78 @@
     assertThat(channel.isOpen()).isFalse();
   }
 
+  /** Guards against taking a late failure without an id for the response to the next request. */
+  @Test
+  void rejectsAResponseWithoutAnIdOnAReusedConnection() {
+    receive("HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\nContent-Length: 3\r\n\r\nnew");
+    Recorder next = new Recorder();
+    connection.send(request(), "r2", next);
+    receive("HTTP/1.1 503 S\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n");
+
+    assertThat(next.log).containsExactly("broken");
+    assertThat(channel.isOpen()).isFalse();
+  }
+
+  /** Guards against a second request whose response is never read. */
+  @Test
+  void resumesReadingForTheNextRequest() {
+    receive("HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\nContent-Length: 3\r\n\r\nne");
+    connection.setReading(false);
+    receive("w");
+
+    assertThat(idle).containsExactly(connection);
+    assertThat(channel.config().isAutoRead()).isTrue();
+  }
+
+  /** Answers that do not end until the caller closes the connection. */
+  @Nested
+  class EndlessAnswers {
+    private static final int ENOUGH = 10_000;
+
+    private void receiveWhileOpen(String bytes) {
+      for (int i = 0; i < ENOUGH && channel.isOpen(); i++) {
+        receive(bytes);
+      }
+    }
+
+    /** Guards against waiting for the end of a second answer to an earlier request. */
+    @Test
+    void closesWithinADiscardedAnswer() {
+      receive("HTTP/1.1 200 OK\r\nid: r0\r\nseal: s\r\n\r\n");
+      receiveWhileOpen("x".repeat(1_000));
+
+      assertThat(channel.isOpen()).isFalse();
+      assertThat(recorder.log).containsExactly("broken");
+    }
+
+    /** Guards against interim responses that are repeated for ever. */
+    @Test
+    void closesAfterManyInterimResponses() {
+      receiveWhileOpen("HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n");
+
+      assertThat(channel.isOpen()).isFalse();
+      assertThat(recorder.log).containsExactly("broken");
+    }
+
+    /** Guards against a head, chunk extension or trailer that grows without limit. */
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "HTTP/1.1 200 ",
+          "HTTP/1.1 200 OK\r\nid: r1\r\n",
+          "HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+          "HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+        })
+    void closesWithinAnEndlessPart(String start) {
+      receive(start);
+      receiveWhileOpen(start.endsWith("\r\n") ? "name: value\r\n" : "x".repeat(100));
+
+      assertThat(channel.isOpen()).isFalse();
+      assertThat(recorder.log).contains("broken");
+      assertThat(recorder.log).doesNotContain("complete");
+    }
+  }
+
   /** Records the events of a response. */
   private static final class Recorder implements ResponseListener {
     private final List<String> log = new ArrayList<>();
--- a/basilport-gateway/src/test/java/org/basilport/gateway/config/ForwardingConfigurationTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/config/ForwardingConfigurationTest.java
@@ -19,6 +19,7 @@
         Repeatability.IDEMPOTENT,
         Duration.ofSeconds(1),
         Duration.ofSeconds(1),
+        Duration.ZERO,
         2,
         0,
         false,
--- a/basilport-gateway/src/test/java/org/basilport/gateway/forward/EventStreamReaderTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/forward/EventStreamReaderTest.java
@@ -46,6 +46,35 @@
     assertThat(reader.lastId()).hasValue("7");
   }
 
+  /** Guards against delivering an event twice when a server starts again at the beginning. */
+  @Test
+  void rejectsAnEventThatWasRead() {
+    read("id: 9\ndata: a\n\nid: 10\ndata: b\n\n");
+
+    assertThat(read("id: 11\ndata: c\n\nid: 9\ndata: a\n\n")).isEqualTo("id: 11\ndata: c\n\n");
+    assertThat(reader.problem()).hasValue("event 9 after event 11");
+    assertThat(reader.lastId()).hasValue("11");
+  }
+
+  /** Guards against taking comments and empty events for the progress of a generation. */
+  @Test
+  void countsEventsWithANewIdOnly() {
+    assertThat(read(": comment\n\n\n\ndata: no id\n\n")).isNotEmpty();
+    assertThat(reader.eventCount()).isEqualTo(0);
+    read("id: 1\ndata: a\n\n");
+    assertThat(reader.eventCount()).isEqualTo(1);
+  }
+
+  /** Guards against a stream without end that never brings a new event. */
+  @Test
+  void rejectsEndlessBytesWithoutANewEvent() {
+    read("id: 1\ndata: a\n\n");
+    for (int i = 0; i < 100_000 && reader.problem().isEmpty(); i++) {
+      read(": comment\n\n");
+    }
+    assertThat(reader.problem()).isPresent();
+  }
+
   /** Guards against errors at a boundary between any two bytes. */
   @Test
   void acceptsSingleBytes() {
--- a/basilport-gateway/src/test/java/org/basilport/gateway/frontend/CallerConnectionTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/frontend/CallerConnectionTest.java
@@ -30,7 +30,8 @@
       new EmbeddedChannel(
           new StrictRequestDecoder(LIMITS.maxHeaderBytes()),
           new HttpResponseEncoder(),
-          new CallerConnection(new RecordingHandler(), LIMITS));
+          new CallerConnection(
+              new RecordingHandler(), LIMITS, new HeaderTimeoutHandler(LIMITS.headerTimeout())));
 
   private String send(String bytes) {
     channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/DrainAdmission.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/DrainAdmission.java
@@ -1,5 +1,6 @@
 package org.basilport.policy.dispatch;
 
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -7,7 +8,8 @@
  *
  * <p>During a restart, callers use their cached list of addresses for some seconds. A long
  * generation would be cut off at the end of the grace period although another instance could
- * complete it, so it is rejected at once; short requests are still served.
+ * complete it, so it is rejected at once; short requests are still served. Under load, new requests
+ * arrive until the end of the grace period, so a call that might be cut off is rejected as well.
  */
 public final class DrainAdmission {
   /** Assumed time to the first token on a busy engine. */
@@ -28,4 +30,13 @@
   public static boolean accepts(long remainingNanos, int maxOutputTokens) {
     return FIRST_TOKEN_NANOS + NANOS_PER_TOKEN * maxOutputTokens < remainingNanos;
   }
+
+  /**
+   * Whether a call has ended by then even if it uses its whole time limit.
+   *
+   * @param remainingNanos time until open requests are cut off
+   */
+  public static boolean acceptsCall(long remainingNanos, Duration timeLimit) {
+    return timeLimit.toNanos() < remainingNanos;
+  }
 }
--- /dev/null
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/SendCheck.java
@@ -0,0 +1,68 @@
+package org.basilport.policy.dispatch;
+
+/**
+ * Decides immediately before each send, first or repeated, whether a request may still be sent.
+ *
+ * <p>The load it answers: requests that waited in a queue or for a retry, and processes that were
+ * paused. What was true at the arrival of a request may have run out since then.
+ */
+public final class SendCheck {
+  /** Shortest remaining time, in milliseconds, for which a server could do anything. */
+  private static final long MIN_REMAINING_MILLIS = 1;
+
+  private SendCheck() {}
+
+  /** Result of the check. */
+  public enum Result {
+    /** The request may be sent. */
+    PERMITTED,
+    /** The caller has disconnected. */
+    CALLER_LEFT,
+    /** The deadline has passed. */
+    DEADLINE_PASSED,
+    /** The access key is not in the applied configuration any more. */
+    KEY_WITHDRAWN,
+    /** The applied configuration is not proven to be recent enough to accept access keys. */
+    KEY_NOT_PROVEN,
+    /** The chosen server is leaving. */
+    SERVER_LEAVING
+  }
+
+  /**
+   * State at the time of the send.
+   *
+   * @param callerConnected whether the caller still waits for the response
+   * @param remainingMillis time until the deadline
+   * @param keyChecked whether the send relies on an access key; false for the continuation of a
+   *     response that has started
+   * @param keyKnown whether the applied configuration contains the key
+   * @param proofAgeMillis age of the proof that the applied configuration is the latest
+   * @param maxProofAgeMillis age above which a proof is not sufficient
+   * @param serverLeaving whether the server is leaving and does not hold a copy of the generation
+   */
+  public record Conditions(
+      boolean callerConnected,
+      long remainingMillis,
+      boolean keyChecked,
+      boolean keyKnown,
+      long proofAgeMillis,
+      long maxProofAgeMillis,
+      boolean serverLeaving) {}
+
+  /** Checks the conditions; the first one that is not met determines the result. */
+  public static Result check(Conditions conditions) {
+    if (!conditions.callerConnected) {
+      return Result.CALLER_LEFT;
+    }
+    if (conditions.remainingMillis < MIN_REMAINING_MILLIS) {
+      return Result.DEADLINE_PASSED;
+    }
+    if (conditions.keyChecked && !conditions.keyKnown) {
+      return Result.KEY_WITHDRAWN;
+    }
+    if (conditions.keyChecked && conditions.proofAgeMillis > conditions.maxProofAgeMillis) {
+      return Result.KEY_NOT_PROVEN;
+    }
+    return conditions.serverLeaving ? Result.SERVER_LEAVING : Result.PERMITTED;
+  }
+}
