--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/SendDecisionsTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/SendDecisionsTest.java
@@ -136,6 +136,50 @@
     }
   }
 
+  @Nested
+  class LongPolls {
+    private static final long READINESS_LIMIT_MILLIS = 3_000;
+    private final LongPollTiming timing =
+        new LongPollTiming(Duration.ofMillis(1_200), Duration.ofMillis(700));
+
+    /** Age of the proof right before the second of two responses of a store with this delay. */
+    private long proofAgeMillis(long delayMillis) {
+      long age = 0;
+      for (int call = 0; call < 2; call++) {
+        long wait = timing.nextWait().toMillis();
+        age += wait + delayMillis;
+        timing.recordDelay(Duration.ofMillis(delayMillis));
+      }
+      return age;
+    }
+
+    /** Load: a store that takes 0.6 s for each answer; instances stay ready. */
+    @Test
+    void keepsProofsFreshWhileTheStoreIsSlow() {
+      proofAgeMillis(600);
+      assertThat(proofAgeMillis(600)).isLessThan(READINESS_LIMIT_MILLIS);
+      assertThat(proofAgeMillis(5)).isLessThan(READINESS_LIMIT_MILLIS);
+    }
+
+    /** Guards against taking a store for dead that is slower than the time for a response. */
+    @Test
+    void leavesMoreTimeAfterACallWithoutAResponse() {
+      timing.recordTimeout();
+      Duration left = timing.callTimeout().minus(timing.nextWait());
+      assertThat(left).isAtLeast(Duration.ofMillis(1_300));
+    }
+
+    /** Guards against a store that is asked too often after it has become fast again. */
+    @Test
+    void returnsToTheFullWait() {
+      proofAgeMillis(600);
+      for (int i = 0; i < 10; i++) {
+        proofAgeMillis(5);
+      }
+      assertThat(timing.nextWait().toMillis()).isAtLeast(1_190);
+    }
+  }
+
   @Nested
   class Peers {
     /** Guards against giving up the work of an instance that was only silent for a while. */
