Compare only the workspace of a key before a send

Cause: found in reading the change. The check before a send compared the holder of the key as a whole, so a new priority of a workspace would have ended its queued requests with 401; and a connection that was returned unused started its idle timeout anew, though the server's goes on. GatewayPermissionsTest.sendsARequestWhoseWorkspaceChangedItsPriority failed first.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
@@ -108,7 +108,10 @@
 
   /** Returns a connection on which nothing was sent to its pool. */
   public void release() {
-    markIdle();
+    // The idle timeout of a reused connection goes on: the server has received nothing meanwhile.
+    if (!reused) {
+      markIdle();
+    }
     onIdle.accept(this);
   }
 
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -204,16 +204,17 @@
   }
 
   private SendCheck.Result checkSend(ResumePoint resumePoint) {
-    Optional<KeyHolder> current =
+    Optional<String> workspace =
         request
             .accessKey()
-            .flatMap(key -> context.state().configuration().flatMap(c -> c.keyHolder(key)));
+            .flatMap(key -> context.state().configuration().flatMap(c -> c.keyHolder(key)))
+            .map(KeyHolder::workspace);
     return SendCheck.check(
         new SendCheck.Conditions(
             !callerDisconnected,
             remaining().toMillis(),
             holder.isPresent() && !route.anonymous() && eventCount() == 0,
-            current.equals(holder),
+            workspace.equals(holder.map(KeyHolder::workspace)),
             context.state().proofAgeMillis(),
             context.limits().maxProofAge().toMillis(),
             server.load().leaving() && resumePoint.kvCache().isEmpty()));
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
@@ -39,6 +39,7 @@
   final List<ScriptedServer> servers = new ArrayList<>();
   final List<ServerEntry> entries = new ArrayList<>();
   final MetricRegistry metrics = new MetricRegistry();
+  int keyPriority = -1;
   Gateway gateway;
   InetSocketAddress frontend;
 
@@ -98,7 +99,7 @@
   void apply(long version, String... keys) {
     Map<String, KeyHolder> holders = new java.util.HashMap<>();
     for (String key : keys) {
-      holders.put(key, new KeyHolder("workspace-1", -1));
+      holders.put(key, new KeyHolder("workspace-1", keyPriority));
     }
     gateway.applyConfiguration(
         new ForwardingConfiguration(
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayPermissionsTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayPermissionsTest.java
@@ -34,9 +34,11 @@
 
   @Nested
   class QueuedRequests {
-    /** Guards against sending a request whose key was withdrawn while it was queued. */
-    @Test
-    void doesNotSendARequestWhoseKeyWasWithdrawn() throws Exception {
+    /** Requests that one instance may have at the narrow server, nine tenths of its connections. */
+    private static final int SERVER_SHARE = NARROW_CONNECTIONS - 1;
+
+    /** Occupies the only server, queues a request and changes the configuration meanwhile. */
+    private String callDuringAChange(Runnable change, int expectedSends) throws Exception {
       configure(1, "k1", "k2");
       CountDownLatch release = new CountDownLatch(1);
       ScriptedServer server =
@@ -46,22 +48,38 @@
                 release.await(5, TimeUnit.SECONDS);
                 ScriptedServer.sendResponse(out, request, 200, "ok");
               });
-      List<CompletableFuture<String>> running = new ArrayList<>();
-      int share = 2;
-      for (int i = 0; i < share; i++) {
-        running.add(callAsync("a" + i, "/narrow/x", "key: k1\r\n"));
+      for (int i = 0; i < SERVER_SHARE; i++) {
+        callAsync("a" + i, "/narrow/x", "key: k1\r\n");
       }
-      while (server.requests().size() < share) {
+      while (server.requests().size() < SERVER_SHARE) {
         Thread.sleep(1);
       }
       CompletableFuture<String> queued = callAsync("b", "/narrow/x", "key: k2\r\n");
       Thread.sleep(20);
-      configure(2, "k1");
+      change.run();
       Thread.sleep(20);
       release.countDown();
+      String response = queued.get(5, TimeUnit.SECONDS);
+      assertThat(server.requests()).hasSize(expectedSends);
+      return response;
+    }
 
-      assertThat(queued.get(5, TimeUnit.SECONDS)).startsWith("HTTP/1.1 401");
-      assertThat(server.requests()).hasSize(share);
+    /** Guards against sending a request whose key was withdrawn while it was queued. */
+    @Test
+    void doesNotSendARequestWhoseKeyWasWithdrawn() throws Exception {
+      assertThat(callDuringAChange(() -> configure(2, "k1"), SERVER_SHARE))
+          .startsWith("HTTP/1.1 401");
+    }
+
+    /** Guards against taking a workspace whose priority changes for one that lost its key. */
+    @Test
+    void sendsARequestWhoseWorkspaceChangedItsPriority() throws Exception {
+      Runnable change =
+          () -> {
+            keyPriority = 3;
+            configure(2, "k1", "k2");
+          };
+      assertThat(callDuringAChange(change, SERVER_SHARE + 1)).startsWith("HTTP/1.1 200");
     }
   }
 
