Take a connection for idle after a request that came in parts

Bytes of a body set the mark of a head in progress, which only a next head cleared; after a call whose body came in two reads, a planned stop waited for a request that never came, until its longest time. Change: the mark is cleared when a request is complete. GatewayPermissionsTest closesAnIdleConnectionWhoseLastRequestCameInParts failed first.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/frontend/CallerConnection.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/frontend/CallerConnection.java
@@ -138,7 +138,7 @@
     }
     head = request;
     headReceived = true;
-    heads.onHead();
+    heads.onDecoded();
     body.reset();
     startTimer(limits.idleTimeout().toNanos());
     if (HttpUtil.is100ContinueExpected(request)) {
@@ -171,6 +171,7 @@
     stopTimer();
     HttpRequest complete = head;
     head = null;
+    heads.onDecoded();
     responding = true;
     keepAlive = HttpUtil.isKeepAlive(complete);
     CallerConnectionListener requestListener =
@@ -286,7 +287,7 @@
 
   /** Whether a part of a request was received, but not yet all of it. */
   boolean receiving() {
-    return head != null || heads.headStarted();
+    return head != null || heads.hasUndecodedBytes();
   }
 
   /** Closes the connection if it carries no request. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/frontend/HeaderTimeoutHandler.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/frontend/HeaderTimeoutHandler.java
@@ -13,7 +13,7 @@
 final class HeaderTimeoutHandler extends ChannelInboundHandlerAdapter {
   private final Duration timeout;
   private ScheduledFuture<?> timer;
-  private boolean headStarted;
+  private boolean undecodedBytes;
 
   HeaderTimeoutHandler(Duration timeout) {
     this.timeout = timeout;
@@ -21,7 +21,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
-    headStarted = true;
+    undecodedBytes = true;
     if (timer == null) {
       timer =
           context
@@ -31,14 +31,14 @@
     context.fireChannelRead(message);
   }
 
-  /** Called when a head is complete. */
-  void onHead() {
-    headStarted = false;
+  /** Called when a head or a whole request was decoded from the bytes received so far. */
+  void onDecoded() {
+    undecodedBytes = false;
   }
 
-  /** Whether bytes of a request were received whose head is not complete. */
-  boolean headStarted() {
-    return headStarted;
+  /** Whether bytes were received since then; without a request in progress they begin a head. */
+  boolean hasUndecodedBytes() {
+    return undecodedBytes;
   }
 
   private void onTimer(ChannelHandlerContext context) {
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayPermissionsTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayPermissionsTest.java
@@ -129,6 +129,31 @@
       }
     }
 
+    /** Guards against awaiting a request on a connection whose last request came in parts. */
+    @Test
+    void closesAnIdleConnectionWhoseLastRequestCameInParts() throws Exception {
+      configure(1, "k1");
+      serve(
+          "plain", (request, out, socket) -> ScriptedServer.sendResponse(out, request, 200, "ok"));
+      try (Socket socket = new Socket(frontend.getAddress(), frontend.getPort())) {
+        socket.setSoTimeout(5_000);
+        for (String part :
+            List.of(
+                "POST /write/x HTTP/1.1\r\nhost: h\r\nid: r1\r\nkey: k1\r\n"
+                    + "Content-Length: 4\r\n\r\n",
+                "bo",
+                "dy")) {
+          socket.getOutputStream().write(part.getBytes(StandardCharsets.ISO_8859_1));
+          Thread.sleep(50);
+        }
+        assertThat(socket.getInputStream().read()).isEqualTo((int) 'H');
+        long start = System.nanoTime();
+        gateway.drain(MIN_DURATION, MAX_DURATION).get(5, TimeUnit.SECONDS);
+
+        assertThat(System.nanoTime() - start).isLessThan(2 * MIN_DURATION.toNanos());
+      }
+    }
+
     /** Guards against closing a connection on which a request has begun to arrive. */
     @Test
     void awaitsARequestThatIsArriving() throws Exception {
