Record lost runs with the parts of their prompts, and ended servers

The logs of the incident of crashing prompt parts could not tell which part the requests had in common, whether a request had begun its answer when its server ended, and by what an end was confirmed. Events 6013 and 6014 and the counters forward.lost_runs and forward.quarantined tell it. No decision is changed.

--- a/basilport-common/src/main/java/org/basilport/event/EventType.java
+++ b/basilport-common/src/main/java/org/basilport/event/EventType.java
@@ -75,6 +75,9 @@
   DUTY_ACQUIRED(6010, Level.INFO, "duty {} acquired by {} with fencing token {}"),
   DUTY_LOST(6011, Level.WARN, "duty {} lost by {}: {}"),
   FETCH_REFUSED(6012, Level.INFO, "fetch of {} for {} refused, retrying after {} ms"),
+  RUNNING_REQUEST_LOST(
+      6013, Level.INFO, "request={} server={} lost while running, answering={} events={} parts={}"),
+  BACKEND_ENDED(6014, Level.WARN, "backend server {} ended without notice, source: {}"),
   PLATFORM_UNAVAILABLE(7001, Level.WARN, "platform call {} failed: {}"),
   PLATFORM_AVAILABLE(7002, Level.INFO, "platform answers again after {} ms"),
   PLATFORM_BUDGET_SPENT(7003, Level.WARN, "platform call {} delayed, request budget exhausted"),
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -139,7 +139,7 @@
     if (!server.load().leaving()) {
       events.record(EventType.BACKEND_LEAVING, EventSubject.server(entry.id()), entry.id(), reason);
       server.markDead();
-      recordDeadServer(entry);
+      recordDeadServer(entry, reason);
     }
     startDeparture(server);
     server.connections().shutDown();
@@ -198,8 +198,13 @@
   /** Departure of one incarnation of a server. */
   private record Departure(long incarnation, long detectedNanos) {}
 
-  /** Records that a server terminated without having announced its departure. */
-  public void recordDeadServer(ServerEntry entry) {
+  /**
+   * Records that a server terminated without having announced its departure.
+   *
+   * @param source how it was detected, for events
+   */
+  public void recordDeadServer(ServerEntry entry, String source) {
+    events.record(EventType.BACKEND_ENDED, EventSubject.server(entry.id()), entry.id(), source);
     if (crashingRequestDetector.recordDeadServer(
         entry.id(), entry.incarnation(), System.nanoTime())) {
       departureListener.run();
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
@@ -73,6 +73,7 @@
 
   @Override
   public void onHead(ServerResponse serverResponse, HttpResponse httpResponse) {
+    answerStarted();
     response = serverResponse;
     headers = context.codec().responseHeaders(httpResponse);
     body.clear();
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -60,6 +60,7 @@
   private int refusedAttempts;
   private boolean callerDisconnected;
   private boolean finished;
+  private boolean answering;
   private Runnable endListener = () -> {};
   final ExchangeRecorder recorder;
   BackendServer server;
@@ -179,7 +180,7 @@
             reason -> {
               target.load().health().recordUnreachable(System.nanoTime());
               if (!target.load().leaving()) {
-                context.state().servers().recordDeadServer(target.entry());
+                context.state().servers().recordDeadServer(target.entry(), reason);
               }
               if (!finished && server == target) {
                 onNotExecuted(Step.CONNECT, reason);
@@ -196,6 +197,7 @@
     }
     connection = opened;
     sentAttempts++;
+    answering = false;
     recorder.sent(sentAttempts);
     beforeSend();
     FullHttpRequest message =
@@ -261,6 +263,11 @@
         resumePoint.kvCache());
   }
 
+  /** Records that the server has begun its response to this attempt. */
+  final void answerStarted() {
+    answering = true;
+  }
+
   /** Called immediately before the request is sent. */
   void beforeSend() {}
 
@@ -270,6 +277,7 @@
    */
   final void recordConnectionLoss() {
     if (server != null && !server.announcedDeparture()) {
+      recorder.connectionLost(answering);
       context
           .state()
           .servers()
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ExchangeRecorder.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ExchangeRecorder.java
@@ -22,8 +22,24 @@
         .withServer(exchange.serverId());
   }
 
-  /** Records that the request is quarantined. */
+  /** Counts and records that the connection was lost while the server processed the request. */
+  void connectionLost(boolean answering) {
+    context.metrics().counter("forward.lost_runs").inc();
+    context
+        .events()
+        .record(
+            EventType.RUNNING_REQUEST_LOST,
+            subject(),
+            exchange.request.id(),
+            exchange.serverId(),
+            answering,
+            exchange.eventCount(),
+            String.join(",", exchange.request.sharedPromptParts()));
+  }
+
+  /** Counts and records that the request is quarantined. */
   void quarantined() {
+    context.metrics().counter("forward.quarantined").inc();
     context
         .events()
         .record(
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -101,6 +101,7 @@
 
   @Override
   public void onHead(ServerResponse serverResponse, HttpResponse httpResponse) {
+    answerStarted();
     response = serverResponse;
     if (headers == null || !responseStarted) {
       headers = context.codec().responseHeaders(httpResponse);
--- a/basilport-gateway/src/main/java/org/basilport/gateway/message/CallerRequest.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/message/CallerRequest.java
@@ -3,6 +3,7 @@
 import com.google.common.hash.Hashing;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -18,6 +19,8 @@
  * @param callerTimeout remaining time for which the caller waits for the response
  * @param accessKey access key of a workspace
  * @param generationSize size of the generation; empty for a request to a service without engines
+ * @param sharedPromptParts ids of the parts of the prompt that other requests may share, in order;
+ *     without the last part, which belongs to this request or its session
  * @param lastEventId id of the last event that the caller received from an earlier stream
  */
 public record CallerRequest(
@@ -30,6 +33,7 @@
     Optional<Duration> callerTimeout,
     Optional<String> accessKey,
     Optional<GenerationSize> generationSize,
+    List<String> sharedPromptParts,
     Optional<String> lastEventId) {
 
   /** Hash of the content of the request, which is the same for all attempts of a caller. */
--- a/basilport-gateway/src/test/java/org/basilport/gateway/TestCodec.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/TestCodec.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.basilport.gateway.message.CallerRequest;
@@ -40,6 +41,7 @@
             .map(millis -> Duration.ofMillis(Long.parseLong(millis))),
         Optional.ofNullable(headers.get("key")),
         generationSize,
+        headers.contains("parts") ? List.of(headers.get("parts").split(",")) : List.of(),
         Optional.empty());
   }
 
