Attribute crashes of servers to the parts of prompts

Cause: crashes were counted for a fingerprint of the whole request. Requests that share one part that crashes engines are all different, so no count reached three. A count per part alone would blame sound parts first: all requests of a route share their first part, and each crash cuts off sound requests too.

Change: evidence holds the parts and whether the answer had begun; a part is blamed after three separate crashes under two requests unless a server has answered it; a crash is attributed once. Instances exchange which suspects are sound before they decide. A lost connection is probed after 50 ms, since the directory lists an ended engine for up to 3.6 s. Quarantines are checked at arrival, at each retry and immediately before each send, and end early when a server answers the content.

CrashingPromptPartTest plays 95 instances before 28 engines.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -123,6 +123,7 @@
     ready = configurationProven && !draining && state.configuration().isPresent();
     loadExchange.setReady(ready);
     readyAddresses = List.copyOf(loadExchange.readyAddresses());
+    state.servers().crashMonitor().evaluate();
     state.endEntryRetention();
     state.closeIdleConnections();
     state.placeAllQueued();
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/CrashMonitor.java
@@ -0,0 +1,140 @@
+package org.basilport.gateway.backend;
+
+import io.netty.channel.EventLoop;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.basilport.event.EventSink;
+import org.basilport.event.EventSubject;
+import org.basilport.event.EventType;
+import org.basilport.policy.dispatch.CrashEvidence;
+import org.basilport.policy.dispatch.CrashingRequestDetector;
+import org.basilport.policy.dispatch.Quarantine;
+import org.basilport.policy.dispatch.QuarantineChange;
+import org.basilport.policy.dispatch.RequestContent;
+
+/**
+ * Collects what this instance and others observe of crashes of backend servers, and determines
+ * which requests must not be sent because they would crash further ones. Confined to the event loop
+ * thread.
+ */
+public final class CrashMonitor {
+  /** Time after a lost connection at which a crashed server accepts no connections any more. */
+  private static final long PROBE_DELAY_MILLIS = 50;
+
+  private final EventLoop eventLoop;
+  private final EventSink events;
+  private final CrashingRequestDetector detector = new CrashingRequestDetector();
+  private final Set<BackendServer> probedServers = new HashSet<>();
+  private Runnable evidenceListener = () -> {};
+  private Runnable quarantineListener = () -> {};
+
+  CrashMonitor(EventLoop eventLoop, EventSink events) {
+    this.eventLoop = eventLoop;
+    this.events = events;
+  }
+
+  /** Sets the listener that is called when this instance observed a request in a crash. */
+  public void onEvidence(Runnable listener) {
+    evidenceListener = listener;
+  }
+
+  /** Sets the listener that is called when a quarantine began here or was lifted. */
+  public void onQuarantineChange(Runnable listener) {
+    quarantineListener = listener;
+  }
+
+  /** Evidence and quarantines, which are exchanged with the other instances. */
+  public CrashingRequestDetector detector() {
+    return detector;
+  }
+
+  /**
+   * Records that the connection of a running request was lost, and tests whether its server has
+   * crashed: the directory lists a crashed server for some seconds.
+   *
+   * @param answering whether the server had begun its response
+   */
+  public void recordLostRun(RequestContent content, boolean answering, BackendServer server) {
+    ServerEntry entry = server.entry();
+    boolean dead =
+        detector.recordLostConnection(
+            content, answering, entry.id(), entry.incarnation(), System.nanoTime());
+    if (dead) {
+      evidenceListener.run();
+    } else if (probedServers.add(server)) {
+      eventLoop.schedule(() -> probe(server), PROBE_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void probe(BackendServer server) {
+    server
+        .connections()
+        .probe(
+            reachable -> {
+              probedServers.remove(server);
+              if (!reachable) {
+                server.load().health().recordUnreachable(System.nanoTime());
+                recordDeadServer(server.entry(), "no connection after a lost one");
+              }
+            });
+  }
+
+  /**
+   * Records that a server terminated without having announced its departure.
+   *
+   * @param source how it was detected, for events
+   */
+  public void recordDeadServer(ServerEntry entry, String source) {
+    events.record(EventType.BACKEND_ENDED, EventSubject.server(entry.id()), entry.id(), source);
+    if (detector.recordDeadServer(entry.id(), entry.incarnation(), System.nanoTime())) {
+      evidenceListener.run();
+    }
+  }
+
+  /**
+   * Records a request in a crash that another instance observed.
+   *
+   * @param lostAtNanos monotonic time at which that instance lost the connection
+   * @return whether it is new
+   */
+  public boolean recordReportedCrash(CrashEvidence evidence, long lostAtNanos) {
+    long now = System.nanoTime();
+    boolean ownLosses = detector.recordDeadServer(evidence.serverId(), evidence.incarnation(), now);
+    boolean added = detector.addCrash(evidence, lostAtNanos, now);
+    if (added) {
+      events.record(
+          EventType.REQUEST_SUSPECTED,
+          EventSubject.server(evidence.serverId()),
+          Long.toHexString(evidence.content().fingerprint()),
+          1);
+    }
+    if (ownLosses) {
+      evidenceListener.run();
+    }
+    return added;
+  }
+
+  /** Returns the quarantine of a request; empty if it may be sent. */
+  public Optional<Quarantine> quarantine(RequestContent content) {
+    return detector.quarantine(content, System.nanoTime());
+  }
+
+  /** Evaluates the evidence and records the quarantines that began or were lifted. */
+  public void evaluate() {
+    boolean changed = false;
+    for (QuarantineChange change : detector.pollChanges(System.nanoTime())) {
+      String content = Long.toHexString(change.quarantine().content());
+      if (change.begun()) {
+        events.record(EventType.CONTENT_QUARANTINED, EventSubject.NONE, content, change.crashes());
+      } else {
+        events.record(EventType.CONTENT_CLEARED, EventSubject.NONE, content);
+      }
+      changed = true;
+    }
+    if (changed) {
+      quarantineListener.run();
+    }
+  }
+}
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -16,7 +16,6 @@
 import org.basilport.gateway.config.ForwardingConfiguration;
 import org.basilport.gateway.config.ForwardingService;
 import org.basilport.gateway.message.MessageCodec;
-import org.basilport.policy.dispatch.CrashingRequestDetector;
 import org.basilport.policy.dispatch.OutstandingWork;
 import org.basilport.policy.dispatch.PeerWorkTable;
 import org.basilport.policy.dispatch.ServerLoad;
@@ -38,7 +37,7 @@
   private final EventLoop eventLoop;
   private final MessageCodec codec;
   private final EventSink events;
-  private final CrashingRequestDetector crashingRequestDetector = new CrashingRequestDetector();
+  private final CrashMonitor crashMonitor;
   private Runnable departureListener = () -> {};
   private Consumer<BackendServer> engineWorkListener = server -> {};
   private final PeerWorkTable peerWork;
@@ -47,7 +46,7 @@
   private final Map<String, List<BackendServer>> byService = new HashMap<>();
   private long revision;
 
-  /** Sets the listener that is called when a departure or a crash of a server was recorded. */
+  /** Sets the listener that is called when a departure of a server was recorded. */
   public void onDeparture(Runnable listener) {
     departureListener = listener;
   }
@@ -63,6 +62,7 @@
     this.eventLoop = eventLoop;
     this.codec = codec;
     this.events = events;
+    this.crashMonitor = new CrashMonitor(eventLoop, events);
   }
 
   /**
@@ -139,7 +139,7 @@
     if (!server.load().leaving()) {
       events.record(EventType.BACKEND_LEAVING, EventSubject.server(entry.id()), entry.id(), reason);
       server.markDead();
-      recordDeadServer(entry, reason);
+      crashMonitor.recordDeadServer(entry, reason);
     }
     startDeparture(server);
     server.connections().shutDown();
@@ -198,22 +198,9 @@
   /** Departure of one incarnation of a server. */
   private record Departure(long incarnation, long detectedNanos) {}
 
-  /**
-   * Records that a server terminated without having announced its departure.
-   *
-   * @param source how it was detected, for events
-   */
-  public void recordDeadServer(ServerEntry entry, String source) {
-    events.record(EventType.BACKEND_ENDED, EventSubject.server(entry.id()), entry.id(), source);
-    if (crashingRequestDetector.recordDeadServer(
-        entry.id(), entry.incarnation(), System.nanoTime())) {
-      departureListener.run();
-    }
-  }
-
-  /** Detector of requests that crash servers. */
-  public CrashingRequestDetector crashingRequestDetector() {
-    return crashingRequestDetector;
+  /** Monitor of requests that crash servers. */
+  public CrashMonitor crashMonitor() {
+    return crashMonitor;
   }
 
   /** All servers of a service, including those that are leaving. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
@@ -73,7 +73,7 @@
 
   @Override
   public void onHead(ServerResponse serverResponse, HttpResponse httpResponse) {
-    answerStarted();
+    crashGuard.onAnswerStarted();
     response = serverResponse;
     headers = context.codec().responseHeaders(httpResponse);
     body.clear();
@@ -113,6 +113,7 @@
   }
 
   private void deliver() {
+    crashGuard.onAnswered();
     context
         .metrics()
         .histogram("forward.latency_ms." + route.repeatability().name().toLowerCase())
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -19,10 +19,10 @@
 import org.basilport.gateway.frontend.CallerConnectionListener;
 import org.basilport.gateway.message.CallerRequest;
 import org.basilport.gateway.message.ForwardingDetails;
-import org.basilport.gateway.message.KvCacheReference;
 import org.basilport.policy.dispatch.Deadline;
 import org.basilport.policy.dispatch.OutstandingWork;
 import org.basilport.policy.dispatch.PendingRequestQueue;
+import org.basilport.policy.dispatch.Quarantine;
 import org.basilport.policy.dispatch.RequestDemand;
 import org.basilport.policy.dispatch.SendCheck;
 
@@ -60,9 +60,9 @@
   private int refusedAttempts;
   private boolean callerDisconnected;
   private boolean finished;
-  private boolean answering;
   private Runnable endListener = () -> {};
   final ExchangeRecorder recorder;
+  final CrashGuard crashGuard;
   BackendServer server;
   BackendConnection connection;
 
@@ -77,6 +77,7 @@
     this.route = route;
     this.holder = holder;
     this.caller = caller;
+    this.crashGuard = new CrashGuard(context.state().servers().crashMonitor(), request.content());
     this.recorder = new ExchangeRecorder(context, this);
     this.dispatcher = context.state().dispatcher(route.serviceFor(request.id()));
     Duration timeout = route.timeLimit(request.callerTimeout());
@@ -90,13 +91,7 @@
     if (finished) {
       return;
     }
-    if (context
-        .state()
-        .servers()
-        .crashingRequestDetector()
-        .quarantined(request.fingerprint(), arrivalNanos)) {
-      recorder.quarantined();
-      reject(Step.ADMIT, "the request crashed several backend servers");
+    if (rejectIfQuarantined()) {
       return;
     }
     dispatcher.retryBudget().recordRequest(arrivalNanos);
@@ -106,7 +101,24 @@
     placeOrQueue();
   }
 
+  /** Rejects the request at once if it would crash the server that runs it. */
+  private boolean rejectIfQuarantined() {
+    Optional<Quarantine> quarantine = crashGuard.quarantine();
+    quarantine.ifPresent(
+        known -> {
+          recorder.quarantined(known);
+          reject(
+              Step.ADMIT,
+              "content " + Long.toHexString(known.content()) + " crashed several backend servers",
+              (known.untilNanos() - System.nanoTime()) / (double) TimeUnit.SECONDS.toNanos(1));
+        });
+    return quarantine.isPresent();
+  }
+
   private void placeOrQueue() {
+    if (rejectIfQuarantined()) {
+      return;
+    }
     if (!dispatcher.hasServers()) {
       reject(Step.LOCATE, "no backend server");
       return;
@@ -180,7 +192,7 @@
             reason -> {
               target.load().health().recordUnreachable(System.nanoTime());
               if (!target.load().leaving()) {
-                context.state().servers().recordDeadServer(target.entry(), reason);
+                crashGuard.onUnreachable(target, reason);
               }
               if (!finished && server == target) {
                 onNotExecuted(Step.CONNECT, reason);
@@ -197,7 +209,7 @@
     }
     connection = opened;
     sentAttempts++;
-    answering = false;
+    crashGuard.onSent();
     recorder.sent(sentAttempts);
     beforeSend();
     FullHttpRequest message =
@@ -219,6 +231,7 @@
             workspace.equals(holder.map(KeyHolder::workspace)),
             context.state().proofAgeMillis(),
             context.limits().maxProofAge().toMillis(),
+            crashGuard.quarantine().isPresent(),
             server.load().leaving() && resumePoint.kvCache().isEmpty()));
   }
 
@@ -235,6 +248,9 @@
         connection = null;
         onDeadline();
         break;
+      case QUARANTINED:
+        rejectIfQuarantined();
+        break;
       case SERVER_LEAVING:
         onNotExecuted(Step.SEND, "backend server is leaving");
         break;
@@ -263,11 +279,6 @@
         resumePoint.kvCache());
   }
 
-  /** Records that the server has begun its response to this attempt. */
-  final void answerStarted() {
-    answering = true;
-  }
-
   /** Called immediately before the request is sent. */
   void beforeSend() {}
 
@@ -277,16 +288,8 @@
    */
   final void recordConnectionLoss() {
     if (server != null && !server.announcedDeparture()) {
-      recorder.connectionLost(answering);
-      context
-          .state()
-          .servers()
-          .crashingRequestDetector()
-          .recordLostConnection(
-              request.fingerprint(),
-              server.entry().id(),
-              server.entry().incarnation(),
-              System.nanoTime());
+      recorder.connectionLost();
+      crashGuard.onConnectionLost(server);
     }
   }
 
@@ -346,6 +349,7 @@
     return !callerDisconnected
         && route.repeatability().repeatable()
         && sentAttempts < route.maxAttempts() + refusedAttempts
+        && crashGuard.quarantine().isEmpty()
         && dispatcher.hasServerFor(this)
         && dispatcher
             .retryBudget()
@@ -411,6 +415,10 @@
    * have executed, since a rejection states that none has.
    */
   final void reject(Step step, String reason) {
+    reject(step, reason, retryAfterSeconds());
+  }
+
+  private void reject(Step step, String reason, double retryAfterSeconds) {
     if (finished) {
       return;
     }
@@ -419,7 +427,7 @@
       return;
     }
     HttpHeaders headers = new DefaultHttpHeaders();
-    context.codec().addRetryAfter(headers, retryAfterSeconds());
+    context.codec().addRetryAfter(headers, retryAfterSeconds);
     sendLocalReply(503, headers, step, reason);
   }
 
@@ -485,15 +493,4 @@
   final long elapsedMillis() {
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - arrivalNanos);
   }
-
-  /**
-   * Point at which a server starts or resumes a request.
-   *
-   * @param lastEventId id of the event after which the stream is resumed
-   * @param kvCache KV cache from which the engine resumes the generation
-   */
-  record ResumePoint(Optional<String> lastEventId, Optional<KvCacheReference> kvCache) {
-    /** The beginning of the request. */
-    static final ResumePoint BEGINNING = new ResumePoint(Optional.empty(), Optional.empty());
-  }
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ExchangeRecorder.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ExchangeRecorder.java
@@ -5,6 +5,7 @@
 import org.basilport.event.EventType;
 import org.basilport.gateway.config.KeyHolder;
 import org.basilport.policy.dispatch.OutstandingWork;
+import org.basilport.policy.dispatch.Quarantine;
 
 /** Records the events and counters of one exchange. */
 final class ExchangeRecorder {
@@ -23,7 +24,7 @@
   }
 
   /** Counts and records that the connection was lost while the server processed the request. */
-  void connectionLost(boolean answering) {
+  void connectionLost() {
     context.metrics().counter("forward.lost_runs").inc();
     context
         .events()
@@ -32,20 +33,20 @@
             subject(),
             exchange.request.id(),
             exchange.serverId(),
-            answering,
+            exchange.crashGuard.answering(),
             exchange.eventCount(),
             String.join(",", exchange.request.sharedPromptParts()));
   }
 
   /** Counts and records that the request is quarantined. */
-  void quarantined() {
+  void quarantined(Quarantine quarantine) {
     context.metrics().counter("forward.quarantined").inc();
     context
         .events()
         .record(
             EventType.REQUEST_QUARANTINED,
             subject(),
-            Long.toHexString(exchange.request.fingerprint()),
+            Long.toHexString(quarantine.content()),
             "several");
   }
 
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ResumePoint.java
@@ -0,0 +1,15 @@
+package org.basilport.gateway.forward;
+
+import java.util.Optional;
+import org.basilport.gateway.message.KvCacheReference;
+
+/**
+ * Point at which a server starts or resumes a request.
+ *
+ * @param lastEventId id of the event after which the stream is resumed
+ * @param kvCache KV cache from which the engine resumes the generation
+ */
+record ResumePoint(Optional<String> lastEventId, Optional<KvCacheReference> kvCache) {
+  /** The beginning of the request. */
+  static final ResumePoint BEGINNING = new ResumePoint(Optional.empty(), Optional.empty());
+}
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -101,7 +101,7 @@
 
   @Override
   public void onHead(ServerResponse serverResponse, HttpResponse httpResponse) {
-    answerStarted();
+    crashGuard.onAnswerStarted();
     response = serverResponse;
     if (headers == null || !responseStarted) {
       headers = context.codec().responseHeaders(httpResponse);
@@ -132,6 +132,7 @@
 
   private void onProgress() {
     lastEventNanos = System.nanoTime();
+    crashGuard.onAnswerContinued();
     if (!firstEventReceived) {
       onFirstEvent();
     }
@@ -208,6 +209,7 @@
   }
 
   private void finishStream() {
+    crashGuard.onAnswered();
     server.load().health().recordSuccess();
     recorder.finished(response.status(), firstEventMillis);
     startResponse();
--- a/basilport-gateway/src/main/java/org/basilport/gateway/message/CallerRequest.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/message/CallerRequest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.basilport.policy.dispatch.RequestContent;
 
 /**
  * Complete request of a caller.
@@ -36,8 +37,18 @@
     List<String> sharedPromptParts,
     Optional<String> lastEventId) {
 
+  /** Content by which crashes of servers are attributed to requests and prompt parts. */
+  public RequestContent content() {
+    List<Long> partHashes = sharedPromptParts.stream().map(CallerRequest::hash).toList();
+    return new RequestContent(fingerprint(), partHashes);
+  }
+
+  private static long hash(String promptPart) {
+    return Hashing.murmur3_128().hashUnencodedChars(promptPart).asLong();
+  }
+
   /** Hash of the content of the request, which is the same for all attempts of a caller. */
-  public long fingerprint() {
+  private long fingerprint() {
     return Hashing.murmur3_128()
         .newHasher()
         .putUnencodedChars(method)
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/FleetMembers.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/FleetMembers.java
@@ -76,6 +76,11 @@
     return others.stream().filter(entry -> cells.cellOf(entry.id()) == own).toList();
   }
 
+  /** Addresses of all other instances. */
+  List<InetSocketAddress> allAddresses() {
+    return others.stream().map(InstanceEntry::peerAddress).toList();
+  }
+
   /** Addresses of the other instances of some cells. */
   List<InetSocketAddress> addresses(Set<Integer> ofCells) {
     List<InetSocketAddress> addresses = new ArrayList<>();
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -18,14 +18,12 @@
 import org.basilport.gateway.forward.ForwardingState;
 import org.basilport.misc.Service;
 import org.basilport.policy.dispatch.CellPartition;
-import org.basilport.policy.dispatch.CrashingRequestDetector;
 import org.basilport.policy.dispatch.FreedCapacityDelay;
 import org.basilport.policy.dispatch.OutstandingWork;
 import org.basilport.policy.dispatch.PeerLiveness;
 import org.basilport.policy.dispatch.WatcherSelector;
 import org.basilport.protocol.LoadReport;
 import org.basilport.protocol.PeerDatagram;
-import org.basilport.protocol.ServerDeath;
 import org.basilport.protocol.ServerDeparture;
 import org.basilport.protocol.ServerWork;
 
@@ -81,6 +79,9 @@
       new FreedCapacityDelay(new SplittableRandom());
   private boolean placementScheduled;
   private boolean flushScheduled;
+  private final CrashReports crashReports;
+  private boolean broadcastDue;
+  private boolean neighboursDue;
   private ConfigurationSubscription configurationSubscription;
   private long sequence;
   private long heartbeatCount;
@@ -104,7 +105,10 @@
     this.channel = new PeerChannel(address, eventLoop, this::receive);
     this.freshness = new FreshnessExchange(instanceId, channel, state);
     state.servers().onEngineWorkChange(this::onEngineWorkChange);
+    this.crashReports = new CrashReports(state.servers().crashMonitor());
     state.servers().onDeparture(this::scheduleFlush);
+    state.servers().crashMonitor().onEvidence(this::scheduleBroadcast);
+    state.servers().crashMonitor().onQuarantineChange(this::scheduleFlushToNeighbours);
     state.onSharedCapacity(this::schedulePlacement);
   }
 
@@ -216,13 +220,35 @@
     }
   }
 
+  /** Schedules a report to all instances. */
+  private void scheduleBroadcast() {
+    broadcastDue = true;
+    scheduleFlush();
+  }
+
+  private void scheduleFlushToNeighbours() {
+    neighboursDue = true;
+    scheduleFlush();
+  }
+
   private void flush() {
     flushScheduled = false;
+    if (broadcastDue) {
+      broadcastDue = false;
+      neighboursDue = false;
+      changedEngines.clear();
+      send(members.allAddresses());
+      return;
+    }
     Set<Integer> affectedCells = new HashSet<>();
     if (!members.cells().singleCell()) {
       changedEngines.forEach(id -> affectedCells.addAll(members.cells().cellsOfEngine(id)));
     }
     affectedCells.add(members.ownCell());
+    if (neighboursDue) {
+      neighboursDue = false;
+      affectedCells.addAll(members.cells().neighbours(members.ownCell()));
+    }
     changedEngines.clear();
     send(members.addresses(affectedCells));
   }
@@ -314,14 +340,7 @@
             (id, start) ->
                 report.addDepartures(
                     ServerDeparture.newBuilder().setServerId(id).setIncarnation(start)));
-    for (CrashingRequestDetector.Crash crash :
-        state.servers().crashingRequestDetector().crashes()) {
-      report.addDeaths(
-          ServerDeath.newBuilder()
-              .setFingerprint(crash.fingerprint())
-              .setServerId(crash.serverId())
-              .setIncarnation(crash.incarnation()));
-    }
+    crashReports.write(report);
     for (BackendServer server : state.servers().serversWithOwnWork()) {
       OutstandingWork own = server.load().ownWork();
       report.addWork(
@@ -370,7 +389,9 @@
                         departure.getServerId(),
                         departure.getIncarnation(),
                         report.getInstanceId()));
-    recordReportedCrashes(report);
+    if (crashReports.read(report)) {
+      scheduleFlush();
+    }
     boolean silentBefore = silentPeers.remove(report.getInstanceId());
     if (isInOwnCell(report) && (known == null || silentBefore || restarted(known.report, report))) {
       events.record(
@@ -409,21 +430,6 @@
     return known.getIncarnation() != report.getIncarnation();
   }
 
-  private void recordReportedCrashes(LoadReport report) {
-    for (ServerDeath crash : report.getDeathsList()) {
-      CrashingRequestDetector.Crash reported =
-          new CrashingRequestDetector.Crash(
-              crash.getFingerprint(), crash.getServerId(), crash.getIncarnation());
-      if (state.servers().crashingRequestDetector().addCrash(reported, System.nanoTime())) {
-        events.record(
-            EventType.REQUEST_SUSPECTED,
-            EventSubject.server(crash.getServerId()),
-            Long.toHexString(crash.getFingerprint()),
-            1);
-      }
-    }
-  }
-
   private void judgePeers(long now) {
     for (Map.Entry<String, ReceivedReport> peer : List.copyOf(peers.entrySet())) {
       String id = peer.getKey();
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayCrashingPartsTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayCrashingPartsTest.java
@@ -63,6 +63,7 @@
       callWithPart("sound-" + i, "other");
     }
     TimeUnit.MILLISECONDS.sleep(CONTACT_MILLIS);
+    gateway.recordFreshnessProof(System.nanoTime(), System.currentTimeMillis());
     int crashesBefore = crashes.get();
     for (int i = 0; i < LATE_REQUESTS; i++) {
       callWithPart("crash-late-" + i, "crashing");
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/CrashingRequestDetector.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/CrashingRequestDetector.java
@@ -5,21 +5,21 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
- * Detects requests that crash the backend servers that run them.
+ * Detects requests, and parts of prompts, that crash the backend servers that run them.
  *
- * <p>Without it, a request that is retried after each crash takes down one server after another. A
- * lost connection counts as a crash only when the server is found dead shortly before or after and
- * had not announced that it is leaving. Requests are identified by a fingerprint of their content.
- * Confined to one thread.
+ * <p>Without it, a request that is retried after each crash, or a prompt part that many requests
+ * contain, takes down one server after another. A lost connection counts as a crash only when the
+ * server is found dead shortly before or after and had not announced that it is leaving. Crashes,
+ * quarantines and contents that are known to be sound are exchanged between the instances, all of
+ * which decide alike. Confined to one thread.
  */
 public final class CrashingRequestDetector {
-  /** Crashes after which a request is quarantined; two may be coincidence. */
-  private static final int CRASHES_TO_QUARANTINE = 3;
-
   /**
    * Maximum time between a lost connection and the report that the server is dead: three heartbeats
    * and a margin.
@@ -29,23 +29,48 @@
   /** Time for which crashes are kept; a crashing request is usually retried within seconds. */
   private static final long RETENTION_NANOS = TimeUnit.MINUTES.toNanos(5);
 
-  /** Maximum number of crashes that are kept; the oldest are dropped first. */
-  private static final int MAX_CRASHES = 256;
+  /** Duration of a quarantine after the last crash. */
+  private static final long QUARANTINE_NANOS = TimeUnit.MINUTES.toNanos(5);
+
+  /** Maximum number of requests in crashes that are kept; the oldest are dropped first. */
+  private static final int MAX_OBSERVATIONS = 256;
+
+  /**
+   * Time for which crashes are reported to other instances; one that was cut off for longer learns
+   * of the quarantine that followed.
+   */
+  private static final long REPORT_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+  /** Maximum number of requests in crashes in a report, so that it fits into a datagram. */
+  private static final int MAX_REPORTED_OBSERVATIONS = 32;
 
   private final List<LostConnection> lostConnections = new ArrayList<>();
   private final Map<ServerIncarnation, Long> deadServers = new HashMap<>();
-  private final Map<Crash, Long> crashes = new HashMap<>();
+  private final Map<CrashEvidence, CrashAttribution.Observation> observations = new HashMap<>();
+  private final SoundContents soundContents = new SoundContents();
+  private final QuarantineTable quarantines = new QuarantineTable();
+  private final List<QuarantineChange> changes = new ArrayList<>();
+  private final Map<Long, Long> refutedAtNanos = new HashMap<>();
+  private boolean evaluationDue;
+  private Optional<Long> nextEvaluationNanos = Optional.empty();
 
-  /** Records that the connection of a running request to its server was lost. */
-  public void recordLostConnection(
-      long fingerprint, String serverId, long incarnation, long nowNanos) {
+  /**
+   * Records that the connection of a running request to its server was lost.
+   *
+   * @param answering whether the server had begun its response
+   * @return whether the server is known to be dead
+   */
+  public boolean recordLostConnection(
+      RequestContent content, boolean answering, String serverId, long incarnation, long nowNanos) {
     lostConnections.removeIf(lost -> nowNanos - lost.lostAtNanos > CONFIRMATION_NANOS);
-    Crash crash = new Crash(fingerprint, serverId, incarnation);
-    lostConnections.add(new LostConnection(crash, nowNanos));
+    CrashEvidence evidence = new CrashEvidence(content, answering, serverId, incarnation);
+    lostConnections.add(new LostConnection(evidence, nowNanos));
     Long since = deadServers.get(new ServerIncarnation(serverId, incarnation));
-    if (since != null && nowNanos - since <= CONFIRMATION_NANOS) {
-      addCrash(crash, nowNanos);
+    if (since == null || nowNanos - since > CONFIRMATION_NANOS) {
+      return false;
     }
+    addCrash(evidence, nowNanos, nowNanos);
+    return true;
   }
 
   /**
@@ -58,53 +83,171 @@
     deadServers.put(new ServerIncarnation(serverId, incarnation), nowNanos);
     boolean newCrash = false;
     for (LostConnection lost : lostConnections) {
-      if (lost.crash.serverId.equals(serverId)
-          && lost.crash.incarnation == incarnation
+      if (lost.evidence.serverId().equals(serverId)
+          && lost.evidence.incarnation() == incarnation
           && nowNanos - lost.lostAtNanos <= CONFIRMATION_NANOS) {
-        newCrash |= addCrash(lost.crash, nowNanos);
+        newCrash |= addCrash(lost.evidence, lost.lostAtNanos, nowNanos);
       }
     }
     return newCrash;
   }
 
-  /** Adds a crash that another instance observed; returns false when it is already known. */
-  public boolean addCrash(Crash crash, long nowNanos) {
-    crashes.values().removeIf(since -> nowNanos - since > RETENTION_NANOS);
-    if (crashes.size() >= MAX_CRASHES) {
-      crashes.entrySet().stream()
-          .min(Map.Entry.comparingByValue())
-          .ifPresent(oldest -> crashes.remove(oldest.getKey()));
+  /**
+   * Adds a request in a crash, which this or another instance observed.
+   *
+   * @param lostAtNanos time at which the connection of the request was lost
+   * @return whether it is new
+   */
+  public boolean addCrash(CrashEvidence evidence, long lostAtNanos, long nowNanos) {
+    observations.values().removeIf(known -> nowNanos - known.lostAtNanos() > RETENTION_NANOS);
+    if (observations.containsKey(evidence) || nowNanos - lostAtNanos > RETENTION_NANOS) {
+      return false;
+    }
+    if (observations.size() >= MAX_OBSERVATIONS) {
+      observations.values().stream()
+          .min((a, b) -> Long.signum(a.lostAtNanos() - b.lostAtNanos()))
+          .ifPresent(oldest -> observations.remove(oldest.evidence()));
+    }
+    observations.put(evidence, new CrashAttribution.Observation(evidence, lostAtNanos, nowNanos));
+    evaluationDue = true;
+    return true;
+  }
+
+  /** Records that a server answered a request, or a part of it, without crashing. */
+  public void recordSound(RequestContent content, long nowNanos) {
+    content.promptParts().forEach(part -> addSound(part, nowNanos));
+    if (!observations.isEmpty()) {
+      addSound(content.fingerprint(), nowNanos);
     }
-    return crashes.putIfAbsent(crash, nowNanos) == null;
   }
 
-  /** Whether a request is quarantined because of the servers that it has crashed. */
-  public boolean quarantined(long fingerprint, long nowNanos) {
-    long count =
-        crashes.entrySet().stream()
-            .filter(entry -> entry.getKey().fingerprint == fingerprint)
-            .filter(entry -> nowNanos - entry.getValue() <= RETENTION_NANOS)
-            .count();
-    return count >= CRASHES_TO_QUARANTINE;
+  /** Records that this or another instance observed a content to be sound. */
+  public void addSound(long content, long soundAtNanos) {
+    if (!soundContents.record(content, soundAtNanos)) {
+      return;
+    }
+    evaluationDue |= !observations.isEmpty();
+    boolean refuted =
+        quarantines
+            .known(content)
+            .filter(quarantine -> soundAtNanos - quarantine.lastCrashNanos() > 0)
+            .isPresent();
+    if (refuted) {
+      refutedAtNanos.put(content, soundAtNanos);
+      quarantines
+          .remove(content)
+          .ifPresent(quarantine -> changes.add(new QuarantineChange(quarantine, false, 0)));
+    }
   }
 
-  /** The known crashes, to be sent to other instances. */
-  public Set<Crash> crashes() {
-    return new HashSet<>(crashes.keySet());
+  /** Adds a quarantine that another instance decided; returns whether it is new. */
+  public boolean addQuarantine(Quarantine quarantine, long nowNanos) {
+    if (soundContents.soundAfter(quarantine.content(), quarantine.lastCrashNanos())) {
+      refutedAtNanos.put(quarantine.content(), nowNanos);
+      return false;
+    }
+    if (!quarantines.add(quarantine)) {
+      return false;
+    }
+    evaluationDue |= !observations.isEmpty();
+    return true;
+  }
+
+  /** Returns the quarantine of a request or of a part of its prompt; empty if it may be sent. */
+  public Optional<Quarantine> quarantine(RequestContent content, long nowNanos) {
+    evaluate(nowNanos);
+    for (long part : content.promptParts()) {
+      Optional<Quarantine> quarantine = quarantines.inForce(part, nowNanos);
+      if (quarantine.isPresent()) {
+        return quarantine;
+      }
+    }
+    return quarantines.inForce(content.fingerprint(), nowNanos);
+  }
+
+  /** Returns the quarantines that began or were lifted here since the last call. */
+  public List<QuarantineChange> pollChanges(long nowNanos) {
+    evaluate(nowNanos);
+    List<QuarantineChange> polled = List.copyOf(changes);
+    changes.clear();
+    return polled;
+  }
+
+  private void evaluate(long nowNanos) {
+    boolean settled = nextEvaluationNanos.filter(at -> at - nowNanos <= 0).isPresent();
+    if (!evaluationDue && !settled) {
+      return;
+    }
+    evaluationDue = false;
+    CrashAttribution attribution =
+        new CrashAttribution(observations.values(), soundContents, quarantines::known, nowNanos);
+    nextEvaluationNanos = attribution.nextDecisionNanos();
+    attribution
+        .culprits()
+        .forEach(
+            (content, crashes) -> {
+              long lastCrash = lastCrashNanos(content);
+              Quarantine quarantine =
+                  new Quarantine(content, lastCrash, lastCrash + QUARANTINE_NANOS);
+              boolean inForce = quarantines.inForce(content, nowNanos).isPresent();
+              if (quarantines.add(quarantine) && !inForce) {
+                changes.add(new QuarantineChange(quarantine, true, crashes));
+              }
+            });
+  }
+
+  private long lastCrashNanos(long content) {
+    return observations.values().stream()
+        .filter(
+            observation ->
+                observation.evidence().content().fingerprint() == content
+                    || observation.evidence().content().promptParts().contains(content))
+        .map(CrashAttribution.Observation::lostAtNanos)
+        .max((a, b) -> Long.signum(a - b))
+        .orElseThrow();
+  }
+
+  /** The latest crashes, to be sent to other instances, with the times of the lost connections. */
+  public Map<CrashEvidence, Long> recentCrashes(long nowNanos) {
+    Map<CrashEvidence, Long> recent = new HashMap<>();
+    observations.values().stream()
+        .filter(observation -> nowNanos - observation.lostAtNanos() <= REPORT_NANOS)
+        .sorted((a, b) -> Long.signum(b.lostAtNanos() - a.lostAtNanos()))
+        .limit(MAX_REPORTED_OBSERVATIONS)
+        .forEach(observation -> recent.put(observation.evidence(), observation.lostAtNanos()));
+    return recent;
   }
 
   /**
-   * Crash of a server while it ran a request.
-   *
-   * @param fingerprint hash of the request's content
-   * @param serverId id of the server
-   * @param incarnation incarnation of the server
+   * The contents of recent crashes, and of present and lifted quarantines, that were observed to be
+   * sound, to be sent to other instances, with the times of the observations.
    */
-  public record Crash(long fingerprint, String serverId, long incarnation) {}
+  public Map<Long, Long> soundSuspects(long nowNanos) {
+    Set<Long> suspects = new HashSet<>();
+    for (CrashEvidence evidence : recentCrashes(nowNanos).keySet()) {
+      suspects.addAll(evidence.content().promptParts());
+      suspects.add(evidence.content().fingerprint());
+    }
+    quarantines.inForce(nowNanos).forEach(quarantine -> suspects.add(quarantine.content()));
+    refutedAtNanos.values().removeIf(at -> nowNanos - at > REPORT_NANOS);
+    suspects.addAll(refutedAtNanos.keySet());
+    Map<Long, Long> sound = new HashMap<>();
+    for (long content : suspects) {
+      OptionalLong lastSound = soundContents.lastSound(content);
+      lastSound.ifPresent(at -> sound.put(content, at));
+    }
+    return sound;
+  }
+
+  /** The quarantines in force, to be sent to other instances. */
+  public List<Quarantine> quarantines(long nowNanos) {
+    evaluate(nowNanos);
+    return quarantines.inForce(nowNanos);
+  }
 
   /** One incarnation of a server. */
   private record ServerIncarnation(String serverId, long incarnation) {}
 
   /** A lost connection to a server that may have crashed. */
-  private record LostConnection(Crash crash, long lostAtNanos) {}
+  private record LostConnection(CrashEvidence evidence, long lostAtNanos) {}
 }
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/SendCheck.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/SendCheck.java
@@ -24,6 +24,8 @@
     KEY_WITHDRAWN,
     /** The applied configuration is not proven to be recent enough to accept access keys. */
     KEY_NOT_PROVEN,
+    /** The request, or a part of its prompt, crashes servers. */
+    QUARANTINED,
     /** The chosen server is leaving. */
     SERVER_LEAVING
   }
@@ -38,6 +40,7 @@
    * @param keyKnown whether the applied configuration contains the key
    * @param proofAgeMillis age of the proof that the applied configuration is the latest
    * @param maxProofAgeMillis age above which a proof is not sufficient
+   * @param quarantined whether the request or a part of its prompt is quarantined
    * @param serverLeaving whether the server is leaving and does not hold a copy of the generation
    */
   public record Conditions(
@@ -47,6 +50,7 @@
       boolean keyKnown,
       long proofAgeMillis,
       long maxProofAgeMillis,
+      boolean quarantined,
       boolean serverLeaving) {}
 
   /** Checks the conditions; the first one that is not met determines the result. */
@@ -63,6 +67,9 @@
     if (conditions.keyChecked && conditions.proofAgeMillis > conditions.maxProofAgeMillis) {
       return Result.KEY_NOT_PROVEN;
     }
+    if (conditions.quarantined) {
+      return Result.QUARANTINED;
+    }
     return conditions.serverLeaving ? Result.SERVER_LEAVING : Result.PERMITTED;
   }
 }
--- /dev/null
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/CrashingPartFleet.java
@@ -0,0 +1,307 @@
+package org.basilport.policy.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+
+/**
+ * Fleet of the size of the largest deployment on a virtual clock: each instance decides with a
+ * detector of its own, and reports are delayed and lost. Engines crash as they begin to answer a
+ * prompt with the crashing part, and return after some seconds under another id.
+ */
+final class CrashingPartFleet {
+  static final long CONTACT_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+  private static final int INSTANCES = 95;
+  private static final int ENGINES = 28;
+  private static final int KNOWN_CRASHES = 5;
+  private static final int MAX_ATTEMPTS = 4;
+  private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+  private static final long FIRST_PARTS = 1_000;
+  private static final long CRASHING_PART = 77;
+
+  private final SplittableRandom random;
+  private final int crashingPosition;
+  private final double reportLoss;
+  private final List<String> names =
+      IntStream.range(0, INSTANCES).mapToObj(i -> "instance-" + i).toList();
+  private final CellPartition cells = new CellPartition(names, List.of());
+  private final List<CrashingRequestDetector> instances = new ArrayList<>();
+  private final List<Engine> engines = new ArrayList<>();
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>((a, b) -> Long.compare(a.order(), b.order()));
+  private long now;
+  private long nextFingerprint = 1_000_000;
+  private int crashesOfPart;
+  private long knownAt = Long.MAX_VALUE;
+  private int lateSends;
+  private int soundRequests;
+  private int soundRejected;
+
+  CrashingPartFleet(long seed, int crashingPosition, double reportLoss) {
+    this.random = new SplittableRandom(seed);
+    this.crashingPosition = crashingPosition;
+    this.reportLoss = reportLoss;
+    names.forEach(name -> instances.add(new CrashingRequestDetector()));
+    IntStream.range(0, ENGINES).forEach(i -> engines.add(new Engine(i)));
+    for (int i = 0; i < INSTANCES; i++) {
+      heartbeat(i, 0);
+    }
+  }
+
+  int lateSends() {
+    return lateSends;
+  }
+
+  int crashesOfPart() {
+    return crashesOfPart;
+  }
+
+  int soundRequests() {
+    return soundRequests;
+  }
+
+  int soundRejected() {
+    return soundRejected;
+  }
+
+  private void at(long delayNanos, Runnable action) {
+    events.add(new Event(now + delayNanos, action));
+  }
+
+  void run(long durationNanos) {
+    long end = now + durationNanos;
+    while (!events.isEmpty() && events.peek().order() <= end) {
+      Event event = events.poll();
+      now = event.order();
+      event.action().run();
+    }
+    now = end;
+  }
+
+  /** Sends sound requests of two routes for a time, at 44 a second. */
+  void sendSound(long durationNanos) {
+    arrivals(durationNanos, 44, () -> startRequest(false));
+  }
+
+  /** Sends requests with the crashing part for a time, at 4 a second. */
+  void sendCrashing(long durationNanos) {
+    arrivals(durationNanos, 4, () -> startRequest(true));
+  }
+
+  private void arrivals(long durationNanos, double perSecond, Runnable arrival) {
+    long count = Math.round(perSecond * durationNanos / TimeUnit.SECONDS.toNanos(1));
+    for (int i = 0; i < count; i++) {
+      at(random.nextLong(durationNanos), arrival);
+    }
+  }
+
+  /** Crashes a third of the engines at once, for a reason that no request has. */
+  void crashDomain() {
+    for (int i = 0; i < ENGINES; i += 3) {
+      crash(engines.get(i), false);
+    }
+  }
+
+  private void startRequest(boolean crashing) {
+    long route = random.nextInt(2);
+    List<Long> parts = new ArrayList<>();
+    parts.add(FIRST_PARTS + route);
+    parts.add(2_000 + (long) random.nextInt(20));
+    if (crashing) {
+      parts.add(crashingPosition, CRASHING_PART);
+    }
+    RequestContent content = new RequestContent(nextFingerprint++, parts);
+    long answerNanos = route == 0 ? 100 * MILLI : 8_000 * MILLI;
+    Request request = new Request(random.nextInt(INSTANCES), content, crashing, answerNanos);
+    soundRequests += crashing ? 0 : 1;
+    send(request);
+  }
+
+  private void send(Request request) {
+    if (instances.get(request.instance).quarantine(request.content, now).isPresent()) {
+      soundRejected += request.crashing ? 0 : 1;
+      return;
+    }
+    List<Engine> live = engines.stream().filter(engine -> engine.live).toList();
+    if (live.isEmpty()) {
+      return;
+    }
+    Engine engine = live.get(random.nextInt(live.size()));
+    request.attempts++;
+    request.answering = false;
+    lateSends += request.crashing && now - CONTACT_NANOS > knownAt ? 1 : 0;
+    engine.running.add(request);
+    int boot = engine.boot;
+    at((100 + random.nextLong(300)) * MILLI, () -> beginAnswer(request, engine, boot));
+  }
+
+  private void beginAnswer(Request request, Engine engine, int boot) {
+    if (engine.boot != boot || !engine.live) {
+      return;
+    }
+    request.answering = true;
+    if (request.crashing) {
+      at(30 * MILLI, () -> crashAt(engine, boot));
+      return;
+    }
+    long proof = Math.min(request.answerNanos, 500 * MILLI);
+    at(proof, () -> proveSound(request, engine, boot));
+    at(request.answerNanos, () -> engine.running.remove(request));
+  }
+
+  private void proveSound(Request request, Engine engine, int boot) {
+    if (engine.boot == boot && engine.live) {
+      request.sound = true;
+      instances.get(request.instance).recordSound(request.content, now);
+    }
+  }
+
+  private void crashAt(Engine engine, int boot) {
+    if (engine.boot == boot && engine.live) {
+      crash(engine, true);
+    }
+  }
+
+  private void crash(Engine engine, boolean byPart) {
+    engine.live = false;
+    if (byPart && ++crashesOfPart == KNOWN_CRASHES) {
+      knownAt = now;
+    }
+    List<Request> lost = List.copyOf(engine.running);
+    engine.running.clear();
+    String id = engine.id();
+    for (Request request : lost) {
+      if (!request.sound) {
+        instances
+            .get(request.instance)
+            .recordLostConnection(request.content, request.answering, id, 1, now);
+        at(60 * MILLI, () -> confirm(request.instance, id));
+      }
+      if (request.attempts < MAX_ATTEMPTS && !request.sound) {
+        at(MILLI, () -> send(request));
+      }
+    }
+    at((2_000 + random.nextLong(2_000)) * MILLI, () -> restart(engine));
+  }
+
+  private void restart(Engine engine) {
+    engine.boot++;
+    engine.live = true;
+  }
+
+  private void confirm(int instance, String engineId) {
+    if (instances.get(instance).recordDeadServer(engineId, 1, now)) {
+      at(15 * MILLI, () -> report(instance, names));
+    }
+  }
+
+  private void heartbeat(int instance, int count) {
+    at(
+        400 * MILLI,
+        () -> {
+          int own = cells.cellOf(names.get(instance));
+          List<String> receivers =
+              names.stream()
+                  .filter(
+                      name ->
+                          cells.cellOf(name) == own
+                              || (count % 3 == 0
+                                  && cells.neighbours(own).contains(cells.cellOf(name))))
+                  .toList();
+          report(instance, receivers);
+          heartbeat(instance, count + 1);
+        });
+  }
+
+  private void report(int sender, List<String> receivers) {
+    CrashingRequestDetector from = instances.get(sender);
+    Map<CrashEvidence, Long> crashes = from.recentCrashes(now);
+    Map<Long, Long> sound = from.soundSuspects(now);
+    List<Quarantine> quarantines = from.quarantines(now);
+    if (crashes.isEmpty() && quarantines.isEmpty()) {
+      return;
+    }
+    for (String receiver : receivers) {
+      int index = names.indexOf(receiver);
+      if (index != sender && random.nextDouble() >= reportLoss) {
+        at((1 + random.nextLong(20)) * MILLI, () -> receive(index, crashes, sound, quarantines));
+      }
+    }
+  }
+
+  private void receive(
+      int receiver,
+      Map<CrashEvidence, Long> crashes,
+      Map<Long, Long> sound,
+      List<Quarantine> quarantines) {
+    CrashingRequestDetector to = instances.get(receiver);
+    sound.forEach(to::addSound);
+    boolean[] added = new boolean[1];
+    crashes.forEach(
+        (evidence, lostAt) -> {
+          boolean ownLosses = to.recordDeadServer(evidence.serverId(), 1, now);
+          added[0] |= ownLosses | to.addCrash(evidence, lostAt, now);
+        });
+    quarantines.forEach(quarantine -> to.addQuarantine(quarantine, now));
+    if (added[0]) {
+      int own = cells.cellOf(names.get(receiver));
+      List<String> cell = names.stream().filter(name -> cells.cellOf(name) == own).toList();
+      at(15 * MILLI, () -> report(receiver, cell));
+    }
+  }
+
+  /** Replaces all instances by new ones, to which an action may pass what was stored. */
+  void restartInstances(Consumer<CrashingRequestDetector> afterStart) {
+    for (int i = 0; i < INSTANCES; i++) {
+      CrashingRequestDetector started = new CrashingRequestDetector();
+      afterStart.accept(started);
+      instances.set(i, started);
+    }
+    engines.forEach(engine -> engine.running.clear());
+  }
+
+  /** The quarantines that an instance knows. */
+  List<Quarantine> quarantines(int instance) {
+    return instances.get(instance).quarantines(now);
+  }
+
+  private record Event(long order, Runnable action) {}
+
+  private static final class Request {
+    private final int instance;
+    private final RequestContent content;
+    private final boolean crashing;
+    private final long answerNanos;
+    private int attempts;
+    private boolean answering;
+    private boolean sound;
+
+    Request(int instance, RequestContent content, boolean crashing, long answerNanos) {
+      this.instance = instance;
+      this.content = content;
+      this.crashing = crashing;
+      this.answerNanos = answerNanos;
+    }
+  }
+
+  private static final class Engine {
+    private final int index;
+    private final List<Request> running = new ArrayList<>();
+    private int boot;
+    private boolean live = true;
+
+    Engine(int index) {
+      this.index = index;
+    }
+
+    String id() {
+      return "engine-" + index + "-" + boot;
+    }
+  }
+}
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/SendDecisionsTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/SendDecisionsTest.java
@@ -18,7 +18,8 @@
     private Result check(
         boolean connected, long remainingMillis, boolean keyKnown, long proofAge, boolean leaving) {
       return SendCheck.check(
-          new Conditions(connected, remainingMillis, true, keyKnown, proofAge, 4_600, leaving));
+          new Conditions(
+              connected, remainingMillis, true, keyKnown, proofAge, 4_600, false, leaving));
     }
 
     /** Guards against sending a request on a permission that ran out while it waited. */
@@ -36,7 +37,8 @@
     /** Guards against cutting a stream that has started because the store is away. */
     @Test
     void continuesAStartedResponseWithoutAProof() {
-      Conditions started = new Conditions(true, 500, false, false, Long.MAX_VALUE, 4_600, false);
+      Conditions started =
+          new Conditions(true, 500, false, false, Long.MAX_VALUE, 4_600, false, false);
       assertThat(SendCheck.check(started)).isEqualTo(Result.PERMITTED);
     }
   }
