Keep quarantines over a restart of all instances

Change: the instances that witnessed a crash save the quarantine in the store, one object for each content, and each instance reads them once at its start. A quarantine that a server's answer lifts is removed.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -11,8 +11,10 @@
 import org.basilport.event.EventSink;
 import org.basilport.event.EventSubject;
 import org.basilport.event.EventType;
+import org.basilport.gateway.backend.QuarantineArchive;
 import org.basilport.gateway.backend.ServerEntry;
 import org.basilport.gateway.backend.ServerTable;
+import org.basilport.gateway.backend.StoredQuarantine;
 import org.basilport.gateway.config.ForwardingConfiguration;
 import org.basilport.gateway.config.FrontendLimits;
 import org.basilport.gateway.forward.ForwardingState;
@@ -87,6 +89,16 @@
     loadExchange.setConfigurationSubscription(subscription);
   }
 
+  /** Sets the archive of quarantines; to be called before the start. */
+  public void setQuarantineArchive(QuarantineArchive archive) {
+    state.servers().crashMonitor().setArchive(archive);
+  }
+
+  /** Adds quarantines that were stored before the start of this instance. */
+  public void addStoredQuarantines(List<StoredQuarantine> quarantines) {
+    eventLoop.execute(() -> state.servers().crashMonitor().addStored(quarantines));
+  }
+
   @Override
   public CompletableFuture<Void> start() {
     return loadExchange
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/CrashMonitor.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/CrashMonitor.java
@@ -1,7 +1,9 @@
 package org.basilport.gateway.backend;
 
 import io.netty.channel.EventLoop;
+import java.time.Instant;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -27,6 +29,8 @@
   private final EventSink events;
   private final CrashingRequestDetector detector = new CrashingRequestDetector();
   private final Set<BackendServer> probedServers = new HashSet<>();
+  private final Set<Long> saved = new HashSet<>();
+  private QuarantineArchive archive = QuarantineArchive.NONE;
   private Runnable evidenceListener = () -> {};
   private Runnable quarantineListener = () -> {};
 
@@ -45,6 +49,25 @@
     quarantineListener = listener;
   }
 
+  /** Sets the archive to which the instances that witnessed a crash save the quarantine. */
+  public void setArchive(QuarantineArchive quarantineArchive) {
+    archive = quarantineArchive;
+  }
+
+  /** Adds the quarantines that the archive held at the start. */
+  public void addStored(List<StoredQuarantine> stored) {
+    long now = System.nanoTime();
+    for (StoredQuarantine quarantine : stored) {
+      long remainingNanos =
+          TimeUnit.MILLISECONDS.toNanos(
+              quarantine.until().toEpochMilli() - System.currentTimeMillis());
+      if (remainingNanos > 0) {
+        detector.addQuarantine(
+            new Quarantine(quarantine.content(), now, now + remainingNanos), now);
+      }
+    }
+  }
+
   /** Evidence and quarantines, which are exchanged with the other instances. */
   public CrashingRequestDetector detector() {
     return detector;
@@ -128,8 +151,12 @@
       String content = Long.toHexString(change.quarantine().content());
       if (change.begun()) {
         events.record(EventType.CONTENT_QUARANTINED, EventSubject.NONE, content, change.crashes());
+        save(change.quarantine());
       } else {
         events.record(EventType.CONTENT_CLEARED, EventSubject.NONE, content);
+        if (saved.remove(change.quarantine().content())) {
+          archive.remove(change.quarantine().content());
+        }
       }
       changed = true;
     }
@@ -137,4 +164,16 @@
       quarantineListener.run();
     }
   }
+
+  private void save(Quarantine quarantine) {
+    long now = System.nanoTime();
+    if (detector.witnessed(quarantine.content(), now)) {
+      saved.add(quarantine.content());
+      long remainingMillis = TimeUnit.NANOSECONDS.toMillis(quarantine.untilNanos() - now);
+      archive.save(
+          new StoredQuarantine(
+              quarantine.content(),
+              Instant.ofEpochMilli(System.currentTimeMillis() + remainingMillis)));
+    }
+  }
 }
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/CrashingRequestDetector.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/CrashingRequestDetector.java
@@ -92,6 +92,14 @@
     return newCrash;
   }
 
+  /** Whether this instance lost a request with a content lately, rather than being told of it. */
+  public boolean witnessed(long content, long nowNanos) {
+    return lostConnections.stream()
+        .filter(lost -> nowNanos - lost.lostAtNanos <= CONFIRMATION_NANOS)
+        .map(lost -> lost.evidence.content())
+        .anyMatch(lost -> lost.fingerprint() == content || lost.promptParts().contains(content));
+  }
+
   /**
    * Adds a request in a crash, which this or another instance observed.
    *
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/CrashingPromptPartTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/CrashingPromptPartTest.java
@@ -178,6 +178,23 @@
       }
     }
 
+    /** Guards against a further series of crashes after a restart of all instances. */
+    @Test
+    void stopAPartAcrossARestartOfAllInstances() {
+      for (int seed = 1; seed <= SEEDS; seed++) {
+        CrashingPartFleet fleet = new CrashingPartFleet(seed, 1, USUAL_LOSS);
+        fleet.sendSound(30 * SECOND);
+        fleet.run(5 * SECOND);
+        fleet.sendCrashing(25 * SECOND);
+        fleet.run(10 * SECOND);
+        List<Quarantine> stored = fleet.quarantines(0);
+        fleet.restartInstances(
+            detector -> stored.forEach(quarantine -> detector.addQuarantine(quarantine, 0)));
+        fleet.run(15 * SECOND);
+        check(fleet, "seed " + seed);
+      }
+    }
+
     /** Guards against blaming sound requests for crashes that have another cause. */
     @Test
     void quarantineNothingWhenWholeDomainsCrash() {
