--- a/basilport-common/src/main/java/org/basilport/event/EventType.java
+++ b/basilport-common/src/main/java/org/basilport/event/EventType.java
@@ -80,6 +80,8 @@
   BACKEND_ENDED(6014, Level.WARN, "backend server {} ended without notice, source: {}"),
   CONTENT_QUARANTINED(6015, Level.ERROR, "content {} quarantined, crashes of backend servers: {}"),
   CONTENT_CLEARED(6016, Level.INFO, "quarantine of content {} lifted: a server answered it"),
+  BACKEND_LIMIT_CHANGED(
+      6017, Level.INFO, "backend server {} accepts requests per second: {}, source: {}"),
   PLATFORM_UNAVAILABLE(7001, Level.WARN, "platform call {} failed: {}"),
   PLATFORM_AVAILABLE(7002, Level.INFO, "platform answers again after {} ms"),
   PLATFORM_BUDGET_SPENT(7003, Level.WARN, "platform call {} delayed, request budget exhausted"),
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -198,6 +199,17 @@
   /** Departure of one incarnation of a server. */
   private record Departure(long incarnation, long detectedNanos) {}
 
+  /** Records the limit that a server named, or did not name, in a response. */
+  public void recordRequestLimit(BackendServer server, OptionalDouble perSecond) {
+    if (perSecond.equals(server.requestLimit())) {
+      return;
+    }
+    server.setRequestLimit(perSecond);
+    String limit = perSecond.isPresent() ? Double.toString(perSecond.getAsDouble()) : "unlimited";
+    String id = server.entry().id();
+    events.record(EventType.BACKEND_LIMIT_CHANGED, EventSubject.server(id), id, limit, "response");
+  }
+
   /** Monitor of requests that crash servers. */
   public CrashMonitor crashMonitor() {
     return crashMonitor;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
@@ -73,7 +73,7 @@
 
   @Override
   public void onHead(ServerResponse serverResponse, HttpResponse httpResponse) {
-    crashGuard.onAnswerStarted();
+    onAnswerStarted(serverResponse);
     response = serverResponse;
     headers = context.codec().responseHeaders(httpResponse);
     body.clear();
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -19,6 +19,7 @@
 import org.basilport.gateway.frontend.CallerConnectionListener;
 import org.basilport.gateway.message.CallerRequest;
 import org.basilport.gateway.message.ForwardingDetails;
+import org.basilport.gateway.message.ServerResponse;
 import org.basilport.policy.dispatch.Deadline;
 import org.basilport.policy.dispatch.OutstandingWork;
 import org.basilport.policy.dispatch.PendingRequestQueue;
@@ -218,11 +219,7 @@
   }
 
   private SendCheck.Result checkSend(ResumePoint resumePoint) {
-    Optional<String> workspace =
-        request
-            .accessKey()
-            .flatMap(key -> context.state().configuration().flatMap(c -> c.keyHolder(key)))
-            .map(KeyHolder::workspace);
+    Optional<String> workspace = request.accessKey().flatMap(context.state()::workspaceOfKey);
     return SendCheck.check(
         new SendCheck.Conditions(
             !callerDisconnected,
@@ -279,6 +276,12 @@
         resumePoint.kvCache());
   }
 
+  /** Called when the server has begun its response. */
+  final void onAnswerStarted(ServerResponse response) {
+    crashGuard.onAnswerStarted();
+    context.state().servers().recordRequestLimit(server, response.requestLimit());
+  }
+
   /** Called immediately before the request is sent. */
   void beforeSend() {}
 
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
@@ -15,6 +15,7 @@
 import org.basilport.gateway.backend.ServerTable;
 import org.basilport.gateway.config.ForwardingConfiguration;
 import org.basilport.gateway.config.ForwardingService;
+import org.basilport.gateway.config.KeyHolder;
 import org.basilport.policy.dispatch.EarliestFirstTokenSelector;
 import org.basilport.policy.dispatch.ExpiredEntryRetention;
 import org.basilport.policy.dispatch.FreshnessProof;
@@ -77,6 +78,11 @@
     return configuration;
   }
 
+  /** The workspace that holds an access key; empty if the key is unknown. */
+  Optional<String> workspaceOfKey(String accessKey) {
+    return configuration.flatMap(current -> current.keyHolder(accessKey)).map(KeyHolder::workspace);
+  }
+
   /** Proof that the applied configuration is the latest one. Safe to use from any thread. */
   public FreshnessProof freshnessProof() {
     return freshnessProof;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -101,7 +101,7 @@
 
   @Override
   public void onHead(ServerResponse serverResponse, HttpResponse httpResponse) {
-    crashGuard.onAnswerStarted();
+    onAnswerStarted(serverResponse);
     response = serverResponse;
     if (headers == null || !responseStarted) {
       headers = context.codec().responseHeaders(httpResponse);
--- a/basilport-gateway/src/main/java/org/basilport/gateway/message/ServerResponse.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/message/ServerResponse.java
@@ -1,6 +1,7 @@
 package org.basilport.gateway.message;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 
 /**
@@ -13,6 +14,8 @@
  * @param contentEncoded whether the body has a content encoding; the servers send none, so an
  *     encoded body is not theirs
  * @param queueLength number of requests queued at the server, if it sends it
+ * @param requestLimit requests per second that the server accepts from all instances together, if
+ *     it names a limit
  * @param closesConnection whether the server closes the connection after the response
  * @param idleTimeoutSeconds idle timeout of the connection at the server, if it sends it
  */
@@ -23,6 +26,7 @@
     boolean notExecuted,
     boolean contentEncoded,
     OptionalInt queueLength,
+    OptionalDouble requestLimit,
     boolean closesConnection,
     OptionalInt idleTimeoutSeconds) {
 
--- a/basilport-gateway/src/test/java/org/basilport/gateway/TestCodec.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/TestCodec.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import org.basilport.gateway.message.CallerRequest;
 import org.basilport.gateway.message.ForwardingDetails;
@@ -73,6 +74,9 @@
         headers.contains("not-run"),
         false,
         OptionalInt.empty(),
+        headers.contains("limit")
+            ? OptionalDouble.of(Double.parseDouble(headers.get("limit")))
+            : OptionalDouble.empty(),
         headers.contains("connection"),
         OptionalInt.of(30));
   }
