--- /dev/null
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayServerLimitTest.java
@@ -0,0 +1,77 @@
+package org.basilport.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** Servers that name the number of requests a second that they accept. */
+class GatewayServerLimitTest extends GatewayFixture {
+  private static final double LIMIT_PER_SECOND = 2;
+  private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+  /** Requests within a window that the server tolerates: one and a half times the limit, and 5. */
+  private static final int MAX_REQUESTS = (int) (1.5 * LIMIT_PER_SECOND * 4) + 5;
+
+  /** Time after which all instances must keep a limit. */
+  private static final long CONTACT_MILLIS = 3_000;
+
+  private static final int CALLS = 90;
+  private static final long CALL_INTERVAL_MILLIS = 40;
+
+  private final List<Long> limitedArrivals = new CopyOnWriteArrayList<>();
+
+  private void serveLimited() throws Exception {
+    serve(
+        "plain",
+        (request, out, socket) -> {
+          limitedArrivals.add(System.nanoTime());
+          ScriptedServer.write(
+              out,
+              "HTTP/1.1 200 S\r\nid: "
+                  + request.id()
+                  + "\r\nseal: s\r\nlimit: "
+                  + LIMIT_PER_SECOND
+                  + "\r\nContent-Length: 2\r\n\r\nok");
+        });
+  }
+
+  private int mostInAWindow(long startNanos) {
+    List<Long> arrivals = new ArrayList<>(limitedArrivals);
+    arrivals.removeIf(at -> at - startNanos < 0);
+    int most = 0;
+    for (long start : arrivals) {
+      int count = 0;
+      for (long at : arrivals) {
+        count += at - start >= 0 && at - start < WINDOW_NANOS ? 1 : 0;
+      }
+      most = Math.max(most, count);
+    }
+    return most;
+  }
+
+  /** Guards against sending a server more requests than the limit that it names. */
+  @Test
+  void keepsTheLimitThatAServerNames() throws Exception {
+    configure(1, "k1");
+    serveLimited();
+    while (limitedArrivals.isEmpty()) {
+      call("POST", "/write/x", "key: k1\r\n");
+    }
+    serve("plain", (request, out, socket) -> ScriptedServer.sendResponse(out, request, 200, "ok"));
+    TimeUnit.MILLISECONDS.sleep(CONTACT_MILLIS);
+    gateway.recordFreshnessProof(System.nanoTime(), System.currentTimeMillis());
+    long start = System.nanoTime();
+    int served = 0;
+    for (int i = 0; i < CALLS; i++) {
+      served += call("POST", "/write/x", "key: k1\r\n").startsWith("HTTP/1.1 200") ? 1 : 0;
+      TimeUnit.MILLISECONDS.sleep(CALL_INTERVAL_MILLIS);
+    }
+
+    assertThat(mostInAWindow(start)).isAtMost(MAX_REQUESTS);
+    assertThat(served).isEqualTo(CALLS);
+  }
+}
