Keep the limits that servers name, all instances together

Cause: the limit was not read. The class of fault is a limit for the whole fleet that no instance can keep alone: reading it everywhere would permit each of the instances the whole limit.

Evidence:, the rates of the limited servers did not change when they began to name limits, on any instance.

Change: SharedRateLimit deals the permits of the fleet at equal intervals to the instances by turns; a permit that is not used ends after 2 s, so in any 4 s the sum is at most one and a half times the limit plus one. A limit, its change and its end are told to all instances at once and repeated in the reports; the latest observation counts. A request that no permit can reach within its time in the queue is rejected at once. Moved generations use permits too.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendServer.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendServer.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import org.basilport.gateway.config.EngineCapacity;
 import org.basilport.gateway.config.ForwardingService;
 import org.basilport.policy.dispatch.MoveCandidateSelector;
@@ -26,7 +25,6 @@
   private final ConnectionPool connections;
   private final List<DepartureListener> departureListeners = new ArrayList<>();
   private boolean dead;
-  private OptionalDouble requestLimit = OptionalDouble.empty();
 
   /** Creates a server without outstanding work. */
   public BackendServer(
@@ -74,15 +72,6 @@
     return load.ownWork().requests() < Math.max(1, share);
   }
 
-  /** Requests per second that the server accepts; empty if it names no limit. */
-  OptionalDouble requestLimit() {
-    return requestLimit;
-  }
-
-  void setRequestLimit(OptionalDouble perSecond) {
-    requestLimit = perSecond;
-  }
-
   public ConnectionPool connections() {
     return connections;
   }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -39,6 +38,7 @@
   private final MessageCodec codec;
   private final EventSink events;
   private final CrashMonitor crashMonitor;
+  private final ServerLimits limits;
   private Runnable departureListener = () -> {};
   private Consumer<BackendServer> engineWorkListener = server -> {};
   private final PeerWorkTable peerWork;
@@ -63,6 +63,7 @@
     this.eventLoop = eventLoop;
     this.codec = codec;
     this.events = events;
+    this.limits = new ServerLimits(events);
     this.crashMonitor = new CrashMonitor(eventLoop, events);
   }
 
@@ -143,6 +144,7 @@
       crashMonitor.recordDeadServer(entry, reason);
     }
     startDeparture(server);
+    limits.remove(server);
     server.connections().shutDown();
   }
 
@@ -199,15 +201,14 @@
   /** Departure of one incarnation of a server. */
   private record Departure(long incarnation, long detectedNanos) {}
 
-  /** Records the limit that a server named, or did not name, in a response. */
-  public void recordRequestLimit(BackendServer server, OptionalDouble perSecond) {
-    if (perSecond.equals(server.requestLimit())) {
-      return;
-    }
-    server.setRequestLimit(perSecond);
-    String limit = perSecond.isPresent() ? Double.toString(perSecond.getAsDouble()) : "unlimited";
-    String id = server.entry().id();
-    events.record(EventType.BACKEND_LIMIT_CHANGED, EventSubject.server(id), id, limit, "response");
+  /** Limits that the servers name in their responses. */
+  public ServerLimits limits() {
+    return limits;
+  }
+
+  /** Runs a task on the event loop thread after a delay. */
+  public void runLater(Runnable task, long delayNanos) {
+    eventLoop.schedule(task, delayNanos, TimeUnit.NANOSECONDS);
   }
 
   /** Monitor of requests that crash servers. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -57,6 +57,7 @@
   private ScheduledFuture<?> queueTimer;
   private Optional<PendingRequestQueue.Entry<PlacementRequest>> queueEntry = Optional.empty();
   private OutstandingWork reservedWork = OutstandingWork.NONE;
+  private long queueTimeoutNanos;
   private int sentAttempts;
   private int refusedAttempts;
   private boolean callerDisconnected;
@@ -96,7 +97,7 @@
       return;
     }
     dispatcher.retryBudget().recordRequest(arrivalNanos);
-    long queueTimeoutNanos = Math.round(QUEUE_TIMEOUT_RATIO * route.targetLatency().toNanos());
+    queueTimeoutNanos = Math.round(QUEUE_TIMEOUT_RATIO * route.targetLatency().toNanos());
     queueTimer =
         context.eventLoop().schedule(this::onQueueTimeout, queueTimeoutNanos, TimeUnit.NANOSECONDS);
     placeOrQueue();
@@ -154,9 +155,14 @@
   }
 
   @Override
-  public final void onQueueFull() {
+  public final void onNotQueued(String reason) {
     queueEntry = Optional.empty();
-    reject(Step.ADMIT, "waiting line is full");
+    reject(Step.ADMIT, reason);
+  }
+
+  @Override
+  public final long maxWaitNanos() {
+    return queueTimeoutNanos - (System.nanoTime() - arrivalNanos);
   }
 
   @Override
@@ -202,7 +208,7 @@
   }
 
   private void send(BackendConnection opened, ResumePoint resumePoint) {
-    SendCheck.Result result = checkSend(resumePoint);
+    SendCheck.Result result = SendPermission.check(this, resumePoint);
     if (result != SendCheck.Result.PERMITTED) {
       opened.release();
       onSendNotPermitted(result);
@@ -218,21 +224,8 @@
     opened.send(message, request.id(), this);
   }
 
-  private SendCheck.Result checkSend(ResumePoint resumePoint) {
-    Optional<String> workspace = request.accessKey().flatMap(context.state()::workspaceOfKey);
-    return SendCheck.check(
-        new SendCheck.Conditions(
-            !callerDisconnected,
-            remaining().toMillis(),
-            holder.isPresent() && !route.anonymous() && eventCount() == 0,
-            workspace.equals(holder.map(KeyHolder::workspace)),
-            context.state().proofAgeMillis(),
-            context.limits().maxProofAge().toMillis(),
-            crashGuard.quarantine().isPresent(),
-            server.load().leaving() && resumePoint.kvCache().isEmpty()));
-  }
-
-  private Duration remaining() {
+  /** Time until the deadline. */
+  final Duration remaining() {
     return deadline.remaining(System.nanoTime(), System.currentTimeMillis());
   }
 
@@ -279,7 +272,10 @@
   /** Called when the server has begun its response. */
   final void onAnswerStarted(ServerResponse response) {
     crashGuard.onAnswerStarted();
-    context.state().servers().recordRequestLimit(server, response.requestLimit());
+    // An answer that is not the server's own does not tell that its limit has ended.
+    if (response.requestLimit().isPresent() || response.signed()) {
+      context.state().servers().limits().record(server, response.requestLimit());
+    }
   }
 
   /** Called immediately before the request is sent. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/PlacementRequest.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/PlacementRequest.java
@@ -22,6 +22,9 @@
   /** Called when the request was placed at a server whose load already includes it. */
   void onPlaced(BackendServer server);
 
-  /** Called when the request was rejected by, or evicted from, a full queue. */
-  void onQueueFull();
+  /** Time for which the request can still wait, in nanoseconds. */
+  long maxWaitNanos();
+
+  /** Called when the request was not queued, or was evicted from the queue. */
+  void onNotQueued(String reason);
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
@@ -24,6 +24,8 @@
   /** Number of failed placements after which the rest of the queue is not tried. */
   private static final int MAX_FAILED_PLACEMENTS = 4;
 
+  private static final String QUEUE_FULL = "waiting line is full";
+
   private final String service;
   private final boolean placesGenerations;
   private final ServerTable servers;
@@ -31,6 +33,7 @@
   private final IntSupplier instanceCount;
   private final ServerSelector selector;
   private final WindowedRetryBudget retryBudget;
+  private boolean permitScheduled;
   private final PendingRequestQueue<PlacementRequest> queue =
       new PendingRequestQueue<>(QUEUE_LIMIT);
 
@@ -82,15 +85,45 @@
     if (queue.size() == 0 && place(request)) {
       return;
     }
+    if (nanosToPermit(request) > request.maxWaitNanos()) {
+      request.onNotQueued("all backend servers limit their requests");
+      return;
+    }
     Optional<PendingRequestQueue.Entry<PlacementRequest>> entry =
         queue.add(request, request.priority());
     if (entry.isEmpty()) {
-      request.onQueueFull();
+      request.onNotQueued(QUEUE_FULL);
       return;
     }
     request.onQueued(entry.get());
-    queue.evictExcess().ifPresent(PlacementRequest::onQueueFull);
+    queue.evictExcess().ifPresent(evicted -> evicted.onNotQueued(QUEUE_FULL));
     placeQueued();
+    schedulePermit(request);
+  }
+
+  /** Time until the limit of some server permits the request; 0 if a server has no limit. */
+  private long nanosToPermit(PlacementRequest request) {
+    long now = System.nanoTime();
+    return servers.servers(service).stream()
+        .filter(server -> !server.load().leaving() && request.accepts(server))
+        .map(BackendServer::load)
+        .mapToLong(load -> load.rateLimit().map(limit -> limit.nanosToPermit(now)).orElse(0L))
+        .min()
+        .orElse(0);
+  }
+
+  /** Places queued requests again as soon as a limit permits one. */
+  private void schedulePermit(PlacementRequest request) {
+    long delayNanos = nanosToPermit(request);
+    if (delayNanos > 0 && queue.size() > 0 && !permitScheduled) {
+      permitScheduled = true;
+      servers.runLater(
+          () -> {
+            permitScheduled = false;
+            placeQueued();
+          },
+          delayNanos);
+    }
   }
 
   /** Removes a request from the queue. */
@@ -161,7 +194,10 @@
     List<ServerLoad> candidates = new ArrayList<>();
     List<ServerLoad> suspended = new ArrayList<>();
     for (BackendServer server : serviceServers) {
-      if (server.load().leaving() || !request.accepts(server) || !server.hasConnection(instances)) {
+      if (server.load().leaving()
+          || !request.accepts(server)
+          || !server.hasConnection(instances)
+          || !server.load().permitsRequest(now)) {
         continue;
       }
       boolean isSuspended = server.load().health().suspended(now);
@@ -172,8 +208,8 @@
     if (suspended.size() > candidates.size()) {
       candidates.addAll(suspended);
     }
-    return placementSelector
-        .select(candidates, demand, now)
-        .flatMap(load -> servers.server(load.id()));
+    Optional<ServerLoad> chosen = placementSelector.select(candidates, demand, now);
+    chosen.flatMap(ServerLoad::rateLimit).ifPresent(limit -> limit.tryAcquire(now));
+    return chosen.flatMap(load -> servers.server(load.id()));
   }
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/FleetMembers.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/FleetMembers.java
@@ -33,6 +33,11 @@
     return others.size() + 1;
   }
 
+  /** Position of this instance in the order of the ids of all instances, from 0. */
+  int rank() {
+    return (int) others.stream().filter(entry -> entry.id().compareTo(ownId) < 0).count();
+  }
+
   /** Whether the instances were replaced since the last partition. */
   boolean changed() {
     return changed;
--- /dev/null
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LimitReports.java
@@ -0,0 +1,73 @@
+package org.basilport.gateway.peer;
+
+import java.util.OptionalDouble;
+import java.util.concurrent.TimeUnit;
+import org.basilport.gateway.backend.BackendServer;
+import org.basilport.gateway.backend.ServerTable;
+import org.basilport.policy.dispatch.NamedLimit;
+import org.basilport.protocol.LoadReport;
+import org.basilport.protocol.ServerLimit;
+
+/**
+ * Translates the limits of servers to and from load reports, with ages in place of times. Confined
+ * to the event loop thread.
+ */
+final class LimitReports {
+  private final ServerTable servers;
+
+  LimitReports(ServerTable servers) {
+    this.servers = servers;
+  }
+
+  /** Adds what this instance knows to a report. */
+  void write(LoadReport.Builder report) {
+    long now = System.nanoTime();
+    servers
+        .limits()
+        .reportable(now)
+        .forEach(
+            (server, limit) -> {
+              ServerLimit.Builder message =
+                  ServerLimit.newBuilder()
+                      .setServerId(server.entry().id())
+                      .setIncarnation(server.entry().incarnation())
+                      .setObservedAgeMillis(millis(now - limit.observedNanos()))
+                      .setNamedAgeMillis(millis(now - limit.namedSinceNanos()));
+              limit
+                  .perSecond()
+                  .ifPresent(perSecond -> message.setLimited(true).setRequestsPerSecond(perSecond));
+              report.addLimits(message);
+            });
+  }
+
+  /** Merges the knowledge of another instance. */
+  void read(LoadReport report) {
+    long now = System.nanoTime();
+    for (ServerLimit limit : report.getLimitsList()) {
+      servers
+          .server(limit.getServerId())
+          .filter(server -> server.entry().incarnation() == limit.getIncarnation())
+          .ifPresent(server -> record(server, limit, report.getInstanceId(), now));
+    }
+  }
+
+  private void record(BackendServer server, ServerLimit limit, String source, long now) {
+    OptionalDouble perSecond =
+        limit.getLimited()
+            ? OptionalDouble.of(limit.getRequestsPerSecond())
+            : OptionalDouble.empty();
+    servers
+        .limits()
+        .recordReported(
+            server,
+            new NamedLimit(
+                perSecond,
+                now - TimeUnit.MILLISECONDS.toNanos(limit.getObservedAgeMillis()),
+                now - TimeUnit.MILLISECONDS.toNanos(limit.getNamedAgeMillis())),
+            source);
+  }
+
+  private static long millis(long nanos) {
+    return TimeUnit.NANOSECONDS.toMillis(nanos);
+  }
+}
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -80,6 +80,7 @@
   private boolean placementScheduled;
   private boolean flushScheduled;
   private final CrashReports crashReports;
+  private final LimitReports limitReports;
   private boolean broadcastDue;
   private boolean neighboursDue;
   private ConfigurationSubscription configurationSubscription;
@@ -107,6 +108,8 @@
     state.servers().onEngineWorkChange(this::onEngineWorkChange);
     this.crashReports = new CrashReports(state.servers().crashMonitor());
     state.servers().onDeparture(this::scheduleFlush);
+    this.limitReports = new LimitReports(state.servers());
+    state.servers().limits().onChange(this::scheduleBroadcast);
     state.servers().crashMonitor().onEvidence(this::scheduleBroadcast);
     state.servers().crashMonitor().onQuarantineChange(this::scheduleFlushToNeighbours);
     state.onSharedCapacity(this::schedulePlacement);
@@ -148,6 +151,7 @@
   public void updateInstances(List<InstanceEntry> entries) {
     members.update(entries);
     state.setInstanceCount(members.size());
+    state.servers().limits().setFleetPosition(members.size(), members.rank());
     instancesKnown = true;
     updateCells();
   }
@@ -341,6 +345,7 @@
                 report.addDepartures(
                     ServerDeparture.newBuilder().setServerId(id).setIncarnation(start)));
     crashReports.write(report);
+    limitReports.write(report);
     for (BackendServer server : state.servers().serversWithOwnWork()) {
       OutstandingWork own = server.load().ownWork();
       report.addWork(
@@ -389,6 +394,7 @@
                         departure.getServerId(),
                         departure.getIncarnation(),
                         report.getInstanceId()));
+    limitReports.read(report);
     if (crashReports.read(report)) {
       scheduleFlush();
     }
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayServerLimitTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayServerLimitTest.java
@@ -63,10 +63,10 @@
     }
     serve("plain", (request, out, socket) -> ScriptedServer.sendResponse(out, request, 200, "ok"));
     TimeUnit.MILLISECONDS.sleep(CONTACT_MILLIS);
-    gateway.recordFreshnessProof(System.nanoTime(), System.currentTimeMillis());
     long start = System.nanoTime();
     int served = 0;
     for (int i = 0; i < CALLS; i++) {
+      gateway.recordFreshnessProof(System.nanoTime(), System.currentTimeMillis());
       served += call("POST", "/write/x", "key: k1\r\n").startsWith("HTTP/1.1 200") ? 1 : 0;
       TimeUnit.MILLISECONDS.sleep(CALL_INTERVAL_MILLIS);
     }
--- a/basilport-gateway/src/test/java/org/basilport/gateway/forward/ForwardingStateTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/forward/ForwardingStateTest.java
@@ -142,7 +142,12 @@
     }
 
     @Override
-    public void onQueueFull() {
+    public long maxWaitNanos() {
+      return Long.MAX_VALUE;
+    }
+
+    @Override
+    public void onNotQueued(String reason) {
       throw new AssertionError("the queue is empty");
     }
   }
--- a/basilport-gateway/src/test/java/org/basilport/gateway/peer/LoadExchangeTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/peer/LoadExchangeTest.java
@@ -13,12 +13,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.basilport.event.EventSink;
 import org.basilport.gateway.TestCodec;
+import org.basilport.gateway.backend.BackendServer;
 import org.basilport.gateway.backend.ServerEntry;
 import org.basilport.gateway.backend.ServerTable;
 import org.basilport.gateway.config.EngineCapacity;
@@ -29,6 +32,7 @@
 import org.basilport.gateway.forward.ForwardingState.RetryLimits;
 import org.basilport.policy.dispatch.CellPartition;
 import org.basilport.policy.dispatch.OutstandingWork;
+import org.basilport.policy.dispatch.RequestContent;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -47,6 +51,10 @@
    */
   private static final long QUIET_PERIOD_MILLIS = 3_000;
 
+  private static final double LIMIT = 2.5;
+  private static final int CRASHES = 5;
+  private static final long CRASHING_PART = 77;
+
   private static final OutstandingWork GENERATION = new OutstandingWork(1, 0, 3_500);
 
   private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(2);
@@ -152,6 +160,42 @@
     assertThat(second.totalWork()).isEqualTo(GENERATION);
   }
 
+  /** Guards against instances that keep the limit of a server only after its response to them. */
+  @Test
+  void reportsTheLimitOfAServerToDistantCells() throws Exception {
+    startInstancesOf(3, 0);
+    first.run(
+        servers ->
+            servers
+                .limits()
+                .record(servers.server(engine).orElseThrow(), OptionalDouble.of(LIMIT)));
+    Thread.sleep(500);
+    assertThat(second.limited()).isTrue();
+    first.run(
+        servers ->
+            servers.limits().record(servers.server(engine).orElseThrow(), OptionalDouble.empty()));
+    Thread.sleep(500);
+    assertThat(second.limited()).isFalse();
+  }
+
+  /** Guards against a crashing prompt part that only its witnesses stop. */
+  @Test
+  void reportsCrashesToDistantCells() throws Exception {
+    startInstancesOf(3, 0);
+    first.run(
+        servers -> {
+          for (int i = 0; i < CRASHES; i++) {
+            RequestContent content = new RequestContent(i, List.of(CRASHING_PART));
+            BackendServer server = servers.server(engines.get(i)).orElseThrow();
+            servers.crashMonitor().recordLostRun(content, true, server);
+            servers.crashMonitor().recordDeadServer(server.entry(), "test");
+          }
+        });
+    Thread.sleep(3_000);
+    assertThat(second.quarantines(new RequestContent(99, List.of(CRASHING_PART)))).isTrue();
+    assertThat(second.quarantines(new RequestContent(99, List.of()))).isFalse();
+  }
+
   /** Instance of the fleet. */
   private final class TestInstance {
     private final String id;
@@ -215,6 +259,22 @@
           .get(5, TimeUnit.SECONDS);
     }
 
+    void run(Consumer<ServerTable> action) throws Exception {
+      eventLoop.submit(() -> action.accept(state.servers())).get(5, TimeUnit.SECONDS);
+    }
+
+    boolean limited() throws Exception {
+      return eventLoop
+          .submit(() -> state.servers().server(engine).orElseThrow().load().rateLimit().isPresent())
+          .get(5, TimeUnit.SECONDS);
+    }
+
+    boolean quarantines(RequestContent content) throws Exception {
+      return eventLoop
+          .submit(() -> state.servers().crashMonitor().quarantine(content).isPresent())
+          .get(5, TimeUnit.SECONDS);
+    }
+
     OutstandingWork totalWork() throws Exception {
       return eventLoop
           .submit(() -> state.servers().server(engine).orElseThrow().load().totalWork())
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServerLoad.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServerLoad.java
@@ -1,5 +1,7 @@
 package org.basilport.policy.dispatch;
 
+import java.util.Optional;
+
 /**
  * Load, capacity and observed behaviour of one backend server, as seen by one instance.
  *
@@ -20,6 +22,7 @@
   private long precedingMemoryTokens;
   private Runnable changeListener = () -> {};
   private boolean leaving;
+  private Optional<SharedRateLimit> rateLimit = Optional.empty();
   private long warmUpEndNanos = Long.MIN_VALUE;
   private double nanosPerPrefillToken = EarliestFirstTokenSelector.DEFAULT_PREFILL_NANOS_PER_TOKEN;
 
@@ -113,6 +116,21 @@
     leaving = true;
   }
 
+  /** Share of this instance in the rate that the server accepts; empty if it names no limit. */
+  public Optional<SharedRateLimit> rateLimit() {
+    return rateLimit;
+  }
+
+  /** Sets the share of this instance in the rate that the server accepts. */
+  public void setRateLimit(Optional<SharedRateLimit> limit) {
+    rateLimit = limit;
+  }
+
+  /** Whether the limit that the server names permits a request now. */
+  public boolean permitsRequest(long nowNanos) {
+    return rateLimit.isEmpty() || rateLimit.get().available(nowNanos);
+  }
+
   /** Sets the end of the server's warm-up, in monotonic nanoseconds. */
   public void setWarmUpEnd(long nanos) {
     warmUpEndNanos = nanos;
