Send evidence of crashes and limits in heartbeats only

Reports of changed work go out up to 60 times a second. After a crash each of them would have carried up to 2 KB of evidence for 10 s to each instance of the cell, more than their work. New evidence is still sent at once.

A request that was sent before is not rejected for want of a permit while no server names a limit: its time in the queue was negative then. Found by reading; no test failed.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/CrashMonitor.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/CrashMonitor.java
@@ -124,19 +124,18 @@
    */
   public boolean recordReportedCrash(CrashEvidence evidence, long lostAtNanos) {
     long now = System.nanoTime();
-    boolean ownLosses = detector.recordDeadServer(evidence.serverId(), evidence.incarnation(), now);
-    boolean added = detector.addCrash(evidence, lostAtNanos, now);
-    if (added) {
-      events.record(
-          EventType.REQUEST_SUSPECTED,
-          EventSubject.server(evidence.serverId()),
-          Long.toHexString(evidence.content().fingerprint()),
-          1);
+    if (!detector.addCrash(evidence, lostAtNanos, now)) {
+      return false;
     }
-    if (ownLosses) {
+    events.record(
+        EventType.REQUEST_SUSPECTED,
+        EventSubject.server(evidence.serverId()),
+        Long.toHexString(evidence.content().fingerprint()),
+        1);
+    if (detector.recordDeadServer(evidence.serverId(), evidence.incarnation(), now)) {
       evidenceListener.run();
     }
-    return added;
+    return true;
   }
 
   /** Returns the quarantine of a request; empty if it may be sent. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -162,7 +162,9 @@
 
   @Override
   public final long maxWaitNanos() {
-    return queueTimeoutNanos - (System.nanoTime() - arrivalNanos);
+    long untilTimeoutNanos = queueTimeoutNanos - (System.nanoTime() - arrivalNanos);
+    // The queue timeout does not apply to a request that was sent before.
+    return untilTimeoutNanos > 0 ? untilTimeoutNanos : remaining().toNanos();
   }
 
   @Override
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
@@ -85,7 +85,8 @@
     if (queue.size() == 0 && place(request)) {
       return;
     }
-    if (nanosToPermit(request) > request.maxWaitNanos()) {
+    long nanosToPermit = nanosToPermit(request);
+    if (nanosToPermit > 0 && nanosToPermit > request.maxWaitNanos()) {
       request.onNotQueued("all backend servers limit their requests");
       return;
     }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -83,6 +83,7 @@
   private final LimitReports limitReports;
   private boolean broadcastDue;
   private boolean neighboursDue;
+  private boolean evidenceDue;
   private ConfigurationSubscription configurationSubscription;
   private long sequence;
   private long heartbeatCount;
@@ -230,13 +231,20 @@
     scheduleFlush();
   }
 
+  private void scheduleEvidence() {
+    evidenceDue = true;
+    scheduleFlush();
+  }
+
   private void scheduleFlushToNeighbours() {
     neighboursDue = true;
-    scheduleFlush();
+    scheduleEvidence();
   }
 
   private void flush() {
     flushScheduled = false;
+    boolean withEvidence = evidenceDue;
+    evidenceDue = false;
     if (broadcastDue) {
       broadcastDue = false;
       neighboursDue = false;
@@ -254,7 +262,7 @@
       affectedCells.addAll(members.cells().neighbours(members.ownCell()));
     }
     changedEngines.clear();
-    send(members.addresses(affectedCells));
+    send(members.addresses(affectedCells), withEvidence);
   }
 
   private void heartbeat() {
@@ -329,6 +337,16 @@
   }
 
   private void send(List<InetSocketAddress> receivers) {
+    send(receivers, true);
+  }
+
+  /**
+   * Sends a report.
+   *
+   * @param withEvidence whether it contains crashes, quarantines and limits, which would dominate
+   *     the frequent reports of changed work
+   */
+  private void send(List<InetSocketAddress> receivers, boolean withEvidence) {
     LoadReport.Builder report =
         LoadReport.newBuilder()
             .setInstanceId(instanceId)
@@ -344,8 +362,10 @@
             (id, start) ->
                 report.addDepartures(
                     ServerDeparture.newBuilder().setServerId(id).setIncarnation(start)));
-    crashReports.write(report);
-    limitReports.write(report);
+    if (withEvidence) {
+      crashReports.write(report);
+      limitReports.write(report);
+    }
     for (BackendServer server : state.servers().serversWithOwnWork()) {
       OutstandingWork own = server.load().ownWork();
       report.addWork(
@@ -396,7 +416,7 @@
                         report.getInstanceId()));
     limitReports.read(report);
     if (crashReports.read(report)) {
-      scheduleFlush();
+      scheduleEvidence();
     }
     boolean silentBefore = silentPeers.remove(report.getInstanceId());
     if (isInOwnCell(report) && (known == null || silentBefore || restarted(known.report, report))) {
