Place each queued request as soon as a limit permits it

With several requests in the queue only the first was placed at its permit; the others waited for the next periodic placement, up to 200 ms later, which is longer than the time that requests to application services may wait. Found by reading; no test failed.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
@@ -122,6 +122,7 @@
           () -> {
             permitScheduled = false;
             placeQueued();
+            schedulePermit(request);
           },
           delayNanos);
     }
