--- a/basilport-router/src/test/java/org/basilport/quarantine/CrashingRequestTest.java
+++ b/basilport-router/src/test/java/org/basilport/quarantine/CrashingRequestTest.java
@@ -218,6 +218,27 @@
     }
   }
 
+  /** Guards against a prompt part that crashes one engine after another in different requests. */
+  @Test
+  void stopsDifferentRequestsWithAPartThatCrashedFiveEngines() {
+    int knownCrashes = 5;
+    int toleratedLateRequests = 3;
+    FakeFleet largeFleet = new FakeFleet(2, 14);
+    for (int i = 0; i < 12; i++) {
+      largeFleet
+          .routers
+          .get(i % 2)
+          .generate(
+              FakeFleet.CALLER,
+              new GenerationRequest("chat", "crash " + i, 40),
+              new RecordingListener())
+          .request(1_000);
+      largeFleet.advanceMillis(6_000);
+    }
+
+    assertThat(largeFleet.engineCrashes()).isAtMost(knownCrashes + toleratedLateRequests);
+  }
+
   /** Guards against a quarantine that is lost when all instances restart. */
   @Test
   void readsQuarantineFromThePlatformAtStart() {
