Write the endless bodies of the tests in blocks of 64 KB

Fifty threads wrote 8 KB, or events of two bytes, at a time; each write wakes the reading thread, and on an idle virtual machine the wake-ups limited the rate to less than 51 MB in the 1.5 s of the route. The bodies have no end as before and all bounds are unchanged; one write carries 64 KB. That wake-ups are the cause is concluded from these runs, not traced.

--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFaultyServersTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFaultyServersTest.java
@@ -16,6 +16,8 @@
 
 /** Sends requests through a gateway to servers in trouble. */
 class GatewayFaultyServersTest extends GatewayFixture {
+  private static final int WRITE_BYTES = 65_536;
+
   private static final long GAP_LIMIT_MILLIS = 800;
 
   private CompletableFuture<String> callAsync(String target, String headers) {
@@ -30,8 +32,10 @@
   }
 
   private static void writeForever(OutputStream out, String text) throws IOException {
+    // Small writes would be limited by the wake-ups of the reading thread.
+    String block = text.repeat(Math.max(1, WRITE_BYTES / text.length()));
     while (true) {
-      ScriptedServer.write(out, text);
+      ScriptedServer.write(out, block);
     }
   }
 
