Keep the times of crash evidence when instances tell them back

Callers could be refused for longer than a quarantine lasts, and a quarantine of a part that had been answered could be lifted without a new answer.

Cause: times travel as ages, rounded down, without the time on the way. What an instance had told came back a little later than it was, which counted as news: sound observations and the ends of quarantines moved with every report, and each of them caused an evaluation of all evidence on the next request.

Evidence: CrashReportsTest.keepsTheTimesOfEvidenceThatComesBack fails before, by 344 ms after 50 reports in each direction 2 ms apart; ignoresReportsThatWaitedDuringAPause fails before, too.

Change: ReportedAge gives the error of each age a direction. Reports that waited during a pause of the process are not read for evidence; the next heartbeat repeats it. Sound contents cause an evaluation only while a decision is pending. The fleet of CrashingPromptPartTest tells ages as the instances do.

Result: both tests, ReportedAgeTest and CrashingPromptPartTest pass.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
@@ -88,6 +88,11 @@
     return freshnessProof;
   }
 
+  /** Whether this process was paused and has not resumed its periodic tasks. */
+  public boolean paused() {
+    return pauseDetector.pauseNanos(System.nanoTime(), System.currentTimeMillis()) > 0;
+  }
+
   /** Detector of pauses of this process. */
   public PauseDetector pauseDetector() {
     return pauseDetector;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/RequestForwarder.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/RequestForwarder.java
@@ -157,8 +157,7 @@
     }
     openRequests.add(exchange);
     exchange.onEnd(() -> openRequests.remove(exchange));
-    if (context.state().pauseDetector().pauseNanos(System.nanoTime(), System.currentTimeMillis())
-        > 0) {
+    if (context.state().paused()) {
       context.eventLoop().schedule(exchange::start, START_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     } else {
       exchange.start();
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/CrashReports.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/CrashReports.java
@@ -1,9 +1,10 @@
 package org.basilport.gateway.peer;
 
-import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.basilport.gateway.backend.CrashMonitor;
 import org.basilport.policy.dispatch.CrashEvidence;
 import org.basilport.policy.dispatch.Quarantine;
+import org.basilport.policy.dispatch.ReportedAge;
 import org.basilport.policy.dispatch.RequestContent;
 import org.basilport.protocol.ContentQuarantine;
 import org.basilport.protocol.LoadReport;
@@ -17,9 +18,17 @@
  */
 final class CrashReports {
   private final CrashMonitor crashes;
+  private final BooleanSupplier delayed;
 
-  CrashReports(CrashMonitor crashes) {
+  /**
+   * Creates a translation.
+   *
+   * @param delayed whether reports are read now that arrived before a pause of this process, so
+   *     that their ages are too small
+   */
+  CrashReports(CrashMonitor crashes, BooleanSupplier delayed) {
     this.crashes = crashes;
+    this.delayed = delayed;
   }
 
   /** Adds what this instance knows to a report. */
@@ -37,7 +46,7 @@
                         .setAnswering(evidence.answering())
                         .setServerId(evidence.serverId())
                         .setIncarnation(evidence.incarnation())
-                        .setAgeMillis(TimeUnit.NANOSECONDS.toMillis(now - lostAt))));
+                        .setAgeMillis(ReportedAge.notEarlier(lostAt, now))));
     crashes
         .detector()
         .soundSuspects(now)
@@ -46,14 +55,13 @@
                 report.addSoundContents(
                     SoundContent.newBuilder()
                         .setContent(content)
-                        .setAgeMillis(TimeUnit.NANOSECONDS.toMillis(now - soundAt))));
+                        .setAgeMillis(ReportedAge.notLater(soundAt, now))));
     for (Quarantine quarantine : crashes.detector().quarantines(now)) {
       report.addQuarantines(
           ContentQuarantine.newBuilder()
               .setContent(quarantine.content())
-              .setLastCrashAgeMillis(
-                  TimeUnit.NANOSECONDS.toMillis(now - quarantine.lastCrashNanos()))
-              .setRemainingMillis(TimeUnit.NANOSECONDS.toMillis(quarantine.untilNanos() - now)));
+              .setLastCrashAgeMillis(ReportedAge.notEarlier(quarantine.lastCrashNanos(), now))
+              .setRemainingMillis(-ReportedAge.notLater(quarantine.untilNanos(), now)));
     }
   }
 
@@ -64,11 +72,14 @@
    *     to be sound, which the other instances have to learn
    */
   boolean read(LoadReport report) {
+    if (delayed.getAsBoolean()) {
+      return false;
+    }
     long now = System.nanoTime();
     for (SoundContent sound : report.getSoundContentsList()) {
       crashes
           .detector()
-          .addSound(sound.getContent(), now - TimeUnit.MILLISECONDS.toNanos(sound.getAgeMillis()));
+          .addSound(sound.getContent(), ReportedAge.toNanos(sound.getAgeMillis(), now));
     }
     boolean newCrash = false;
     for (ServerDeath death : report.getDeathsList()) {
@@ -79,8 +90,7 @@
               death.getServerId(),
               death.getIncarnation());
       newCrash |=
-          crashes.recordReportedCrash(
-              evidence, now - TimeUnit.MILLISECONDS.toNanos(death.getAgeMillis()));
+          crashes.recordReportedCrash(evidence, ReportedAge.toNanos(death.getAgeMillis(), now));
     }
     for (ContentQuarantine quarantine : report.getQuarantinesList()) {
       crashes
@@ -88,8 +98,8 @@
           .addQuarantine(
               new Quarantine(
                   quarantine.getContent(),
-                  now - TimeUnit.MILLISECONDS.toNanos(quarantine.getLastCrashAgeMillis()),
-                  now + TimeUnit.MILLISECONDS.toNanos(quarantine.getRemainingMillis())),
+                  ReportedAge.toNanos(quarantine.getLastCrashAgeMillis(), now),
+                  ReportedAge.toNanos(-quarantine.getRemainingMillis(), now)),
               now);
     }
     return newCrash && !crashes.detector().soundSuspects(now).isEmpty();
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -107,7 +107,7 @@
     this.channel = new PeerChannel(address, eventLoop, this::receive);
     this.freshness = new FreshnessExchange(instanceId, channel, state);
     state.servers().onEngineWorkChange(this::onEngineWorkChange);
-    this.crashReports = new CrashReports(state.servers().crashMonitor());
+    this.crashReports = new CrashReports(state.servers().crashMonitor(), state::paused);
     state.servers().onDeparture(this::scheduleFlush);
     this.limitReports = new LimitReports(state.servers());
     state.servers().limits().onChange(this::scheduleBroadcast);
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/CrashAttribution.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/CrashAttribution.java
@@ -47,7 +47,7 @@
   private static final int CRASHES_TO_EXPLAIN = 2;
 
   /** Share of the largest number of crashes at which a part may be the cause of all of them. */
-  private static final double NEARLY_ALL = 0.8;
+  private static final double NEARLY_ALL_SHARE = 0.8;
 
   /** Time within which crashes of several servers count once against a part. */
   private static final long SIMULTANEOUS_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
@@ -194,7 +194,7 @@
   private static Suspicion mostLikely(List<Suspicion> candidates) {
     int most = candidates.stream().mapToInt(candidate -> candidate.crashes.size()).max().orElse(0);
     return candidates.stream()
-        .filter(candidate -> candidate.crashes.size() >= NEARLY_ALL * most)
+        .filter(candidate -> candidate.crashes.size() >= NEARLY_ALL_SHARE * most)
         .max(
             Comparator.<Suspicion>comparingInt(candidate -> candidate.position)
                 .thenComparing(candidate -> candidate.crashes.size())
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/CrashingRequestDetector.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/CrashingRequestDetector.java
@@ -134,7 +134,8 @@
     if (!soundContents.record(content, soundAtNanos)) {
       return;
     }
-    evaluationDue |= !observations.isEmpty();
+    // Without a pending decision, a sound content changes nothing before the next crash.
+    evaluationDue |= nextEvaluationNanos.isPresent();
     boolean refuted =
         quarantines
             .known(content)
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/CrashingPartFleet.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/CrashingPartFleet.java
@@ -1,6 +1,7 @@
 package org.basilport.policy.dispatch;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -21,8 +22,12 @@
   private static final int ENGINES = 28;
   private static final int KNOWN_CRASHES = 5;
   private static final int MAX_ATTEMPTS = 4;
-  private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
-  private static final long FIRST_PARTS = 1_000;
+  private static final long MILLI_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+  private static final long FIRST_PART_OF_FIRST_ROUTE = 1_000;
+  private static final long FIRST_CALLER_PART = 2_000;
+  private static final int CALLER_PARTS = 20;
+  private static final double SOUND_PER_SECOND = 44;
+  private static final double CRASHING_PER_SECOND = 4;
   private static final long CRASHING_PART = 77;
 
   private final SplittableRandom random;
@@ -84,14 +89,14 @@
     now = end;
   }
 
-  /** Sends sound requests of two routes for a time, at 44 a second. */
+  /** Sends sound requests of two routes for a time. */
   void sendSound(long durationNanos) {
-    arrivals(durationNanos, 44, () -> startRequest(false));
+    arrivals(durationNanos, SOUND_PER_SECOND, () -> startRequest(false));
   }
 
-  /** Sends requests with the crashing part for a time, at 4 a second. */
+  /** Sends requests with the crashing part for a time. */
   void sendCrashing(long durationNanos) {
-    arrivals(durationNanos, 4, () -> startRequest(true));
+    arrivals(durationNanos, CRASHING_PER_SECOND, () -> startRequest(true));
   }
 
   private void arrivals(long durationNanos, double perSecond, Runnable arrival) {
@@ -111,13 +116,13 @@
   private void startRequest(boolean crashing) {
     long route = random.nextInt(2);
     List<Long> parts = new ArrayList<>();
-    parts.add(FIRST_PARTS + route);
-    parts.add(2_000 + (long) random.nextInt(20));
+    parts.add(FIRST_PART_OF_FIRST_ROUTE + route);
+    parts.add(FIRST_CALLER_PART + random.nextInt(CALLER_PARTS));
     if (crashing) {
       parts.add(crashingPosition, CRASHING_PART);
     }
     RequestContent content = new RequestContent(nextFingerprint++, parts);
-    long answerNanos = route == 0 ? 100 * MILLI : 8_000 * MILLI;
+    long answerNanos = route == 0 ? 100 * MILLI_NANOS : 8_000 * MILLI_NANOS;
     Request request = new Request(random.nextInt(INSTANCES), content, crashing, answerNanos);
     soundRequests += crashing ? 0 : 1;
     send(request);
@@ -138,7 +143,7 @@
     lateSends += request.crashing && now - CONTACT_NANOS > knownAt ? 1 : 0;
     engine.running.add(request);
     int boot = engine.boot;
-    at((100 + random.nextLong(300)) * MILLI, () -> beginAnswer(request, engine, boot));
+    at((100 + random.nextLong(300)) * MILLI_NANOS, () -> beginAnswer(request, engine, boot));
   }
 
   private void beginAnswer(Request request, Engine engine, int boot) {
@@ -147,10 +152,10 @@
     }
     request.answering = true;
     if (request.crashing) {
-      at(30 * MILLI, () -> crashAt(engine, boot));
+      at(30 * MILLI_NANOS, () -> crashAt(engine, boot));
       return;
     }
-    long proof = Math.min(request.answerNanos, 500 * MILLI);
+    long proof = Math.min(request.answerNanos, 500 * MILLI_NANOS);
     at(proof, () -> proveSound(request, engine, boot));
     at(request.answerNanos, () -> engine.running.remove(request));
   }
@@ -181,13 +186,13 @@
         instances
             .get(request.instance)
             .recordLostConnection(request.content, request.answering, id, 1, now);
-        at(60 * MILLI, () -> confirm(request.instance, id));
+        at(60 * MILLI_NANOS, () -> confirm(request.instance, id));
       }
       if (request.attempts < MAX_ATTEMPTS && !request.sound) {
-        at(MILLI, () -> send(request));
+        at(MILLI_NANOS, () -> send(request));
       }
     }
-    at((2_000 + random.nextLong(2_000)) * MILLI, () -> restart(engine));
+    at((2_000 + random.nextLong(2_000)) * MILLI_NANOS, () -> restart(engine));
   }
 
   private void restart(Engine engine) {
@@ -197,13 +202,13 @@
 
   private void confirm(int instance, String engineId) {
     if (instances.get(instance).recordDeadServer(engineId, 1, now)) {
-      at(15 * MILLI, () -> report(instance, names));
+      at(15 * MILLI_NANOS, () -> report(instance, names));
     }
   }
 
   private void heartbeat(int instance, int count) {
     at(
-        400 * MILLI,
+        400 * MILLI_NANOS,
         () -> {
           int own = cells.cellOf(names.get(instance));
           List<String> receivers =
@@ -222,7 +227,11 @@
   private void report(int sender, List<String> receivers) {
     CrashingRequestDetector from = instances.get(sender);
     Map<CrashEvidence, Long> crashes = from.recentCrashes(now);
-    Map<Long, Long> sound = from.soundSuspects(now);
+    Map<CrashEvidence, Long> crashAges = new HashMap<>();
+    crashes.forEach((crash, at) -> crashAges.put(crash, ReportedAge.notEarlier(at, now)));
+    Map<Long, Long> soundAges = new HashMap<>();
+    from.soundSuspects(now)
+        .forEach((content, at) -> soundAges.put(content, ReportedAge.notLater(at, now)));
     List<Quarantine> quarantines = from.quarantines(now);
     if (crashes.isEmpty() && quarantines.isEmpty()) {
       return;
@@ -230,29 +239,34 @@
     for (String receiver : receivers) {
       int index = names.indexOf(receiver);
       if (index != sender && random.nextDouble() >= reportLoss) {
-        at((1 + random.nextLong(20)) * MILLI, () -> receive(index, crashes, sound, quarantines));
+        at(
+            (1 + random.nextLong(20)) * MILLI_NANOS,
+            () -> receive(index, crashAges, soundAges, quarantines));
       }
     }
   }
 
   private void receive(
       int receiver,
-      Map<CrashEvidence, Long> crashes,
-      Map<Long, Long> sound,
+      Map<CrashEvidence, Long> crashAges,
+      Map<Long, Long> soundAges,
       List<Quarantine> quarantines) {
     CrashingRequestDetector to = instances.get(receiver);
-    sound.forEach(to::addSound);
+    soundAges.forEach((content, age) -> to.addSound(content, ReportedAge.toNanos(age, now)));
     boolean[] added = new boolean[1];
-    crashes.forEach(
-        (evidence, lostAt) -> {
-          boolean ownLosses = to.recordDeadServer(evidence.serverId(), 1, now);
-          added[0] |= ownLosses | to.addCrash(evidence, lostAt, now);
+    crashAges.forEach(
+        (evidence, age) -> {
+          boolean isNew = to.addCrash(evidence, ReportedAge.toNanos(age, now), now);
+          if (isNew) {
+            to.recordDeadServer(evidence.serverId(), 1, now);
+            added[0] = true;
+          }
         });
     quarantines.forEach(quarantine -> to.addQuarantine(quarantine, now));
     if (added[0]) {
       int own = cells.cellOf(names.get(receiver));
       List<String> cell = names.stream().filter(name -> cells.cellOf(name) == own).toList();
-      at(15 * MILLI, () -> report(receiver, cell));
+      at(15 * MILLI_NANOS, () -> report(receiver, cell));
     }
   }
 
