Keep the times of named limits when instances tell them back

A server could get a request too many, or an instance could keep a limit that had ended, until the server answered that instance again.

Cause: as with the evidence of crashes, ages were rounded down and came back a little younger, so that a limit seemed to be observed again with every report. The end of a limit was observed once and could lose against a limit that another instance observed a moment later in its own time.

Change: ReportedAge for both times; responses without a limit renew the end once a second while it is reported (NamedLimit.changedByNoLimit); reports that waited during a pause are not read for limits.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerLimits.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerLimits.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.concurrent.TimeUnit;
 import org.basilport.event.EventSink;
 import org.basilport.event.EventSubject;
 import org.basilport.event.EventType;
@@ -16,11 +15,8 @@
  * instance in each. Confined to the event loop thread.
  */
 public final class ServerLimits {
-  /** Time for which the end of a limit is reported; other instances learn of it within a second. */
-  private static final long END_REPORT_NANOS = TimeUnit.SECONDS.toNanos(10);
-
   /** Relative change of a limit that is reported at once, since some servers name others often. */
-  private static final double SIGNIFICANT_CHANGE = 0.1;
+  private static final double SIGNIFICANT_CHANGE_SHARE = 0.1;
 
   private final EventSink events;
   private final Map<BackendServer, NamedLimit> limits = new HashMap<>();
@@ -52,10 +48,10 @@
   /** Records the limit that a server named, or did not name, in a response to this instance. */
   public void record(BackendServer server, OptionalDouble perSecond) {
     NamedLimit known = limits.get(server);
-    if (perSecond.isEmpty() && (known == null || known.perSecond().isEmpty())) {
+    long now = System.nanoTime();
+    if (perSecond.isEmpty() && (known == null || !known.changedByNoLimit(now))) {
       return;
     }
-    long now = System.nanoTime();
     if (merge(server, new NamedLimit(perSecond, now, now), "response")) {
       changeListener.run();
     }
@@ -92,7 +88,7 @@
       return known.isPresent() != merged.isPresent();
     }
     double change = Math.abs(merged.getAsDouble() - known.getAsDouble());
-    return change > SIGNIFICANT_CHANGE * known.getAsDouble();
+    return change > SIGNIFICANT_CHANGE_SHARE * known.getAsDouble();
   }
 
   private void apply(BackendServer server, NamedLimit limit) {
@@ -108,8 +104,7 @@
       server
           .load()
           .setRateLimit(
-              Optional.of(
-                  new SharedRateLimit(perSecond, instances, rank, limit.namedSinceNanos())));
+              Optional.of(new SharedRateLimit(perSecond, instances, rank, limit.sinceNanos())));
     }
   }
 
@@ -123,8 +118,7 @@
     Map<BackendServer, NamedLimit> reportable = new HashMap<>();
     limits.forEach(
         (server, limit) -> {
-          if (limit.perSecond().isPresent()
-              || nowNanos - limit.observedNanos() < END_REPORT_NANOS) {
+          if (limit.reportable(nowNanos)) {
             reportable.put(server, limit);
           }
         });
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LimitReports.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LimitReports.java
@@ -1,10 +1,11 @@
 package org.basilport.gateway.peer;
 
 import java.util.OptionalDouble;
-import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.basilport.gateway.backend.BackendServer;
 import org.basilport.gateway.backend.ServerTable;
 import org.basilport.policy.dispatch.NamedLimit;
+import org.basilport.policy.dispatch.ReportedAge;
 import org.basilport.protocol.LoadReport;
 import org.basilport.protocol.ServerLimit;
 
@@ -14,9 +15,17 @@
  */
 final class LimitReports {
   private final ServerTable servers;
+  private final BooleanSupplier delayed;
 
-  LimitReports(ServerTable servers) {
+  /**
+   * Creates a translation.
+   *
+   * @param delayed whether reports are read now that arrived before a pause of this process, so
+   *     that their ages are too small
+   */
+  LimitReports(ServerTable servers, BooleanSupplier delayed) {
     this.servers = servers;
+    this.delayed = delayed;
   }
 
   /** Adds what this instance knows to a report. */
@@ -31,8 +40,8 @@
                   ServerLimit.newBuilder()
                       .setServerId(server.entry().id())
                       .setIncarnation(server.entry().incarnation())
-                      .setObservedAgeMillis(millis(now - limit.observedNanos()))
-                      .setNamedAgeMillis(millis(now - limit.namedSinceNanos()));
+                      .setObservedAgeMillis(ReportedAge.notLater(limit.observedNanos(), now))
+                      .setNamedAgeMillis(ReportedAge.notEarlier(limit.sinceNanos(), now));
               limit
                   .perSecond()
                   .ifPresent(perSecond -> message.setLimited(true).setRequestsPerSecond(perSecond));
@@ -42,6 +51,9 @@
 
   /** Merges the knowledge of another instance. */
   void read(LoadReport report) {
+    if (delayed.getAsBoolean()) {
+      return;
+    }
     long now = System.nanoTime();
     for (ServerLimit limit : report.getLimitsList()) {
       servers
@@ -62,12 +74,8 @@
             server,
             new NamedLimit(
                 perSecond,
-                now - TimeUnit.MILLISECONDS.toNanos(limit.getObservedAgeMillis()),
-                now - TimeUnit.MILLISECONDS.toNanos(limit.getNamedAgeMillis())),
+                ReportedAge.toNanos(limit.getObservedAgeMillis(), now),
+                ReportedAge.toNanos(limit.getNamedAgeMillis(), now)),
             source);
   }
-
-  private static long millis(long nanos) {
-    return TimeUnit.NANOSECONDS.toMillis(nanos);
-  }
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -109,7 +109,7 @@
     state.servers().onEngineWorkChange(this::onEngineWorkChange);
     this.crashReports = new CrashReports(state.servers().crashMonitor(), state::paused);
     state.servers().onDeparture(this::scheduleFlush);
-    this.limitReports = new LimitReports(state.servers());
+    this.limitReports = new LimitReports(state.servers(), state::paused);
     state.servers().limits().onChange(this::scheduleBroadcast);
     state.servers().crashMonitor().onEvidence(this::scheduleBroadcast);
     state.servers().crashMonitor().onQuarantineChange(this::scheduleFlushToNeighbours);
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/SharedRateLimitTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/SharedRateLimitTest.java
@@ -169,6 +169,18 @@
       assertThat(named(3, 12, 12).merge(named(2, 10, 5))).isEqualTo(named(3, 12, 5));
     }
 
+    /** Guards against an end that is reported once only, or for ever. */
+    @Test
+    void repeatsTheEndForAWhile() {
+      NamedLimit end = new NamedLimit(OptionalDouble.empty(), 2 * SECOND, SECOND);
+      assertThat(named(2, 0, 0).changedByNoLimit(SECOND)).isTrue();
+      assertThat(end.changedByNoLimit(3 * SECOND)).isFalse();
+      assertThat(end.changedByNoLimit(4 * SECOND)).isTrue();
+      assertThat(end.reportable(10 * SECOND)).isTrue();
+      assertThat(end.reportable(11 * SECOND)).isFalse();
+      assertThat(end.changedByNoLimit(11 * SECOND)).isFalse();
+    }
+
     /** Guards against instances that send out of turn. */
     @Test
     void waitsForTheOwnTurn() {
