Split the attribution of crashes and make the proof of soundness pure

What stopped a reader: one file held observations, crashes, suspicions and the attribution, and the duration after which an answer proves its request sound stood in the forwarding code without a test. ServerCrash, PartSuspicion, CrashObservation and AnswerProgress are files of their own; the latter has tests.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/CrashMonitor.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/CrashMonitor.java
@@ -138,6 +138,11 @@
     return true;
   }
 
+  /** Records that a server answered a request without crashing. */
+  public void recordSound(RequestContent content) {
+    detector.recordSound(content, System.nanoTime());
+  }
+
   /** Returns the quarantine of a request; empty if it may be sent. */
   public Optional<Quarantine> quarantine(RequestContent content) {
     return detector.quarantine(content, System.nanoTime());
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/CrashAttribution.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/CrashAttribution.java
@@ -4,11 +4,9 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongFunction;
@@ -31,27 +29,15 @@
  * </ul>
  */
 final class CrashAttribution {
-  /** Crashes after which a request, or a part that was never answered, is quarantined. */
+  /** Crashes after which a request is quarantined. */
   private static final int CRASHES_TO_QUARANTINE = 3;
 
-  /** Different requests that must have crashed servers before a part is blamed for it. */
-  private static final int REQUESTS_TO_QUARANTINE = 2;
-
-  /** Simultaneous crashes, under different requests, that are no coincidence. */
-  private static final int SIMULTANEOUS_CRASHES_TO_QUARANTINE = 5;
-
-  /** Crashes after which a part is quarantined that was answered earlier. */
-  private static final int CRASHES_TO_QUARANTINE_ANSWERED = 5;
-
   /** Crashes of a part that was never answered that explain those of the parts beside it. */
   private static final int CRASHES_TO_EXPLAIN = 2;
 
   /** Share of the largest number of crashes at which a part may be the cause of all of them. */
   private static final double NEARLY_ALL_SHARE = 0.8;
 
-  /** Time within which crashes of several servers count once against a part. */
-  private static final long SIMULTANEOUS_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-
   /** Time within which other instances report the parts of a crash that they know to be sound. */
   private static final long SETTLING_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -73,7 +59,7 @@
    * @param knownQuarantine present or former quarantine of a content
    */
   CrashAttribution(
-      Collection<Observation> observations,
+      Collection<CrashObservation> observations,
       SoundContents soundContents,
       LongFunction<Optional<Quarantine>> knownQuarantine,
       long nowNanos) {
@@ -96,34 +82,30 @@
     return undecided ? Optional.of(nextDecisionNanos) : Optional.empty();
   }
 
-  private static List<ServerCrash> crashes(Collection<Observation> observations) {
-    Map<String, List<Observation>> byServer =
+  private static List<ServerCrash> crashes(Collection<CrashObservation> observations) {
+    Map<String, List<CrashObservation>> byServer =
         observations.stream()
             .collect(
                 Collectors.groupingBy(
                     observation ->
-                        observation.evidence.serverId()
+                        observation.evidence().serverId()
                             + "@"
-                            + observation.evidence.incarnation()));
+                            + observation.evidence().incarnation()));
     List<ServerCrash> crashes = new ArrayList<>();
-    for (List<Observation> atServer : byServer.values()) {
-      List<Observation> answering =
-          atServer.stream().filter(observation -> observation.evidence.answering()).toList();
-      crashes.add(new ServerCrash(answering.isEmpty() ? atServer : answering));
-    }
-    crashes.sort((a, b) -> Long.signum(a.lostAtNanos - b.lostAtNanos));
+    byServer.values().forEach(atServer -> crashes.add(new ServerCrash(atServer)));
+    crashes.sort((a, b) -> Long.signum(a.lostAtNanos() - b.lostAtNanos()));
     return crashes;
   }
 
   /** A content that was quarantined before is quarantined again after one further crash. */
   private void blameKnownCulprits() {
     for (ServerCrash crash : crashes) {
-      for (Observation suspect : crash.suspects) {
-        for (long content : contents(suspect.evidence.content())) {
+      for (CrashObservation suspect : crash.suspects()) {
+        for (long content : contents(suspect.evidence().content())) {
           boolean repeated =
               knownQuarantine
                   .apply(content)
-                  .filter(known -> suspect.lostAtNanos - known.lastCrashNanos() > 0)
+                  .filter(known -> suspect.lostAtNanos() - known.lastCrashNanos() > 0)
                   .isPresent();
           if (repeated) {
             culprits.merge(content, 1, Integer::sum);
@@ -145,9 +127,9 @@
       if (explained(crash)) {
         continue;
       }
-      for (Observation suspect : crash.suspects) {
-        long fingerprint = suspect.evidence.content().fingerprint();
-        if (!soundContents.soundAfter(fingerprint, suspect.lostAtNanos)) {
+      for (CrashObservation suspect : crash.suspects()) {
+        long fingerprint = suspect.evidence().content().fingerprint();
+        if (!soundContents.soundAfter(fingerprint, suspect.lostAtNanos())) {
           counts.merge(fingerprint, 1, Integer::sum);
         }
       }
@@ -162,10 +144,10 @@
 
   private void blameParts() {
     while (true) {
-      List<Suspicion> suspicions = suspicions();
-      List<Suspicion> candidates =
+      List<PartSuspicion> suspicions = suspicions();
+      List<PartSuspicion> candidates =
           suspicions.stream()
-              .filter(suspicion -> !suspicion.answered && suspicion.decisiveAtNanos().isPresent())
+              .filter(suspicion -> !suspicion.answered() && suspicion.decisiveAtNanos().isPresent())
               .toList();
       if (candidates.isEmpty()) {
         candidates = answeredCandidates(suspicions);
@@ -173,8 +155,8 @@
       if (candidates.isEmpty()) {
         return;
       }
-      Suspicion chosen = mostLikely(candidates);
-      boolean ambiguous = chosen.answered || candidates.size() > 1;
+      PartSuspicion chosen = mostLikely(candidates);
+      boolean ambiguous = chosen.answered() || candidates.size() > 1;
       long decisionNanos =
           chosen.decisiveAtNanos().orElseThrow()
               + (ambiguous ? AMBIGUOUS_SETTLING_NANOS : SETTLING_NANOS);
@@ -183,7 +165,7 @@
         undecided = true;
         return;
       }
-      culprits.put(chosen.part, chosen.crashes.size());
+      culprits.put(chosen.part(), chosen.crashes().size());
     }
   }
 
@@ -191,38 +173,39 @@
    * The last of the parts that occur in nearly all crashes: all requests of a route share the first
    * parts, so these occur in the crashes that a later part causes.
    */
-  private static Suspicion mostLikely(List<Suspicion> candidates) {
-    int most = candidates.stream().mapToInt(candidate -> candidate.crashes.size()).max().orElse(0);
+  private static PartSuspicion mostLikely(List<PartSuspicion> candidates) {
+    int most =
+        candidates.stream().mapToInt(candidate -> candidate.crashes().size()).max().orElse(0);
     return candidates.stream()
-        .filter(candidate -> candidate.crashes.size() >= NEARLY_ALL_SHARE * most)
+        .filter(candidate -> candidate.crashes().size() >= NEARLY_ALL_SHARE * most)
         .max(
-            Comparator.<Suspicion>comparingInt(candidate -> candidate.position)
-                .thenComparing(candidate -> candidate.crashes.size())
-                .thenComparing(candidate -> candidate.part))
+            Comparator.<PartSuspicion>comparingInt(candidate -> candidate.position())
+                .thenComparing(candidate -> candidate.crashes().size())
+                .thenComparing(candidate -> candidate.part()))
         .orElseThrow();
   }
 
   private boolean explained(ServerCrash crash) {
-    return crash.suspects.stream()
-        .flatMap(suspect -> suspect.evidence.content().promptParts().stream())
+    return crash.suspects().stream()
+        .flatMap(suspect -> suspect.evidence().content().promptParts().stream())
         .anyMatch(part -> culprits.containsKey(part) || knownQuarantine.apply(part).isPresent());
   }
 
   /** The parts in crashes that are not explained and later than the last answer to the part. */
-  private List<Suspicion> suspicions() {
-    Map<Long, Suspicion> byPart = new HashMap<>();
+  private List<PartSuspicion> suspicions() {
+    Map<Long, PartSuspicion> byPart = new HashMap<>();
     for (ServerCrash crash : crashes) {
       if (explained(crash)) {
         continue;
       }
-      for (Observation suspect : crash.suspects) {
-        List<Long> parts = suspect.evidence.content().promptParts();
+      for (CrashObservation suspect : crash.suspects()) {
+        List<Long> parts = suspect.evidence().content().promptParts();
         for (int i = 0; i < parts.size(); i++) {
           long part = parts.get(i);
-          if (!soundContents.soundAfter(part, suspect.lostAtNanos)) {
+          if (!soundContents.soundAfter(part, suspect.lostAtNanos())) {
             byPart
                 .computeIfAbsent(
-                    part, key -> new Suspicion(key, soundContents.lastSound(key).isPresent()))
+                    part, key -> new PartSuspicion(key, soundContents.lastSound(key).isPresent()))
                 .add(crash, suspect, i);
           }
         }
@@ -235,105 +218,18 @@
    * The parts that were answered earlier and are the only explanation of several crashes under an
    * answer that had begun.
    */
-  private static List<Suspicion> answeredCandidates(List<Suspicion> suspicions) {
+  private static List<PartSuspicion> answeredCandidates(List<PartSuspicion> suspicions) {
     Set<ServerCrash> explained =
         suspicions.stream()
             .filter(
-                suspicion -> !suspicion.answered && suspicion.crashes.size() >= CRASHES_TO_EXPLAIN)
-            .flatMap(suspicion -> suspicion.crashes.stream())
+                suspicion ->
+                    !suspicion.answered() && suspicion.crashes().size() >= CRASHES_TO_EXPLAIN)
+            .flatMap(suspicion -> suspicion.crashes().stream())
             .collect(Collectors.toSet());
     return suspicions.stream()
-        .filter(suspicion -> suspicion.answered)
+        .filter(suspicion -> suspicion.answered())
         .map(suspicion -> suspicion.without(explained))
         .filter(suspicion -> suspicion.decisiveAtNanos().isPresent())
         .toList();
   }
-
-  /**
-   * One request that was at a server when it crashed.
-   *
-   * @param lostAtNanos monotonic time at which the connection of the request was lost
-   * @param knownAtNanos monotonic time at which this instance learned of it
-   */
-  record Observation(CrashEvidence evidence, long lostAtNanos, long knownAtNanos) {}
-
-  /** Crash of one incarnation of a server, with the requests that may have caused it. */
-  private static final class ServerCrash {
-    private final List<Observation> suspects;
-    private final long lostAtNanos;
-    private final long knownAtNanos;
-
-    ServerCrash(List<Observation> suspects) {
-      this.suspects = suspects;
-      this.lostAtNanos = suspects.stream().mapToLong(Observation::lostAtNanos).min().orElse(0);
-      this.knownAtNanos = suspects.stream().mapToLong(Observation::knownAtNanos).min().orElse(0);
-    }
-
-    boolean underAnswer() {
-      return suspects.get(0).evidence.answering();
-    }
-  }
-
-  /** A part with the crashes that it may have caused, in their order. */
-  private static final class Suspicion {
-    private final long part;
-    private final boolean answered;
-    private final List<ServerCrash> crashes = new ArrayList<>();
-    private final List<Long> countedAtNanos = new ArrayList<>();
-    private final Set<Long> fingerprints = new HashSet<>();
-    private ServerCrash countedCrash;
-    private int position;
-
-    Suspicion(long part, boolean answered) {
-      this.part = part;
-      this.answered = answered;
-    }
-
-    void add(ServerCrash crash, Observation suspect, int index) {
-      if (!crashes.contains(crash)) {
-        count(crash);
-      }
-      fingerprints.add(suspect.evidence.content().fingerprint());
-      position = Math.max(position, index);
-    }
-
-    private void count(ServerCrash crash) {
-      boolean separate =
-          crashes.isEmpty() || crash.lostAtNanos - countedCrash.lostAtNanos > SIMULTANEOUS_NANOS;
-      if (separate) {
-        countedCrash = crash;
-        countedAtNanos.add(crash.knownAtNanos);
-      }
-      crashes.add(crash);
-    }
-
-    Suspicion without(Set<ServerCrash> explained) {
-      Suspicion rest = new Suspicion(part, answered);
-      for (ServerCrash crash : crashes) {
-        if (crash.underAnswer() && !explained.contains(crash)) {
-          crash.suspects.stream()
-              .filter(suspect -> suspect.evidence.content().promptParts().contains(part))
-              .forEach(suspect -> rest.add(crash, suspect, position));
-        }
-      }
-      return rest;
-    }
-
-    /** Time at which the evidence became sufficient; empty if it is not. */
-    OptionalLong decisiveAtNanos() {
-      if (fingerprints.size() < REQUESTS_TO_QUARANTINE) {
-        return OptionalLong.empty();
-      }
-      int threshold = answered ? CRASHES_TO_QUARANTINE_ANSWERED : CRASHES_TO_QUARANTINE;
-      if (countedAtNanos.size() >= threshold) {
-        return countedAtNanos.subList(0, threshold).stream().mapToLong(at -> at).max();
-      }
-      List<ServerCrash> underAnswer = crashes.stream().filter(ServerCrash::underAnswer).toList();
-      int required = SIMULTANEOUS_CRASHES_TO_QUARANTINE;
-      if (!answered && underAnswer.size() >= required && fingerprints.size() >= required) {
-        return underAnswer.stream().mapToLong(crash -> crash.knownAtNanos).max();
-      }
-      return OptionalLong.empty();
-    }
-  }
 }
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/CrashingRequestDetector.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/CrashingRequestDetector.java
@@ -46,7 +46,7 @@
 
   private final List<LostConnection> lostConnections = new ArrayList<>();
   private final Map<ServerIncarnation, Long> deadServers = new HashMap<>();
-  private final Map<CrashEvidence, CrashAttribution.Observation> observations = new HashMap<>();
+  private final Map<CrashEvidence, CrashObservation> observations = new HashMap<>();
   private final SoundContents soundContents = new SoundContents();
   private final QuarantineTable quarantines = new QuarantineTable();
   private final List<QuarantineChange> changes = new ArrayList<>();
@@ -116,7 +116,7 @@
           .min((a, b) -> Long.signum(a.lostAtNanos() - b.lostAtNanos()))
           .ifPresent(oldest -> observations.remove(oldest.evidence()));
     }
-    observations.put(evidence, new CrashAttribution.Observation(evidence, lostAtNanos, nowNanos));
+    observations.put(evidence, new CrashObservation(evidence, lostAtNanos, nowNanos));
     evaluationDue = true;
     return true;
   }
@@ -211,7 +211,7 @@
             observation ->
                 observation.evidence().content().fingerprint() == content
                     || observation.evidence().content().promptParts().contains(content))
-        .map(CrashAttribution.Observation::lostAtNanos)
+        .map(CrashObservation::lostAtNanos)
         .max((a, b) -> Long.signum(a - b))
         .orElseThrow();
   }
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/CrashingPromptPartTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/CrashingPromptPartTest.java
@@ -125,6 +125,34 @@
     }
   }
 
+  @Nested
+  class Progress {
+    private final AnswerProgress progress = new AnswerProgress();
+
+    /** Guards against blaming a long generation for the crash of its engine. */
+    @Test
+    void provesARequestSoundOnceItsAnswerGoesOn() {
+      progress.recordSend();
+      progress.recordStart(SECOND);
+      assertThat(progress.recordContinuation(SECOND + SECOND / 2)).isFalse();
+      assertThat(progress.sound()).isFalse();
+      assertThat(progress.recordContinuation(SECOND + SECOND / 2 + 1)).isTrue();
+      assertThat(progress.recordContinuation(2 * SECOND)).isFalse();
+      assertThat(progress.sound()).isTrue();
+    }
+
+    /** Guards against proving a request sound by the answer of an earlier attempt. */
+    @Test
+    void beginsAnewWithEachSend() {
+      progress.recordStart(0);
+      progress.recordSend();
+      assertThat(progress.answering()).isFalse();
+      assertThat(progress.recordContinuation(5 * SECOND)).isFalse();
+      progress.recordStart(5 * SECOND);
+      assertThat(progress.recordContinuation(5 * SECOND + 1)).isFalse();
+    }
+  }
+
   /** Load: the largest deployment, with 95 instances, 28 engines and 44 sound requests a second. */
   @Nested
   class Fleets {
