Split the exchange of load and the life of a request

The receivers of the next report are a class without network and with tests (PendingReport), the translation of work stands beside those of crashes and limits (WorkReports), and the deadline and queue timeout of a request are ExchangeTimers. A quarantine is checked once where a request is placed, and not a second time before it; otherwise no behaviour changes. The tests of the gateway pass.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
@@ -20,7 +19,6 @@
 import org.basilport.gateway.message.CallerRequest;
 import org.basilport.gateway.message.ForwardingDetails;
 import org.basilport.gateway.message.ServerResponse;
-import org.basilport.policy.dispatch.Deadline;
 import org.basilport.policy.dispatch.OutstandingWork;
 import org.basilport.policy.dispatch.PendingRequestQueue;
 import org.basilport.policy.dispatch.Quarantine;
@@ -50,14 +48,10 @@
   final Optional<KeyHolder> holder;
   final ResponseChannel caller;
   final ServiceDispatcher dispatcher;
-  final long arrivalNanos = System.nanoTime();
-  private final Deadline deadline;
+  private final ExchangeTimers timers;
   private final Set<String> triedServerIds = new HashSet<>();
-  private final ScheduledFuture<?> deadlineTimer;
-  private ScheduledFuture<?> queueTimer;
   private Optional<PendingRequestQueue.Entry<PlacementRequest>> queueEntry = Optional.empty();
   private OutstandingWork reservedWork = OutstandingWork.NONE;
-  private long queueTimeoutNanos;
   private int sentAttempts;
   private int refusedAttempts;
   private boolean callerDisconnected;
@@ -83,9 +77,7 @@
     this.recorder = new ExchangeRecorder(context, this);
     this.dispatcher = context.state().dispatcher(route.serviceFor(request.id()));
     Duration timeout = route.timeLimit(request.callerTimeout());
-    this.deadline = new Deadline(arrivalNanos, System.currentTimeMillis(), timeout);
-    this.deadlineTimer =
-        context.eventLoop().schedule(this::onDeadline, timeout.toNanos(), TimeUnit.NANOSECONDS);
+    this.timers = new ExchangeTimers(context.eventLoop(), timeout, this::onDeadline);
   }
 
   /** Starts the placement of the request at a backend server. */
@@ -93,13 +85,9 @@
     if (finished) {
       return;
     }
-    if (rejectIfQuarantined()) {
-      return;
-    }
-    dispatcher.retryBudget().recordRequest(arrivalNanos);
-    queueTimeoutNanos = Math.round(QUEUE_TIMEOUT_RATIO * route.targetLatency().toNanos());
-    queueTimer =
-        context.eventLoop().schedule(this::onQueueTimeout, queueTimeoutNanos, TimeUnit.NANOSECONDS);
+    dispatcher.retryBudget().recordRequest(timers.arrivalNanos());
+    timers.startQueueTimeout(
+        Math.round(QUEUE_TIMEOUT_RATIO * route.targetLatency().toNanos()), this::onQueueTimeout);
     placeOrQueue();
   }
 
@@ -162,9 +150,7 @@
 
   @Override
   public final long maxWaitNanos() {
-    long untilTimeoutNanos = queueTimeoutNanos - (System.nanoTime() - arrivalNanos);
-    // The queue timeout does not apply to a request that was sent before.
-    return untilTimeoutNanos > 0 ? untilTimeoutNanos : remaining().toNanos();
+    return timers.maxWaitNanos();
   }
 
   @Override
@@ -228,7 +214,7 @@
 
   /** Time until the deadline. */
   final Duration remaining() {
-    return deadline.remaining(System.nanoTime(), System.currentTimeMillis());
+    return timers.remaining();
   }
 
   private void onSendNotPermitted(SendCheck.Result result) {
@@ -458,10 +444,7 @@
       return;
     }
     finished = true;
-    deadlineTimer.cancel(false);
-    if (queueTimer != null) {
-      queueTimer.cancel(false);
-    }
+    timers.cancel();
     queueEntry.ifPresent(dispatcher::removeQueued);
     queueEntry = Optional.empty();
     onFinished();
@@ -492,6 +475,6 @@
   }
 
   final long elapsedMillis() {
-    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - arrivalNanos);
+    return timers.elapsedMillis();
   }
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.basilport.event.EventSink;
 import org.basilport.event.EventSubject;
 import org.basilport.event.EventType;
@@ -19,13 +20,11 @@
 import org.basilport.misc.Service;
 import org.basilport.policy.dispatch.CellPartition;
 import org.basilport.policy.dispatch.FreedCapacityDelay;
-import org.basilport.policy.dispatch.OutstandingWork;
 import org.basilport.policy.dispatch.PeerLiveness;
 import org.basilport.policy.dispatch.WatcherSelector;
 import org.basilport.protocol.LoadReport;
 import org.basilport.protocol.PeerDatagram;
 import org.basilport.protocol.ServerDeparture;
-import org.basilport.protocol.ServerWork;
 
 /**
  * Exchanges load and readiness reports between instances. Confined to the event loop thread.
@@ -74,16 +73,13 @@
   private long partitionedRevision = -1;
   private boolean ready;
   private boolean watching;
-  private final Set<String> changedEngines = new HashSet<>();
+  private final PendingReport pendingReport = new PendingReport();
   private final FreedCapacityDelay freedCapacityDelay =
       new FreedCapacityDelay(new SplittableRandom());
   private boolean placementScheduled;
   private boolean flushScheduled;
   private final CrashReports crashReports;
   private final LimitReports limitReports;
-  private boolean broadcastDue;
-  private boolean neighboursDue;
-  private boolean evidenceDue;
   private ConfigurationSubscription configurationSubscription;
   private long sequence;
   private long heartbeatCount;
@@ -110,9 +106,12 @@
     this.crashReports = new CrashReports(state.servers().crashMonitor(), state::paused);
     state.servers().onDeparture(this::scheduleFlush);
     this.limitReports = new LimitReports(state.servers(), state::paused);
-    state.servers().limits().onChange(this::scheduleBroadcast);
-    state.servers().crashMonitor().onEvidence(this::scheduleBroadcast);
-    state.servers().crashMonitor().onQuarantineChange(this::scheduleFlushToNeighbours);
+    state.servers().limits().onChange(() -> schedule(PendingReport::addEvidenceForAll));
+    state.servers().crashMonitor().onEvidence(() -> schedule(PendingReport::addEvidenceForAll));
+    state
+        .servers()
+        .crashMonitor()
+        .onQuarantineChange(() -> schedule(PendingReport::addEvidenceForNeighbours));
     state.onSharedCapacity(this::schedulePlacement);
   }
 
@@ -214,8 +213,7 @@
   }
 
   private void onEngineWorkChange(BackendServer server) {
-    changedEngines.add(server.entry().id());
-    scheduleFlush();
+    schedule(report -> report.addWork(server.entry().id()));
   }
 
   private void scheduleFlush() {
@@ -225,44 +223,17 @@
     }
   }
 
-  /** Schedules a report to all instances. */
-  private void scheduleBroadcast() {
-    broadcastDue = true;
-    scheduleFlush();
-  }
-
-  private void scheduleEvidence() {
-    evidenceDue = true;
+  private void schedule(Consumer<PendingReport> addition) {
+    addition.accept(pendingReport);
     scheduleFlush();
   }
 
-  private void scheduleFlushToNeighbours() {
-    neighboursDue = true;
-    scheduleEvidence();
-  }
-
   private void flush() {
     flushScheduled = false;
-    boolean withEvidence = evidenceDue;
-    evidenceDue = false;
-    if (broadcastDue) {
-      broadcastDue = false;
-      neighboursDue = false;
-      changedEngines.clear();
-      send(members.allAddresses());
-      return;
-    }
-    Set<Integer> affectedCells = new HashSet<>();
-    if (!members.cells().singleCell()) {
-      changedEngines.forEach(id -> affectedCells.addAll(members.cells().cellsOfEngine(id)));
-    }
-    affectedCells.add(members.ownCell());
-    if (neighboursDue) {
-      neighboursDue = false;
-      affectedCells.addAll(members.cells().neighbours(members.ownCell()));
-    }
-    changedEngines.clear();
-    send(members.addresses(affectedCells), withEvidence);
+    PendingReport.Audience audience = pendingReport.take(members.cells(), members.ownCell());
+    send(
+        audience.all() ? members.allAddresses() : members.addresses(audience.cells()),
+        audience.withEvidence());
   }
 
   private void heartbeat() {
@@ -340,12 +311,6 @@
     send(receivers, true);
   }
 
-  /**
-   * Sends a report.
-   *
-   * @param withEvidence whether it contains crashes, quarantines and limits, which would dominate
-   *     the frequent reports of changed work
-   */
   private void send(List<InetSocketAddress> receivers, boolean withEvidence) {
     LoadReport.Builder report =
         LoadReport.newBuilder()
@@ -366,15 +331,7 @@
       crashReports.write(report);
       limitReports.write(report);
     }
-    for (BackendServer server : state.servers().serversWithOwnWork()) {
-      OutstandingWork own = server.load().ownWork();
-      report.addWork(
-          ServerWork.newBuilder()
-              .setServerId(server.entry().id())
-              .setRequests(own.requests())
-              .setUnreadTokens(own.pendingPrefillTokens())
-              .setMemoryTokens(own.memoryTokens()));
-    }
+    WorkReports.write(report, state.servers());
     channel.send(
         PeerDatagram.newBuilder().setSenderId(instanceId).setLoad(report).build(), receivers);
   }
@@ -416,7 +373,7 @@
                         report.getInstanceId()));
     limitReports.read(report);
     if (crashReports.read(report)) {
-      scheduleEvidence();
+      schedule(PendingReport::addEvidence);
     }
     boolean silentBefore = silentPeers.remove(report.getInstanceId());
     if (isInOwnCell(report) && (known == null || silentBefore || restarted(known.report, report))) {
@@ -430,7 +387,7 @@
       freshness.readStore();
     }
     if (known == null || !known.report.getWorkList().equals(report.getWorkList())) {
-      state.updatePeerWork(report.getInstanceId(), workByServer(report));
+      state.updatePeerWork(report.getInstanceId(), WorkReports.read(report));
     }
   }
 
@@ -478,16 +435,6 @@
     }
   }
 
-  private static Map<String, OutstandingWork> workByServer(LoadReport report) {
-    Map<String, OutstandingWork> outstandingWork = new HashMap<>();
-    for (ServerWork work : report.getWorkList()) {
-      outstandingWork.put(
-          work.getServerId(),
-          new OutstandingWork(work.getRequests(), work.getUnreadTokens(), work.getMemoryTokens()));
-    }
-    return outstandingWork;
-  }
-
   /** Latest report of another instance and the time of its receipt. */
   private record ReceivedReport(LoadReport report, long receivedNanos) {
     boolean isOlderThan(LoadReport other) {
