Test what a limited service does with requests that must wait

What was missing: no test showed that a request which no permit can reach is rejected at once, nor that queued requests are sent at their permits. The share of a limit is set and removed by two methods in place of an optional parameter; no behaviour changes. GatewayServerLimitTest passes.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerLimits.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerLimits.java
@@ -93,7 +93,7 @@
 
   private void apply(BackendServer server, NamedLimit limit) {
     if (limit.perSecond().isEmpty()) {
-      server.load().setRateLimit(Optional.empty());
+      server.load().removeRateLimit();
       return;
     }
     double perSecond = limit.perSecond().getAsDouble();
@@ -101,10 +101,7 @@
     if (share.isPresent()) {
       share.get().update(perSecond, instances, rank, System.nanoTime());
     } else {
-      server
-          .load()
-          .setRateLimit(
-              Optional.of(new SharedRateLimit(perSecond, instances, rank, limit.sinceNanos())));
+      server.load().limitRate(new SharedRateLimit(perSecond, instances, rank, limit.sinceNanos()));
     }
   }
 
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
@@ -108,7 +108,7 @@
     return servers.servers(service).stream()
         .filter(server -> !server.load().leaving() && request.accepts(server))
         .map(BackendServer::load)
-        .mapToLong(load -> load.rateLimit().map(limit -> limit.nanosToPermit(now)).orElse(0L))
+        .mapToLong(load -> load.nanosToPermit(now))
         .min()
         .orElse(0);
   }
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayServerLimitTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayServerLimitTest.java
@@ -19,12 +19,15 @@
   /** Time after which all instances must keep a limit. */
   private static final long CONTACT_MILLIS = 3_000;
 
+  /** Time for which a request of the route may wait: 0.8 of its target latency of 150 ms. */
+  private static final long QUEUE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(120);
+
   private static final int CALLS = 90;
   private static final long CALL_INTERVAL_MILLIS = 40;
 
   private final List<Long> limitedArrivals = new CopyOnWriteArrayList<>();
 
-  private void serveLimited() throws Exception {
+  private void serveLimited(double perSecond) throws Exception {
     serve(
         "plain",
         (request, out, socket) -> {
@@ -34,7 +37,7 @@
               "HTTP/1.1 200 S\r\nid: "
                   + request.id()
                   + "\r\nseal: s\r\nlimit: "
-                  + LIMIT_PER_SECOND
+                  + perSecond
                   + "\r\nContent-Length: 2\r\n\r\nok");
         });
   }
@@ -57,7 +60,7 @@
   @Test
   void keepsTheLimitThatAServerNames() throws Exception {
     configure(1, "k1");
-    serveLimited();
+    serveLimited(LIMIT_PER_SECOND);
     while (limitedArrivals.isEmpty()) {
       call("POST", "/write/x", "key: k1\r\n");
     }
@@ -74,4 +77,29 @@
     assertThat(mostInAWindow(start)).isAtMost(MAX_REQUESTS);
     assertThat(served).isEqualTo(CALLS);
   }
+
+  /** Guards against a request that waits until its time limit for a permit that comes later. */
+  @Test
+  void rejectsAtOnceWhatNoPermitCanReach() throws Exception {
+    configure(1, "k1");
+    serveLimited(0.2);
+    call("POST", "/write/x", "key: k1\r\n");
+    long start = System.nanoTime();
+    String response = call("POST", "/write/x", "key: k1\r\n");
+
+    assertThat(response).startsWith("HTTP/1.1 503");
+    assertThat(response).contains("limit their requests");
+    assertThat(System.nanoTime() - start).isLessThan(QUEUE_TIMEOUT_NANOS);
+    assertThat(limitedArrivals).hasSize(1);
+  }
+
+  /** Guards against queued requests that miss the permits for which they wait. */
+  @Test
+  void sendsQueuedRequestsAtTheirPermits() throws Exception {
+    configure(1, "k1");
+    serveLimited(20);
+    for (int i = 0; i < 10; i++) {
+      assertThat(call("POST", "/write/x", "key: k1\r\n")).startsWith("HTTP/1.1 200");
+    }
+  }
 }
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServerLoad.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServerLoad.java
@@ -122,8 +122,13 @@
   }
 
   /** Sets the share of this instance in the rate that the server accepts. */
-  public void setRateLimit(Optional<SharedRateLimit> limit) {
-    rateLimit = limit;
+  public void limitRate(SharedRateLimit limit) {
+    rateLimit = Optional.of(limit);
+  }
+
+  /** Removes the limit of a server that names none any more. */
+  public void removeRateLimit() {
+    rateLimit = Optional.empty();
   }
 
   /** Whether the limit that the server names permits a request now. */
@@ -131,6 +136,11 @@
     return rateLimit.isEmpty() || rateLimit.get().available(nowNanos);
   }
 
+  /** Time until the limit that the server names permits a request; 0 if it does now. */
+  public long nanosToPermit(long nowNanos) {
+    return rateLimit.map(limit -> limit.nanosToPermit(nowNanos)).orElse(0L);
+  }
+
   /** Sets the end of the server's warm-up, in monotonic nanoseconds. */
   public void setWarmUpEnd(long nanos) {
     warmUpEndNanos = nanos;
