--- a/basilport-common/src/main/java/org/basilport/event/EventType.java
+++ b/basilport-common/src/main/java/org/basilport/event/EventType.java
@@ -26,10 +26,12 @@
       2006, Level.WARN, "no proof that configuration {} is the newest, proof_age_ms={}"),
   CONFIGURATION_PROVEN(
       2007, Level.INFO, "configuration {} proven to be the newest, proof_age_ms={}"),
+  CONFIGURATION_OLDER(2008, Level.INFO, "configuration {} from {} ignored, {} is in force"),
   MEMBER_JOINED(3001, Level.INFO, "member {} joined, incarnation {}"),
   MEMBER_SUSPECTED(3002, Level.WARN, "member {} is suspected, no heartbeat for {} ms"),
   MEMBER_DEAD(3003, Level.WARN, "member {} is considered dead"),
   MEMBER_LEAVING(3004, Level.INFO, "member {} is leaving"),
+  MEMBER_ENTRY_MISSING(3005, Level.WARN, "entry of instance {} is missing in the store"),
   GENERATION_ADMITTED(4001, Level.DEBUG, "generation {} admitted to {}"),
   GENERATION_FIRST_TOKEN(4002, Level.DEBUG, "generation {} delivered its first token"),
   GENERATION_FINISHED(4003, Level.DEBUG, "generation {} finished with {} tokens"),
@@ -85,6 +87,9 @@
   PLATFORM_UNAVAILABLE(7001, Level.WARN, "platform call {} failed: {}"),
   PLATFORM_AVAILABLE(7002, Level.INFO, "platform answers again after {} ms"),
   PLATFORM_BUDGET_SPENT(7003, Level.WARN, "platform call {} delayed, request budget exhausted"),
+  PLATFORM_RETURNED_OLDER(
+      7004, Level.WARN, "store returned from an older copy, incarnation {} follows {}"),
+  PLATFORM_REVISION_LOWER(7005, Level.WARN, "list of {} at revision {} follows revision {}"),
   JOB_ACCEPTED(8001, Level.DEBUG, "job {} accepted"),
   JOB_FINISHED(8002, Level.DEBUG, "job {} finished with {} tokens"),
   JOB_RETRIED(8003, Level.INFO, "job {} restarted: {}"),
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
@@ -111,6 +111,14 @@
   /** Applies a configuration; one whose version is not newer is ignored. */
   public void applyConfiguration(ForwardingConfiguration offered, String source) {
     if (configuration.isPresent() && offered.version() <= configuration.get().version()) {
+      if (offered.version() < configuration.get().version()) {
+        events.record(
+            EventType.CONFIGURATION_OLDER,
+            EventSubject.NONE,
+            offered.version(),
+            source,
+            configuration.get().version());
+      }
       return;
     }
     configuration = Optional.of(offered);
