--- a/tools/generate-protocol.sh
+++ b/tools/generate-protocol.sh
@@ -9,6 +9,11 @@
 readonly GRPC_VERSION=1.83.0
 readonly TARGET=basilport-protocol/src/generated/java
 repository=${MAVEN_REPOSITORY:-$HOME/.m2/repository}
+case $(uname -m) in
+  aarch64 | arm64) platform=linux-aarch_64 ;;
+  *) platform=linux-x86_64 ;;
+esac
+readonly platform
 
 fetch() { # arguments: path of the artifact in the repository, Maven coordinates
   if [ ! -f "$repository/$1" ]; then
@@ -17,10 +22,10 @@
   [ -f "$repository/$1" ]
 }
 
-protoc_path=com/google/protobuf/protoc/$PROTOC_VERSION/protoc-$PROTOC_VERSION-linux-x86_64.exe
-plugin_path=io/grpc/protoc-gen-grpc-java/$GRPC_VERSION/protoc-gen-grpc-java-$GRPC_VERSION-linux-x86_64.exe
-if ! fetch "$protoc_path" "com.google.protobuf:protoc:$PROTOC_VERSION:exe:linux-x86_64" ||
-    ! fetch "$plugin_path" "io.grpc:protoc-gen-grpc-java:$GRPC_VERSION:exe:linux-x86_64"; then
+protoc_path=com/google/protobuf/protoc/$PROTOC_VERSION/protoc-$PROTOC_VERSION-$platform.exe
+plugin_path=io/grpc/protoc-gen-grpc-java/$GRPC_VERSION/protoc-gen-grpc-java-$GRPC_VERSION-$platform.exe
+if ! fetch "$protoc_path" "com.google.protobuf:protoc:$PROTOC_VERSION:exe:$platform" ||
+    ! fetch "$plugin_path" "io.grpc:protoc-gen-grpc-java:$GRPC_VERSION:exe:$platform"; then
   echo "generate-protocol: generators not available, nothing checked"
   [ "${1:-}" = "--check" ] && exit 0
   exit 1
