Take no read of a store for a proof before lost changes are written again

What callers saw: nothing on this system yet; a key that was revoked in the lost seconds would have been accepted, and a route that was added refused. Cause: the start of any successful read counted as a proof that the configuration in force is the newest. A store that has returned from an older copy lacks what it had confirmed until the operator has written it again; an instance that was cut off, frozen or just started took the copy's word. The class: a proof that silently assumes that confirmed changes last. Change: StoreCompleteness, pure code, decides which reads prove: those of an incarnation known to be complete, or that start 2 s after the instance first saw it. Instances tell each other the complete incarnation in load reports, and the watchers (2 for each cell; all of a single cell) store it in their entries, so that a restart of all instances costs what it cost before. Outages that lose nothing make no further call.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -25,6 +25,8 @@
 import org.basilport.gateway.peer.InstanceEntry;
 import org.basilport.gateway.peer.LoadExchange;
 import org.basilport.misc.Service;
+import org.basilport.policy.dispatch.StoreCompleteness;
+import org.basilport.policy.dispatch.StoreRead;
 
 /**
  * Forwarding gateway of an instance. Configuration, backend servers and instances may be updated
@@ -58,7 +60,12 @@
     ServerTable servers = new ServerTable(settings.instanceId(), eventLoop, codec, events);
     this.state =
         new ForwardingState(
-            settings.dataCentre(), settings.retryLimits(), servers, events, new SplittableRandom());
+            settings.dataCentre(),
+            settings.firstStart(),
+            settings.retryLimits(),
+            servers,
+            events,
+            new SplittableRandom());
     this.forwarder =
         new RequestForwarder(eventLoop, codec, state, events, metrics, settings.forwardingLimits());
     this.frontend =
@@ -157,13 +164,21 @@
   }
 
   /**
-   * Records that the applied configuration was the latest at the start of a read.
-   *
-   * @param startNanos monotonic time at the start of the read
-   * @param startWallMillis time of day at the start of the read
+   * Records a read of the configuration, which proves that the applied configuration was the latest
+   * at its start if the store had lost nothing.
    */
-  public void recordFreshnessProof(long startNanos, long startWallMillis) {
-    eventLoop.execute(() -> state.freshnessProof().record(startNanos, startWallMillis));
+  public void recordConfigurationRead(StoreRead read) {
+    eventLoop.execute(() -> state.recordConfigurationRead(read));
+  }
+
+  /** Records that an incarnation of the store was known to be complete before the start. */
+  public void confirmStoreIncarnationBeforeStart(long incarnation) {
+    eventLoop.execute(() -> state.confirmStoreIncarnationBeforeStart(incarnation));
+  }
+
+  /** Whether the store holds everything that it confirmed. Safe to use from any thread. */
+  public StoreCompleteness storeCompleteness() {
+    return state.storeCompleteness();
   }
 
   /** Replaces the backend servers by those that the directory lists. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
@@ -23,6 +23,8 @@
 import org.basilport.policy.dispatch.OutstandingWork;
 import org.basilport.policy.dispatch.PauseDetector;
 import org.basilport.policy.dispatch.ServerSelector;
+import org.basilport.policy.dispatch.StoreCompleteness;
+import org.basilport.policy.dispatch.StoreRead;
 import org.basilport.policy.dispatch.WindowedRetryBudget;
 
 /**
@@ -48,6 +50,7 @@
   private final EventSink events;
   private final SplittableRandom random;
   private final FreshnessProof freshnessProof = new FreshnessProof();
+  private final StoreCompleteness storeCompleteness;
   private final PauseDetector pauseDetector = new PauseDetector(PAUSE_THRESHOLD_NANOS);
   private final Map<String, ServiceDispatcher> dispatchers = new HashMap<>();
   private volatile Optional<ForwardingConfiguration> configuration = Optional.empty();
@@ -59,14 +62,20 @@
   private int instanceCount = 1;
   private Runnable sharedCapacityListener = this::placeAllQueued;
 
-  /** Creates a state without configuration and servers. */
+  /**
+   * Creates a state without configuration and servers.
+   *
+   * @param firstStart whether the fleet starts for the first time
+   */
   public ForwardingState(
       String dataCentre,
+      boolean firstStart,
       RetryLimits retryLimits,
       ServerTable servers,
       EventSink events,
       SplittableRandom random) {
     this.dataCentre = dataCentre;
+    this.storeCompleteness = new StoreCompleteness(firstStart);
     this.retryLimits = retryLimits;
     this.servers = servers;
     this.events = events;
@@ -88,6 +97,43 @@
     return freshnessProof;
   }
 
+  /** Whether the store holds everything that it confirmed. Safe to use from any thread. */
+  public StoreCompleteness storeCompleteness() {
+    return storeCompleteness;
+  }
+
+  /** Records a read that returned the applied configuration or an older one. */
+  public void recordConfigurationRead(StoreRead read) {
+    long completeBefore = storeCompleteness.completeIncarnation();
+    if (storeCompleteness.proves(read, System.nanoTime())) {
+      freshnessProof.record(read.startNanos(), read.startWallMillis());
+    }
+    recordCompleteness(completeBefore, "time since its return");
+  }
+
+  /** Records that another instance found an incarnation of the store to be complete. */
+  public void confirmStoreIncarnation(long incarnation, String source) {
+    long completeBefore = storeCompleteness.completeIncarnation();
+    storeCompleteness.confirm(incarnation);
+    recordCompleteness(completeBefore, source);
+  }
+
+  /** Records that an incarnation was known to be complete before this instance started. */
+  public void confirmStoreIncarnationBeforeStart(long incarnation) {
+    long completeBefore = storeCompleteness.completeIncarnation();
+    storeCompleteness
+        .confirmBeforeStart(incarnation)
+        .ifPresent(read -> freshnessProof.record(read.startNanos(), read.startWallMillis()));
+    recordCompleteness(completeBefore, "own entry");
+  }
+
+  private void recordCompleteness(long completeBefore, String source) {
+    long complete = storeCompleteness.completeIncarnation();
+    if (complete > completeBefore) {
+      events.record(EventType.PLATFORM_COMPLETE, EventSubject.NONE, complete, source);
+    }
+  }
+
   /** Whether this process was paused and has not resumed its periodic tasks. */
   public boolean paused() {
     return pauseDetector.pauseNanos(System.nanoTime(), System.currentTimeMillis()) > 0;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/ConfigurationSubscription.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/ConfigurationSubscription.java
@@ -10,4 +10,7 @@
 
   /** Reads the configuration once if this instance does not watch the store. */
   void refresh();
+
+  /** Stores that an incarnation of the store is complete. */
+  void recordComplete(long incarnation);
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -73,6 +73,7 @@
   private long partitionedRevision = -1;
   private boolean ready;
   private boolean watching;
+  private long recordedIncarnation;
   private final PendingReport pendingReport = new PendingReport();
   private final FreedCapacityDelay freedCapacityDelay =
       new FreedCapacityDelay(new SplittableRandom());
@@ -240,6 +241,7 @@
     judgePeers(System.nanoTime());
     updateCells();
     updateWatching();
+    recordCompleteness();
     int own = members.ownCell();
     boolean toNeighbours = heartbeatCount++ % NEIGHBOUR_HEARTBEAT_INTERVALS == 0;
     send(members.addresses(toNeighbours ? affectedCells(own) : Set.of(own)));
@@ -292,6 +294,18 @@
     }
   }
 
+  /**
+   * Stores the incarnation that is known to be complete, for processes that start later. The
+   * watchers do so for all instances.
+   */
+  private void recordCompleteness() {
+    long complete = state.storeCompleteness().completeIncarnation();
+    if (watching && complete > recordedIncarnation) {
+      recordedIncarnation = complete;
+      configurationSubscription.recordComplete(complete);
+    }
+  }
+
   /**
    * Whether an instance can be a watcher; one that is not ready may have no connection to the
    * store.
@@ -319,7 +333,8 @@
             .setSequence(++sequence)
             .setReady(ready)
             .setFrontendAddress(frontendAddress)
-            .setConfigurationVersion(state.configurationVersion());
+            .setConfigurationVersion(state.configurationVersion())
+            .setCompleteStoreIncarnation(state.storeCompleteness().completeIncarnation());
     state
         .servers()
         .recentDepartures()
@@ -371,6 +386,7 @@
                         departure.getServerId(),
                         departure.getIncarnation(),
                         report.getInstanceId()));
+    state.confirmStoreIncarnation(report.getCompleteStoreIncarnation(), report.getInstanceId());
     limitReports.read(report);
     if (crashReports.read(report)) {
       schedule(PendingReport::addEvidence);
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayCrashingPartsTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayCrashingPartsTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.basilport.policy.dispatch.StoreRead;
 import org.junit.jupiter.api.Test;
 
 /** Engines that crash as soon as they begin an answer to a prompt that contains a certain part. */
@@ -63,7 +64,8 @@
       callWithPart("sound-" + i, "other");
     }
     TimeUnit.MILLISECONDS.sleep(CONTACT_MILLIS);
-    gateway.recordFreshnessProof(System.nanoTime(), System.currentTimeMillis());
+    gateway.recordConfigurationRead(
+        new StoreRead(0, System.nanoTime(), System.currentTimeMillis()));
     int crashesBefore = crashes.get();
     for (int i = 0; i < LATE_REQUESTS; i++) {
       callWithPart("crash-late-" + i, "crashing");
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
@@ -27,6 +27,7 @@
 import org.basilport.gateway.config.WeightedService;
 import org.basilport.gateway.forward.ForwardingLimits;
 import org.basilport.gateway.forward.ForwardingState.RetryLimits;
+import org.basilport.policy.dispatch.StoreRead;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 
@@ -92,7 +93,8 @@
   /** Applies a configuration that is proven to be the latest. */
   void configure(long version, String... keys) {
     apply(version, keys);
-    gateway.recordFreshnessProof(System.nanoTime(), System.currentTimeMillis());
+    gateway.recordConfigurationRead(
+        new StoreRead(0, System.nanoTime(), System.currentTimeMillis()));
   }
 
   /** Applies a configuration without a proof. */
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayServerLimitTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayServerLimitTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import org.basilport.policy.dispatch.StoreRead;
 import org.junit.jupiter.api.Test;
 
 /** Servers that name the number of requests a second that they accept. */
@@ -69,7 +70,8 @@
     long start = System.nanoTime();
     int served = 0;
     for (int i = 0; i < CALLS; i++) {
-      gateway.recordFreshnessProof(System.nanoTime(), System.currentTimeMillis());
+      gateway.recordConfigurationRead(
+          new StoreRead(0, System.nanoTime(), System.currentTimeMillis()));
       served += call("POST", "/write/x", "key: k1\r\n").startsWith("HTTP/1.1 200") ? 1 : 0;
       TimeUnit.MILLISECONDS.sleep(CALL_INTERVAL_MILLIS);
     }
--- a/basilport-gateway/src/test/java/org/basilport/gateway/forward/ForwardingStateTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/forward/ForwardingStateTest.java
@@ -39,6 +39,7 @@
     state =
         new ForwardingState(
             "a",
+            true,
             new RetryLimits(0.2, 50, TimeUnit.SECONDS.toNanos(10)),
             new ServerTable("this", eventLoops.next(), new TestCodec(), EventSink.none()),
             EventSink.none(),
--- a/basilport-gateway/src/test/java/org/basilport/gateway/peer/LoadExchangeTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/peer/LoadExchangeTest.java
@@ -209,6 +209,7 @@
       this.state =
           new ForwardingState(
               "a",
+              true,
               new RetryLimits(0.2, 50, TimeUnit.SECONDS.toNanos(10)),
               new ServerTable(id, eventLoop, new TestCodec(), EventSink.none()),
               EventSink.none(),
