--- a/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -194,6 +194,11 @@
     eventLoop.execute(state::onDirectoryRecovered);
   }
 
+  /** Called when the directory returned from an older copy, which lacks the latest entries. */
+  public void onDirectoryReturnedOlder() {
+    eventLoop.execute(loadExchange::retainMembers);
+  }
+
   /** Replaces the registered instances. */
   public void updateInstances(List<InstanceEntry> instances) {
     eventLoop.execute(() -> loadExchange.updateInstances(instances));
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
@@ -44,6 +44,12 @@
   /** Time without a periodic task above which the process was paused; the interval is 200 ms. */
   private static final long PAUSE_THRESHOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
+  /**
+   * Time after an outage of the directory in which live servers are listed again (about two
+   * seconds), less the tolerance of the drain period.
+   */
+  private static final long ENTRY_RETENTION_NANOS = TimeUnit.MILLISECONDS.toNanos(1_900);
+
   private final String dataCentre;
   private final RetryLimits retryLimits;
   private final ServerTable servers;
@@ -187,7 +193,7 @@
    * outage of the directory.
    */
   public void onDirectoryRecovered() {
-    entryRetention.start(System.nanoTime());
+    entryRetention.start(System.nanoTime(), ENTRY_RETENTION_NANOS);
   }
 
   /** Removes the servers that were not listed again within the retention period after an outage. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/FleetMembers.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/FleetMembers.java
@@ -7,12 +7,22 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.basilport.policy.dispatch.CellPartition;
+import org.basilport.policy.dispatch.ExpiredEntryRetention;
 
 /** The registered instances with their cells and addresses. Confined to the event loop thread. */
 final class FleetMembers {
+  /**
+   * Time in which all instances notice that the store returned from an older copy and write lost
+   * registrations again (about 5 s), and in which the others list them (another 5 s).
+   */
+  private static final long RETENTION_NANOS = TimeUnit.SECONDS.toNanos(12);
+
   private final String ownId;
+  private final ExpiredEntryRetention retention = new ExpiredEntryRetention();
+  private List<InstanceEntry> listed = List.of();
   private List<InstanceEntry> others = List.of();
   private Map<Integer, List<InetSocketAddress>> addressesByCell = Map.of();
   private CellPartition cells = new CellPartition(Set.of(), Set.of());
@@ -23,11 +33,26 @@
   }
 
   /** Replaces the instances; {@link #partition} takes them into account. */
-  void update(List<InstanceEntry> entries) {
-    others = entries.stream().filter(entry -> !entry.id().equals(ownId)).toList();
+  void update(List<InstanceEntry> entries, long nowNanos) {
+    listed = entries.stream().filter(entry -> !entry.id().equals(ownId)).toList();
+    others = retention.merge(others, listed, InstanceEntry::id, nowNanos);
     changed = true;
   }
 
+  /** Keeps instances that are not listed any more for a while. */
+  void retain(long nowNanos) {
+    retention.start(nowNanos, RETENTION_NANOS);
+  }
+
+  /** Removes the instances that were not listed again; returns whether the retention has ended. */
+  boolean endRetention(long nowNanos) {
+    if (!retention.pollEnded(nowNanos)) {
+      return false;
+    }
+    update(listed, nowNanos);
+    return true;
+  }
+
   /** Number of instances, including the own one. */
   int size() {
     return others.size() + 1;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -150,7 +150,16 @@
 
   /** Replaces the registered instances, which receive the reports. */
   public void updateInstances(List<InstanceEntry> entries) {
-    members.update(entries);
+    members.update(entries, System.nanoTime());
+    onMembersUpdated();
+  }
+
+  /** Keeps the present members for the time in which lost registrations are written again. */
+  public void retainMembers() {
+    members.retain(System.nanoTime());
+  }
+
+  private void onMembersUpdated() {
     state.setInstanceCount(members.size());
     state.servers().limits().setFleetPosition(members.size(), members.rank());
     instancesKnown = true;
@@ -239,6 +248,9 @@
 
   private void heartbeat() {
     judgePeers(System.nanoTime());
+    if (members.endRetention(System.nanoTime())) {
+      onMembersUpdated();
+    }
     updateCells();
     updateWatching();
     recordCompleteness();
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/ExpiredEntryRetention.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/ExpiredEntryRetention.java
@@ -4,27 +4,28 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
 /**
- * Retains directory entries that expired during an outage of the directory.
+ * Retains directory entries that expired during an outage of the directory, or that the directory
+ * lost when it returned from an older copy.
  *
- * <p>Servers cannot renew their entries during an outage. A live server is listed again within
- * about two seconds after the directory has recovered; until then its known entry is kept.
+ * <p>Entries cannot be renewed during an outage. A live owner writes its entry again soon after the
+ * directory has recovered; until then the known entry is kept.
  */
 public final class ExpiredEntryRetention {
-  /** Time in which live servers are listed again, less the tolerance of the drain period. */
-  private static final long RETENTION_NANOS = TimeUnit.MILLISECONDS.toNanos(1_900);
-
   private boolean active;
   private long untilNanos;
 
-  /** Starts the retention period; called when the directory has recovered. */
-  public void start(long nowNanos) {
+  /**
+   * Starts the retention period; called when the directory has recovered.
+   *
+   * @param retentionNanos time after which an entry that is still missing is not retained any more
+   */
+  public void start(long nowNanos, long retentionNanos) {
     active = true;
-    untilNanos = nowNanos + RETENTION_NANOS;
+    untilNanos = nowNanos + retentionNanos;
   }
 
   /** Whether the retention period has ended; returns true once for each period. */
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/FleetDecisionsTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/FleetDecisionsTest.java
@@ -82,12 +82,14 @@
 
   @Nested
   class Retention {
+    private static final long RETENTION_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private final ExpiredEntryRetention retention = new ExpiredEntryRetention();
 
     /** Guards against losing all live servers after an outage of the directory. */
     @Test
     void retainsEntriesThatExpiredDuringOutage() {
-      retention.start(0);
+      retention.start(0, RETENTION_NANOS);
 
       assertThat(retention.merge(List.of("a", "b"), List.of("b", "c"), id -> id, 1))
           .containsExactly("a", "b", "c");
@@ -96,8 +98,8 @@
     /** Guards against keeping dead servers for ever. */
     @Test
     void endsOncePerPeriod() {
-      retention.start(0);
-      long end = TimeUnit.SECONDS.toNanos(2);
+      retention.start(0, RETENTION_NANOS);
+      long end = RETENTION_NANOS;
 
       assertThat(retention.pollEnded(1)).isFalse();
       assertThat(retention.pollEnded(end)).isTrue();
