Keep servers that the older copy of the store lacks

What callers saw: nothing on this system yet; a server that had registered in the lost seconds would have counted as gone for 30 s on all instances, though it serves. Cause: a list without a server was a departure, was told to all instances and kept for 30 s; entries were retained only by an instance whose own calls had failed for 0.8 s, and an instance that polls does not notice a short outage. A server that had restarted under its id was replaced by its earlier start of the older copy. Change: the return itself, seen in any response, starts the retention; for instances that poll it lasts 7 s; the later incarnation of an entry wins meanwhile; a second period does not shorten the first. Departures that were known before stay known (30 s), so a server that left in the lost seconds is not used again.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -196,7 +196,7 @@
 
   /** Called when the directory returned from an older copy, which lacks the latest entries. */
   public void onDirectoryReturnedOlder() {
-    eventLoop.execute(loadExchange::retainMembers);
+    eventLoop.execute(loadExchange::onDirectoryReturnedOlder);
   }
 
   /** Replaces the registered instances. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerEntry.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerEntry.java
@@ -26,6 +26,11 @@
     boolean leaving,
     Duration warmUpRemaining) {
 
+  /** Returns the entry of the later incarnation; the second one if both are of the same. */
+  public static ServerEntry latest(ServerEntry known, ServerEntry listed) {
+    return known.incarnation > listed.incarnation ? known : listed;
+  }
+
   /** IP address and port, separated by a colon. */
   public String address() {
     return host + ":" + port;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
@@ -50,6 +50,12 @@
    */
   private static final long ENTRY_RETENTION_NANOS = TimeUnit.MILLISECONDS.toNanos(1_900);
 
+  /**
+   * Retention of an instance that polls the servers: an interval of 2.5 s and the age of a stale
+   * list come on top.
+   */
+  private static final long POLLED_ENTRY_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(7);
+
   private final String dataCentre;
   private final RetryLimits retryLimits;
   private final ServerTable servers;
@@ -181,7 +187,9 @@
 
   /** Replaces the backend servers by those that the directory lists. */
   public void updateServers(List<ServerEntry> listed, String source) {
-    entries = entryRetention.merge(entries, listed, ServerEntry::id, System.nanoTime());
+    entries =
+        entryRetention.merge(
+            entries, listed, ServerEntry::id, ServerEntry::latest, System.nanoTime());
     lastListed = List.copyOf(listed);
     entriesSource = source;
     configuration.ifPresent(current -> servers.update(entries, current, source));
@@ -196,6 +204,17 @@
     entryRetention.start(System.nanoTime(), ENTRY_RETENTION_NANOS);
   }
 
+  /**
+   * Retains entries for a while that a directory lacks after it returned from an older copy.
+   *
+   * @param watching whether this instance hears of changes at once; otherwise it lists the servers
+   *     at intervals
+   */
+  public void onDirectoryReturnedOlder(boolean watching) {
+    entryRetention.start(
+        System.nanoTime(), watching ? ENTRY_RETENTION_NANOS : POLLED_ENTRY_RETENTION_NANOS);
+  }
+
   /** Removes the servers that were not listed again within the retention period after an outage. */
   public void endEntryRetention() {
     if (entryRetention.pollEnded(System.nanoTime())) {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/FleetMembers.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/FleetMembers.java
@@ -35,7 +35,8 @@
   /** Replaces the instances; {@link #partition} takes them into account. */
   void update(List<InstanceEntry> entries, long nowNanos) {
     listed = entries.stream().filter(entry -> !entry.id().equals(ownId)).toList();
-    others = retention.merge(others, listed, InstanceEntry::id, nowNanos);
+    others =
+        retention.merge(others, listed, InstanceEntry::id, (known, current) -> current, nowNanos);
     changed = true;
   }
 
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -154,9 +154,10 @@
     onMembersUpdated();
   }
 
-  /** Keeps the present members for the time in which lost registrations are written again. */
-  public void retainMembers() {
+  /** Keeps the present members and servers while lost entries are written again. */
+  public void onDirectoryReturnedOlder() {
     members.retain(System.nanoTime());
+    state.onDirectoryReturnedOlder(watching);
   }
 
   private void onMembersUpdated() {
--- a/basilport-gateway/src/test/java/org/basilport/gateway/forward/ForwardingStateTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/forward/ForwardingStateTest.java
@@ -110,6 +110,19 @@
     assertThat(generation.server).hasValue("model-2");
   }
 
+  /** Guards against using an earlier start of a server that the older copy of the store lists. */
+  @Test
+  void keepsTheLatestIncarnationOfAServerAfterTheDirectoryReturnedOlder() {
+    ServerEntry restarted =
+        new ServerEntry("plain-1", 2, "plain", "127.0.0.1", 2, "a", 6, false, Duration.ZERO);
+    state.updateServers(List.of(restarted, entry("model-1", "model")), "test");
+    state.onDirectoryReturnedOlder(true);
+    state.updateServers(List.of(entry("plain-1", "plain")), "test");
+
+    assertThat(state.servers().server("plain-1").orElseThrow().entry()).isEqualTo(restarted);
+    assertThat(state.servers().server("model-1").orElseThrow().load().leaving()).isFalse();
+  }
+
   /** Request that records where it was placed. */
   private static final class RecordingRequest implements PlacementRequest {
     private final RequestDemand demand;
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/ExpiredEntryRetention.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/ExpiredEntryRetention.java
@@ -1,11 +1,11 @@
 package org.basilport.policy.dispatch;
 
-import java.util.ArrayList;
 import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
+import java.util.function.BinaryOperator;
 import java.util.function.Function;
-import java.util.stream.Collectors;
 
 /**
  * Retains directory entries that expired during an outage of the directory, or that the directory
@@ -19,13 +19,14 @@
   private long untilNanos;
 
   /**
-   * Starts the retention period; called when the directory has recovered.
+   * Starts the retention period, or extends it; called when the directory has recovered.
    *
    * @param retentionNanos time after which an entry that is still missing is not retained any more
    */
   public void start(long nowNanos, long retentionNanos) {
+    long end = nowNanos + retentionNanos;
+    untilNanos = active && untilNanos - end > 0 ? untilNanos : end;
     active = true;
-    untilNanos = nowNanos + retentionNanos;
   }
 
   /** Whether the retention period has ended; returns true once for each period. */
@@ -40,15 +41,22 @@
   /**
    * Returns the listed entries and, during the retention period, the known entries that are not
    * listed.
+   *
+   * @param latest chooses between the known and the listed entry of the same id during the
+   *     retention period
    */
   public <T> List<T> merge(
-      Collection<T> known, Collection<T> listed, Function<T, String> idOf, long nowNanos) {
+      Collection<T> known,
+      Collection<T> listed,
+      Function<T, String> idOf,
+      BinaryOperator<T> latest,
+      long nowNanos) {
     if (!active || untilNanos - nowNanos <= 0) {
       return List.copyOf(listed);
     }
-    Set<String> ids = listed.stream().map(idOf).collect(Collectors.toSet());
-    List<T> merged = new ArrayList<>(listed);
-    known.stream().filter(entry -> !ids.contains(idOf.apply(entry))).forEach(merged::add);
-    return merged;
+    Map<String, T> merged = new LinkedHashMap<>();
+    listed.forEach(entry -> merged.put(idOf.apply(entry), entry));
+    known.forEach(entry -> merged.merge(idOf.apply(entry), entry, (l, k) -> latest.apply(k, l)));
+    return List.copyOf(merged.values());
   }
 }
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/FleetDecisionsTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/FleetDecisionsTest.java
@@ -91,10 +91,22 @@
     void retainsEntriesThatExpiredDuringOutage() {
       retention.start(0, RETENTION_NANOS);
 
-      assertThat(retention.merge(List.of("a", "b"), List.of("b", "c"), id -> id, 1))
+      assertThat(
+              retention.merge(
+                  List.of("a", "b"), List.of("b", "c"), id -> id, (known, listed) -> listed, 1))
           .containsExactly("a", "b", "c");
     }
 
+    /** Guards against an outage that shortens the longer period after a return. */
+    @Test
+    void isNotShortened() {
+      retention.start(0, 2 * RETENTION_NANOS);
+      retention.start(1, RETENTION_NANOS);
+
+      assertThat(retention.pollEnded(2 * RETENTION_NANOS - 1)).isFalse();
+      assertThat(retention.pollEnded(2 * RETENTION_NANOS)).isTrue();
+    }
+
     /** Guards against keeping dead servers for ever. */
     @Test
     void endsOncePerPeriod() {
@@ -104,7 +116,9 @@
       assertThat(retention.pollEnded(1)).isFalse();
       assertThat(retention.pollEnded(end)).isTrue();
       assertThat(retention.pollEnded(end)).isFalse();
-      assertThat(retention.merge(List.of("a"), List.of("b"), id -> id, end)).containsExactly("b");
+      assertThat(
+              retention.merge(List.of("a"), List.of("b"), id -> id, (known, listed) -> listed, end))
+          .containsExactly("b");
     }
   }
 
