Log software versions of servers and streams that are taken up

What callers saw: streams that went on at another software version than the one that began them. The logs had neither the version of a server nor the stream that a request takes up. No decision depends on them.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerEntry.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerEntry.java
@@ -8,6 +8,7 @@
  * @param id id under which the server registered
  * @param incarnation start time; distinguishes restarts under the same id
  * @param service name of the service that the server belongs to
+ * @param version version of the server's software
  * @param host IP address
  * @param port TCP port
  * @param dataCentre data centre of the server
@@ -19,6 +20,7 @@
     String id,
     long incarnation,
     String service,
+    String version,
     String host,
     int port,
     String dataCentre,
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -121,7 +121,11 @@
     applyPeerWork(entry.id());
     byService.computeIfAbsent(entry.service(), name -> new ArrayList<>()).add(server);
     events.record(
-        EventType.BACKEND_ADDED, EventSubject.server(entry.id()), entry.id(), entry.incarnation());
+        EventType.BACKEND_ADDED,
+        EventSubject.server(entry.id()),
+        entry.id(),
+        entry.incarnation(),
+        entry.version());
     if (entry.leaving() || hasDeparted(entry)) {
       startDeparture(server);
     }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -88,6 +88,9 @@
     dispatcher.retryBudget().recordRequest(timers.arrivalNanos());
     timers.startQueueTimeout(
         Math.round(QUEUE_TIMEOUT_RATIO * route.targetLatency().toNanos()), this::onQueueTimeout);
+    if (request.lastEventId().isPresent()) {
+      recorder.takenUp("any", "not determined");
+    }
     placeOrQueue();
   }
 
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ExchangeRecorder.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ExchangeRecorder.java
@@ -70,6 +70,26 @@
             exchange.elapsedMillis());
   }
 
+  /**
+   * Records that the request takes up a stream.
+   *
+   * @param version software version at which it may go on
+   * @param source how the version was determined
+   */
+  void takenUp(String version, String source) {
+    context.metrics().counter("forward.take_ups").inc();
+    context
+        .events()
+        .record(
+            EventType.STREAM_TAKEN_UP,
+            subject(),
+            exchange.request.id(),
+            exchange.request.resumedRequestId().orElse("unnamed"),
+            exchange.request.lastEventId().orElse(""),
+            version,
+            source);
+  }
+
   /** Records that the request is placed again. */
   void retried(String reason) {
     context
--- a/basilport-gateway/src/main/java/org/basilport/gateway/message/CallerRequest.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/message/CallerRequest.java
@@ -23,6 +23,8 @@
  * @param sharedPromptParts ids of the parts of the prompt that other requests may share, in order;
  *     without the last part, which belongs to this request or its session
  * @param lastEventId id of the last event that the caller received from an earlier stream
+ * @param resumedRequestId id of the attempt that brought the first event of the earlier stream, as
+ *     the caller names it
  */
 public record CallerRequest(
     String id,
@@ -35,7 +37,8 @@
     Optional<String> accessKey,
     Optional<GenerationSize> generationSize,
     List<String> sharedPromptParts,
-    Optional<String> lastEventId) {
+    Optional<String> lastEventId,
+    Optional<String> resumedRequestId) {
 
   /** Content by which crashes of servers are attributed to requests and prompt parts. */
   public RequestContent content() {
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
@@ -130,6 +130,7 @@
             "server-" + servers.size(),
             1,
             service,
+            "v1",
             "127.0.0.1",
             server.port(),
             "a",
--- a/basilport-gateway/src/test/java/org/basilport/gateway/TestCodec.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/TestCodec.java
@@ -43,7 +43,8 @@
         Optional.ofNullable(headers.get("key")),
         generationSize,
         headers.contains("parts") ? List.of(headers.get("parts").split(",")) : List.of(),
-        Optional.empty());
+        Optional.ofNullable(headers.get("after")),
+        Optional.ofNullable(headers.get("resumes")));
   }
 
   @Override
--- a/basilport-gateway/src/test/java/org/basilport/gateway/forward/ForwardingStateTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/forward/ForwardingStateTest.java
@@ -67,7 +67,7 @@
   }
 
   private static ServerEntry entry(String id, String service) {
-    return new ServerEntry(id, 1, service, "127.0.0.1", 1, "a", 6, false, Duration.ZERO);
+    return new ServerEntry(id, 1, service, "v1", "127.0.0.1", 1, "a", 6, false, Duration.ZERO);
   }
 
   private RecordingRequest submit(String service, RequestDemand demand) {
@@ -114,7 +114,7 @@
   @Test
   void keepsTheLatestIncarnationOfAServerAfterTheDirectoryReturnedOlder() {
     ServerEntry restarted =
-        new ServerEntry("plain-1", 2, "plain", "127.0.0.1", 2, "a", 6, false, Duration.ZERO);
+        new ServerEntry("plain-1", 2, "plain", "v1", "127.0.0.1", 2, "a", 6, false, Duration.ZERO);
     state.updateServers(List.of(restarted, entry("model-1", "model")), "test");
     state.onDirectoryReturnedOlder(true);
     state.updateServers(List.of(entry("plain-1", "plain")), "test");
--- a/basilport-gateway/src/test/java/org/basilport/gateway/peer/LimitReportsTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/peer/LimitReportsTest.java
@@ -37,7 +37,8 @@
     ServerTable servers =
         new ServerTable(instance, eventLoops.next(), new TestCodec(), EventSink.none());
     servers.update(
-        List.of(new ServerEntry(SERVER, 1, "app", "127.0.0.1", 1, "a", 6, false, Duration.ZERO)),
+        List.of(
+            new ServerEntry(SERVER, 1, "app", "v1", "127.0.0.1", 1, "a", 6, false, Duration.ZERO)),
         new ForwardingConfiguration(
             1,
             FrontendLimits.INITIAL,
--- a/basilport-gateway/src/test/java/org/basilport/gateway/peer/LoadExchangeTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/peer/LoadExchangeTest.java
@@ -251,7 +251,8 @@
     }
 
     private ServerEntry entry(String engineId) {
-      return new ServerEntry(engineId, 1, "model", "127.0.0.1", 1, "a", 24, false, Duration.ZERO);
+      return new ServerEntry(
+          engineId, 1, "model", "v1", "127.0.0.1", 1, "a", 24, false, Duration.ZERO);
     }
 
     void addWork(OutstandingWork work) throws Exception {
