--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
@@ -41,6 +41,10 @@
   final List<ServerEntry> entries = new ArrayList<>();
   final MetricRegistry metrics = new MetricRegistry();
   int keyPriority = -1;
+
+  /** Key of a second workspace; all other keys belong to the first one. */
+  String otherWorkspace = "";
+
   Gateway gateway;
   InetSocketAddress frontend;
 
@@ -101,7 +105,8 @@
   void apply(long version, String... keys) {
     Map<String, KeyHolder> holders = new java.util.HashMap<>();
     for (String key : keys) {
-      holders.put(key, new KeyHolder("workspace-1", keyPriority));
+      String workspace = key.equals(otherWorkspace) ? "workspace-2" : "workspace-1";
+      holders.put(key, new KeyHolder(workspace, keyPriority));
     }
     gateway.applyConfiguration(
         new ForwardingConfiguration(
@@ -123,6 +128,11 @@
   }
 
   ScriptedServer serve(String service, ScriptedServer.Script script) throws IOException {
+    return serve(service, "v1", script);
+  }
+
+  ScriptedServer serve(String service, String version, ScriptedServer.Script script)
+      throws IOException {
     ScriptedServer server = new ScriptedServer(script);
     servers.add(server);
     entries.add(
@@ -130,7 +140,7 @@
             "server-" + servers.size(),
             1,
             service,
-            "v1",
+            version,
             "127.0.0.1",
             server.port(),
             "a",
