Continue a stream only at servers of the version that began it

Cause: retries, moves and the queue chose among all servers of a service; nothing knew the version. The class: state of one software version handed to another because the candidates were grouped by service only. Change: the version of the server that brings the first event is required of each server that continues the stream, in a retry, a move and the queue. If none is left the response ends at once; if all are full, after the gap that its caller accepts. An instance of a large fleet whose own engines lack the version uses those of other cells, and requests that wait for one version do not hold up the others in the queue (PendingRequestQueueTest.offersRequestsBehindAGroupThatCannotBePlaced).

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -112,6 +112,10 @@
     if (rejectIfQuarantined()) {
       return;
     }
+    if (requiredVersion().isPresent() && !dispatcher.hasServerFor(this)) {
+      rejectForGood(Step.LOCATE, "no backend server of version " + requiredVersion().get());
+      return;
+    }
     if (!dispatcher.hasServers()) {
       reject(Step.LOCATE, "no backend server");
       return;
@@ -142,7 +146,8 @@
 
   @Override
   public boolean accepts(BackendServer candidate) {
-    return !triedServerIds.contains(candidate.entry().id());
+    return !triedServerIds.contains(candidate.entry().id())
+        && requiredVersion().filter(v -> !v.equals(candidate.entry().version())).isEmpty();
   }
 
   @Override
@@ -409,16 +414,25 @@
   }
 
   private void reject(Step step, String reason, double retryAfterSeconds) {
+    HttpHeaders headers = new DefaultHttpHeaders();
+    context.codec().addRetryAfter(headers, retryAfterSeconds);
+    reject(step, reason, headers);
+  }
+
+  /** Rejects a request without a delay, since the same request cannot be served later either. */
+  final void rejectForGood(Step step, String reason) {
+    reject(step, reason, new DefaultHttpHeaders());
+  }
+
+  private void reject(Step step, String reason, HttpHeaders headers) {
     if (finished) {
       return;
     }
     if (mayHaveBeenExecuted()) {
       sendLocalReply(502, new DefaultHttpHeaders(), step, reason);
-      return;
+    } else {
+      sendLocalReply(503, headers, step, reason);
     }
-    HttpHeaders headers = new DefaultHttpHeaders();
-    context.codec().addRetryAfter(headers, retryAfterSeconds);
-    sendLocalReply(503, headers, step, reason);
   }
 
   private boolean mayHaveBeenExecuted() {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/PlacementRequest.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/PlacementRequest.java
@@ -1,5 +1,6 @@
 package org.basilport.gateway.forward;
 
+import java.util.Optional;
 import org.basilport.gateway.backend.BackendServer;
 import org.basilport.policy.dispatch.PendingRequestQueue;
 import org.basilport.policy.dispatch.RequestDemand;
@@ -16,6 +17,11 @@
   /** Whether the request may be sent to a server. */
   boolean accepts(BackendServer server);
 
+  /** The only software version at which the request may run; empty if any version may run it. */
+  default Optional<String> requiredVersion() {
+    return Optional.empty();
+  }
+
   /** Called when the request was queued. */
   void onQueued(PendingRequestQueue.Entry<PlacementRequest> entry);
 
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
@@ -145,6 +145,7 @@
           server.ifPresent(chosen -> placed.add(() -> request.onPlaced(chosen)));
           return server.isPresent();
         },
+        PlacementRequest::requiredVersion,
         MAX_FAILED_PLACEMENTS);
     // Sending a request may modify the queue and therefore follows the iteration.
     placed.forEach(Runnable::run);
@@ -163,18 +164,25 @@
     return server;
   }
 
-  /** The available servers that this instance is assigned; all servers if there are none. */
-  private List<BackendServer> usableServers() {
+  /**
+   * The available servers that this instance is assigned; all servers if there are none, or if none
+   * is of the version that the request requires.
+   */
+  private List<BackendServer> usableServers(PlacementRequest request) {
     List<BackendServer> all = servers.servers(service);
     List<BackendServer> own =
         all.stream().filter(serverFilter).filter(server -> !server.load().leaving()).toList();
-    return own.isEmpty() ? all : own;
+    boolean usable =
+        request.requiredVersion().isEmpty()
+            ? !own.isEmpty()
+            : own.stream().anyMatch(request::accepts);
+    return usable ? own : all;
   }
 
   /** Chooses a server with another selector than that of the service, without changing its load. */
   Optional<BackendServer> choose(
       ServerSelector placementSelector, RequestDemand demand, PlacementRequest request) {
-    return choose(usableServers(), placementSelector, demand, request);
+    return choose(usableServers(request), placementSelector, demand, request);
   }
 
   /**
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -42,6 +42,7 @@
   private ServerResponse response;
   private HttpHeaders headers;
   private boolean responseStarted;
+  private Optional<String> version = Optional.empty();
   private boolean firstEventReceived;
   private long sentNanos;
   private long prefillTokensWhenSent;
@@ -130,8 +131,17 @@
     reader.problem().ifPresent(this::abandonServer);
   }
 
+  /** Version of the server that brought the first event; others do not continue its stream. */
+  @Override
+  public Optional<String> requiredVersion() {
+    return version;
+  }
+
   private void onProgress() {
     lastEventNanos = System.nanoTime();
+    if (version.isEmpty()) {
+      version = Optional.of(server.entry().version());
+    }
     crashGuard.onAnswerContinued();
     if (!firstEventReceived) {
       onFirstEvent();
@@ -296,10 +306,13 @@
   }
 
   private void checkEventGap() {
+    long gapNanos = System.nanoTime() - lastEventNanos;
+    if (responseStarted && !finished() && server == null && gapNanos > maxEventGap.toNanos()) {
+      failStream(Step.ADMIT, "no room at any backend server that may continue the stream");
+    }
     if (finished() || server == null || connection == null || move.stopping()) {
       return;
     }
-    long gapNanos = System.nanoTime() - lastEventNanos;
     if (gapNanos > maxEventGap.toNanos()) {
       abandonServer("no event for " + maxEventGap.toMillis() + " ms");
     } else if (gapNanos > PROBE_RATIO * maxEventGap.toNanos()) {
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/PendingRequestQueue.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/PendingRequestQueue.java
@@ -1,9 +1,12 @@
 package org.basilport.policy.dispatch;
 
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.Iterator;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.function.Function;
 import java.util.function.Predicate;
 
 /**
@@ -53,17 +56,25 @@
   }
 
   /**
-   * Passes the requests in order to a predicate and removes those that it accepts. Stops after
-   * {@code rejectionLimit} rejections, which bounds the cost with a long queue.
+   * Passes the requests in order to a predicate and removes those that it accepts. Skips the
+   * requests of a group after {@code rejectionLimit} rejections in it, which bounds the cost with a
+   * long queue.
+   *
+   * @param groupOf group of a request; requests of one group can go to the same servers
    */
-  public void dispatch(Predicate<T> accept, int rejectionLimit) {
-    int rejections = 0;
+  public <G> void dispatch(Predicate<T> accept, Function<T, G> groupOf, int rejectionLimit) {
+    Map<G, Integer> rejections = new HashMap<>();
     Iterator<Entry<T>> iterator = entries.iterator();
-    while (iterator.hasNext() && rejections < rejectionLimit) {
-      if (accept.test(iterator.next().request())) {
+    while (iterator.hasNext()) {
+      T request = iterator.next().request();
+      G group = groupOf.apply(request);
+      if (rejections.getOrDefault(group, 0) >= rejectionLimit) {
+        continue;
+      }
+      if (accept.test(request)) {
         iterator.remove();
       } else {
-        rejections++;
+        rejections.merge(group, 1, Integer::sum);
       }
     }
   }
