Take streams up only at the software version that began them

What callers saw: take-ups that were answered 200 and joined two software versions, above all after all instances had lost their memory. Cause: nothing read Resumes, and nothing outside the memory of an instance knew at which version a stream had begun. Change: StreamVersions resolves a take-up in this order: the instance's own streams; the version that alone has served within the longest stream timeout (ServedVersions); what instances stored. While one version serves nothing is stored for a stream. While several do, each instance stores the versions of its unfinished streams in one object (basilport-streams), at most every 300 ms, and at most 100 writes a second by the whole fleet. Which versions served lately stands in the entries of the watchers (two for each cell); an instance that starts reads it with the list that it reads anyway, and keeps it, so a release that ends while all instances are dead is known too. Keys are hashes of workspace, service and attempt, so another workspace's attempt is unknown. An unknown version is refused at once with 503, without Retry-After and with the advice to start anew; so is one whose last server has left. OwnObject holds the writes of entries and streams once.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -19,9 +19,11 @@
 import org.basilport.gateway.config.FrontendLimits;
 import org.basilport.gateway.forward.ForwardingState;
 import org.basilport.gateway.forward.RequestForwarder;
+import org.basilport.gateway.forward.StreamArchive;
 import org.basilport.gateway.frontend.FrontendServer;
 import org.basilport.gateway.message.MessageCodec;
 import org.basilport.gateway.peer.ConfigurationSubscription;
+import org.basilport.gateway.peer.FleetClaims;
 import org.basilport.gateway.peer.InstanceEntry;
 import org.basilport.gateway.peer.LoadExchange;
 import org.basilport.misc.Service;
@@ -171,9 +173,18 @@
     eventLoop.execute(() -> state.recordConfigurationRead(read));
   }
 
-  /** Records that an incarnation of the store was known to be complete before the start. */
-  public void confirmStoreIncarnationBeforeStart(long incarnation) {
-    eventLoop.execute(() -> state.confirmStoreIncarnationBeforeStart(incarnation));
+  /** Records what instances had stored before this one started. */
+  public void addFormerClaims(FleetClaims claims) {
+    eventLoop.execute(
+        () -> {
+          state.confirmStoreIncarnationBeforeStart(claims.completeIncarnation());
+          state.streamVersions().addServed(claims.servedVersions());
+        });
+  }
+
+  /** Sets the archive of streams; to be called before the start. */
+  public void setStreamArchive(StreamArchive archive) {
+    state.streamVersions().setArchive(archive);
   }
 
   /** Whether the store holds everything that it confirmed. Safe to use from any thread. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -103,6 +103,7 @@
   private static boolean isSameIncarnation(ServerEntry known, ServerEntry listed) {
     return known.incarnation() == listed.incarnation()
         && known.service().equals(listed.service())
+        && known.version().equals(listed.version())
         && known.address().equals(listed.address());
   }
 
@@ -205,6 +206,11 @@
   /** Departure of one incarnation of a server. */
   private record Departure(long incarnation, long detectedNanos) {}
 
+  /** Event loop to which the servers are confined. */
+  public EventLoop eventLoop() {
+    return eventLoop;
+  }
+
   /** Limits that the servers name in their responses. */
   public ServerLimits limits() {
     return limits;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/config/ForwardingConfiguration.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/config/ForwardingConfiguration.java
@@ -1,5 +1,7 @@
 package org.basilport.gateway.config;
 
+import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,6 +15,7 @@
   private final Map<String, ForwardingService> services;
   private final Map<String, KeyHolder> holdersByKey;
   private final Map<String, Map<String, ForwardingRoute>> routesByHost = new HashMap<>();
+  private final Duration longestStreamTimeout;
 
   /**
    * Creates a configuration.
@@ -31,6 +34,12 @@
     this.keysRequired = keysRequired;
     this.services = Map.copyOf(services);
     this.holdersByKey = Map.copyOf(holdersByKey);
+    this.longestStreamTimeout =
+        routes.stream()
+            .filter(route -> route.repeatability().streamed())
+            .map(ForwardingRoute::timeout)
+            .max(Comparator.naturalOrder())
+            .orElse(Duration.ZERO);
     for (ForwardingRoute route : routes) {
       routesByHost
           .computeIfAbsent(route.host(), host -> new HashMap<>())
@@ -48,6 +57,11 @@
     return limits;
   }
 
+  /** The longest timeout of all routes whose responses are streams; zero if there are none. */
+  public Duration longestStreamTimeout() {
+    return longestStreamTimeout;
+  }
+
   /** All services by name. */
   public Map<String, ForwardingService> services() {
     return services;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -88,9 +88,11 @@
     dispatcher.retryBudget().recordRequest(timers.arrivalNanos());
     timers.startQueueTimeout(
         Math.round(QUEUE_TIMEOUT_RATIO * route.targetLatency().toNanos()), this::onQueueTimeout);
-    if (request.lastEventId().isPresent()) {
-      recorder.takenUp("any", "not determined");
-    }
+    place();
+  }
+
+  /** Places the request for the first time. */
+  void place() {
     placeOrQueue();
   }
 
@@ -108,7 +110,7 @@
     return quarantine.isPresent();
   }
 
-  private void placeOrQueue() {
+  final void placeOrQueue() {
     if (rejectIfQuarantined()) {
       return;
     }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
@@ -63,6 +63,7 @@
   private final SplittableRandom random;
   private final FreshnessProof freshnessProof = new FreshnessProof();
   private final StoreCompleteness storeCompleteness;
+  private final StreamVersions streamVersions;
   private final PauseDetector pauseDetector = new PauseDetector(PAUSE_THRESHOLD_NANOS);
   private final Map<String, ServiceDispatcher> dispatchers = new HashMap<>();
   private volatile Optional<ForwardingConfiguration> configuration = Optional.empty();
@@ -92,6 +93,7 @@
     this.servers = servers;
     this.events = events;
     this.random = random;
+    this.streamVersions = new StreamVersions(servers.eventLoop(), firstStart, this::instanceCount);
   }
 
   /** The applied configuration; empty before the first one. Safe to call from any thread. */
@@ -114,6 +116,11 @@
     return storeCompleteness;
   }
 
+  /** Versions at which streams may be taken up. */
+  public StreamVersions streamVersions() {
+    return streamVersions;
+  }
+
   /** Records a read that returned the applied configuration or an older one. */
   public void recordConfigurationRead(StoreRead read) {
     long completeBefore = storeCompleteness.completeIncarnation();
@@ -181,6 +188,7 @@
     }
     configuration = Optional.of(offered);
     events.record(EventType.CONFIGURATION_IN_FORCE, EventSubject.NONE, offered.version(), source);
+    streamVersions.setLongestTimeout(offered.longestStreamTimeout().toNanos());
     servers.update(entries, offered, entriesSource);
     onCapacityChanged();
   }
@@ -191,6 +199,7 @@
         entryRetention.merge(
             entries, listed, ServerEntry::id, ServerEntry::latest, System.nanoTime());
     lastListed = List.copyOf(listed);
+    streamVersions.list(entries);
     entriesSource = source;
     configuration.ifPresent(current -> servers.update(entries, current, source));
     onCapacityChanged();
@@ -213,6 +222,7 @@
   public void onDirectoryReturnedOlder(boolean watching) {
     entryRetention.start(
         System.nanoTime(), watching ? ENTRY_RETENTION_NANOS : POLLED_ENTRY_RETENTION_NANOS);
+    streamVersions.saveAgain();
   }
 
   /** Removes the servers that were not listed again within the retention period after an outage. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
@@ -54,6 +54,11 @@
     this.retryBudget = retryBudget;
   }
 
+  /** Name of the service. */
+  String service() {
+    return service;
+  }
+
   /** Retry budget of the service. */
   WindowedRetryBudget retryBudget() {
     return retryBudget;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -42,7 +42,9 @@
   private ServerResponse response;
   private HttpHeaders headers;
   private boolean responseStarted;
+  private final Optional<Long> streamKey;
   private Optional<String> version = Optional.empty();
+  private boolean begun;
   private boolean firstEventReceived;
   private long sentNanos;
   private long prefillTokensWhenSent;
@@ -60,6 +62,10 @@
       ResponseChannel caller) {
     super(context, request, route, holder, caller);
     this.move = new GenerationMove(context, this);
+    String workspace = holder.map(KeyHolder::workspace).orElse("");
+    this.streamKey =
+        (request.lastEventId().isPresent() ? request.resumedRequestId() : Optional.of(request.id()))
+            .map(id -> StreamVersions.key(workspace, dispatcher.service(), id));
     this.maxEventGap =
         EventGapLimit.of(
             context.limits().minEventGap(), route.targetLatency(), route.targetEventGap());
@@ -131,6 +137,41 @@
     reader.problem().ifPresent(this::abandonServer);
   }
 
+  @Override
+  void place() {
+    if (request.lastEventId().isEmpty()) {
+      placeOrQueue();
+      return;
+    }
+    context
+        .state()
+        .streamVersions()
+        .resolve(streamKey, dispatcher.service())
+        .whenComplete(
+            (resolution, failure) -> {
+              if (finished()) {
+                return;
+              }
+              if (failure != null) {
+                reject(Step.LOCATE, "version of the stream cannot be read: " + failure);
+              } else {
+                takeUp(resolution);
+              }
+            });
+  }
+
+  private void takeUp(StreamVersions.Resolution resolution) {
+    version = resolution.version();
+    recorder.takenUp(version.orElse("unknown"), resolution.source());
+    if (version.isPresent()) {
+      placeOrQueue();
+    } else {
+      rejectForGood(
+          Step.LOCATE,
+          "software version that began the stream is not known; request it from its beginning");
+    }
+  }
+
   /** Version of the server that brought the first event; others do not continue its stream. */
   @Override
   public Optional<String> requiredVersion() {
@@ -139,8 +180,10 @@
 
   private void onProgress() {
     lastEventNanos = System.nanoTime();
-    if (version.isEmpty()) {
+    if (!begun) {
+      begun = true;
       version = Optional.of(server.entry().version());
+      streamKey.ifPresent(key -> context.state().streamVersions().begin(key, version.get()));
     }
     crashGuard.onAnswerContinued();
     if (!firstEventReceived) {
@@ -220,6 +263,7 @@
 
   private void finishStream() {
     crashGuard.onAnswered();
+    streamKey.ifPresent(key -> context.state().streamVersions().complete(key));
     server.load().health().recordSuccess();
     recorder.finished(response.status(), firstEventMillis);
     startResponse();
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/ConfigurationSubscription.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/ConfigurationSubscription.java
@@ -11,6 +11,6 @@
   /** Reads the configuration once if this instance does not watch the store. */
   void refresh();
 
-  /** Stores that an incarnation of the store is complete. */
-  void recordComplete(long incarnation);
+  /** Stores what processes that start later need to know. */
+  void recordClaims(FleetClaims claims);
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -73,7 +73,7 @@
   private long partitionedRevision = -1;
   private boolean ready;
   private boolean watching;
-  private long recordedIncarnation;
+  private FleetClaims recordedClaims = FleetClaims.NONE;
   private final PendingReport pendingReport = new PendingReport();
   private final FreedCapacityDelay freedCapacityDelay =
       new FreedCapacityDelay(new SplittableRandom());
@@ -254,7 +254,7 @@
     }
     updateCells();
     updateWatching();
-    recordCompleteness();
+    recordClaims();
     int own = members.ownCell();
     boolean toNeighbours = heartbeatCount++ % NEIGHBOUR_HEARTBEAT_INTERVALS == 0;
     send(members.addresses(toNeighbours ? affectedCells(own) : Set.of(own)));
@@ -300,6 +300,7 @@
     boolean watches = watchers.stream().anyMatch(entry -> entry.id().equals(instanceId));
     if (watches != watching) {
       watching = watches;
+      state.streamVersions().setDirectoryCurrent(watches);
       configurationSubscription.setWatching(watches);
     }
     if (!watches) {
@@ -308,14 +309,25 @@
   }
 
   /**
-   * Stores the incarnation that is known to be complete, for processes that start later. The
-   * watchers do so for all instances.
+   * Stores what processes that start later need to know. The watchers do so for all instances; an
+   * instance that has started keeps what it read as long as streams of before may be taken up.
    */
-  private void recordCompleteness() {
-    long complete = state.storeCompleteness().completeIncarnation();
-    if (watching && complete > recordedIncarnation) {
-      recordedIncarnation = complete;
-      configurationSubscription.recordComplete(complete);
+  private void recordClaims() {
+    long uptimeNanos = System.nanoTime() - startNanos;
+    boolean holds =
+        watching || (!firstStart && uptimeNanos < state.streamVersions().retentionNanos());
+    if (configurationSubscription == null
+        || !instancesKnown
+        || (!holds && recordedClaims.servedVersions().isEmpty())) {
+      return;
+    }
+    FleetClaims claims =
+        new FleetClaims(
+            state.storeCompleteness().completeIncarnation(),
+            holds ? state.streamVersions().served() : Map.of());
+    if (!claims.equals(recordedClaims)) {
+      recordedClaims = claims;
+      configurationSubscription.recordClaims(claims);
     }
   }
 
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayVersionsTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayVersionsTest.java
@@ -3,6 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
+import java.util.Map;
+import java.util.Set;
+import org.basilport.gateway.peer.FleetClaims;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -114,7 +117,7 @@
     void goOnWhileOnlyOneVersionHasServed() throws Exception {
       configure(1, "k1");
       serve("model", "v1", FAILING);
-      Thread.sleep(50);
+      gateway.addFormerClaims(new FleetClaims(0, Map.of("model", Set.of("v1"))));
 
       assertThat(takeUp("t1", "k1", "resumes: elsewhere\r\n")).contains("data: t4");
     }
