--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -73,7 +73,7 @@
   private long partitionedRevision = -1;
   private boolean ready;
   private boolean watching;
-  private FleetClaims recordedClaims = FleetClaims.NONE;
+  private final ClaimRecorder claims;
   private final PendingReport pendingReport = new PendingReport();
   private final FreedCapacityDelay freedCapacityDelay =
       new FreedCapacityDelay(new SplittableRandom());
@@ -103,6 +103,7 @@
     this.events = events;
     this.channel = new PeerChannel(address, eventLoop, this::receive);
     this.freshness = new FreshnessExchange(instanceId, channel, state);
+    this.claims = new ClaimRecorder(state, firstStart);
     state.servers().onEngineWorkChange(this::onEngineWorkChange);
     this.crashReports = new CrashReports(state.servers().crashMonitor(), state::paused);
     state.servers().onDeparture(this::scheduleFlush);
@@ -254,7 +255,9 @@
     }
     updateCells();
     updateWatching();
-    recordClaims();
+    if (configurationSubscription != null && instancesKnown) {
+      claims.record(watching, configurationSubscription);
+    }
     int own = members.ownCell();
     boolean toNeighbours = heartbeatCount++ % NEIGHBOUR_HEARTBEAT_INTERVALS == 0;
     send(members.addresses(toNeighbours ? affectedCells(own) : Set.of(own)));
@@ -308,29 +311,6 @@
     }
   }
 
-  /**
-   * Stores what processes that start later need to know. The watchers do so for all instances; an
-   * instance that has started keeps what it read as long as streams of before may be taken up.
-   */
-  private void recordClaims() {
-    long uptimeNanos = System.nanoTime() - startNanos;
-    boolean holds =
-        watching || (!firstStart && uptimeNanos < state.streamVersions().retentionNanos());
-    if (configurationSubscription == null
-        || !instancesKnown
-        || (!holds && recordedClaims.servedVersions().isEmpty())) {
-      return;
-    }
-    FleetClaims claims =
-        new FleetClaims(
-            state.storeCompleteness().completeIncarnation(),
-            holds ? state.streamVersions().served() : Map.of());
-    if (!claims.equals(recordedClaims)) {
-      recordedClaims = claims;
-      configurationSubscription.recordClaims(claims);
-    }
-  }
-
   /**
    * Whether an instance can be a watcher; one that is not ready may have no connection to the
    * store.
