Trust the list of servers for a take-up only while the store responds

What callers saw: nothing; found in reading the diff. Cause: an instance that watches the servers took its list for current also while it was cut off from the store, and could join a stream of a version that it had not heard of at the only one that it knew. Change: the list counts only while the proof of freshness is at most 2.5 s old (two long polls); otherwise the entries of the instances are read, and if the store does not answer the take-up gets 503 with a Retry-After.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
@@ -93,7 +93,9 @@
     this.servers = servers;
     this.events = events;
     this.random = random;
-    this.streamVersions = new StreamVersions(servers.eventLoop(), firstStart, this::instanceCount);
+    this.streamVersions =
+        new StreamVersions(
+            servers.eventLoop(), firstStart, this::instanceCount, this::proofAgeMillis);
   }
 
   /** The applied configuration; empty before the first one. Safe to call from any thread. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamVersions.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamVersions.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import org.basilport.gateway.backend.ServerEntry;
 import org.basilport.policy.dispatch.BegunStreams;
@@ -30,6 +31,12 @@
   /** Interval of reads of the archive, which take-ups at one instance share. */
   private static final long READ_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
+  /**
+   * Age of the proof of freshness above which the list of servers may be out of date too, since the
+   * store has not responded; a well instance has one of up to two long polls of 1.2 s.
+   */
+  private static final long MAX_PROOF_AGE_MILLIS = 2_500;
+
   /** Shortest interval of writes to the archive. */
   private static final long MIN_WRITE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
@@ -41,6 +48,7 @@
 
   private final EventLoop eventLoop;
   private final IntSupplier instanceCount;
+  private final LongSupplier proofAgeMillis;
   private final BegunStreams begun = new BegunStreams();
   private final Map<String, ServedVersions> servedByService = new HashMap<>();
   private final CoalescedRead<Map<Long, String>> streamReads;
@@ -53,9 +61,21 @@
   private boolean directoryCurrent;
   private boolean writeScheduled;
 
-  StreamVersions(EventLoop eventLoop, boolean firstStart, IntSupplier instanceCount) {
+  /**
+   * Creates versions without servers and streams.
+   *
+   * @param firstStart whether the fleet starts for the first time
+   * @param instanceCount number of instances of the fleet
+   * @param proofAgeMillis age of the proof that this instance knows the latest configuration
+   */
+  StreamVersions(
+      EventLoop eventLoop,
+      boolean firstStart,
+      IntSupplier instanceCount,
+      LongSupplier proofAgeMillis) {
     this.eventLoop = eventLoop;
     this.instanceCount = instanceCount;
+    this.proofAgeMillis = proofAgeMillis;
     this.pastKnown = firstStart;
     this.formerStreamsRead = firstStart;
     this.streamReads =
@@ -167,7 +187,7 @@
     if (own.isPresent()) {
       return CompletableFuture.completedFuture(new Resolution(own, "own stream"));
     }
-    if (directoryCurrent) {
+    if (directoryCurrent && proofAgeMillis.getAsLong() <= MAX_PROOF_AGE_MILLIS) {
       return resolveElsewhere(key, service);
     }
     return versionReads
