--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
@@ -145,7 +145,7 @@
     storeCompleteness
         .confirmBeforeStart(incarnation)
         .ifPresent(read -> freshnessProof.record(read.startNanos(), read.startWallMillis()));
-    recordCompleteness(completeBefore, "own entry");
+    recordCompleteness(completeBefore, "entries of the instances");
   }
 
   private void recordCompleteness(long completeBefore, String source) {
