--- a/review/standins/Case2.java
+++ b/review/standins/CrashingRequest.java
@@ -13,7 +13,7 @@
  *
  * <p>Arguments: repository, folder of the case, temporary folder.
  */
-final class Case2 {
+final class CrashingRequest {
   private static final int REPLICAS = 4;
   private static final String CRASHING_PATH = Deployment.STREAMS + "crashing";
   private static final int SENDS = 12;
@@ -35,7 +35,7 @@
 
   private static volatile boolean stopped;
 
-  private Case2() {}
+  private CrashingRequest() {}
 
   public static void main(String[] arguments) throws Exception {
     Path repository = Path.of(arguments[0]);
--- a/review/standins/Case1.java
+++ b/review/standins/MovedStream.java
@@ -13,10 +13,10 @@
  *
  * <p>Arguments: repository, folder of the case, temporary folder.
  */
-final class Case1 {
+final class MovedStream {
   private static final int STREAMS = 6;
 
-  private Case1() {}
+  private MovedStream() {}
 
   public static void main(String[] arguments) throws Exception {
     Path repository = Path.of(arguments[0]);
--- a/review/standins/Case3.java
+++ b/review/standins/Uploads.java
@@ -19,7 +19,7 @@
  *
  * <p>Arguments: repository, folder of the case, temporary folder.
  */
-final class Case3 {
+final class Uploads {
   /** Uploads at each instance; together they use a tenth of a link of 1,000 Mbit/s. */
   private static final int UPLOADS = 10;
 
@@ -40,7 +40,7 @@
 
   private static final ConcurrentLinkedQueue<Sent> SENT = new ConcurrentLinkedQueue<>();
 
-  private Case3() {}
+  private Uploads() {}
 
   public static void main(String[] arguments) throws Exception {
     Path repository = Path.of(arguments[0]);
