--- a/review/standins/Replica.java
+++ b/review/standins/Replica.java
@@ -39,6 +39,9 @@
   private volatile String address;
   volatile int workMillis = 20;
 
+  /** Size of the answers to calls, in bytes. */
+  volatile int answerBytes = 13;
+
   /** Path of a request that crashes each replica that begins to run it; nobody is told of a crash otherwise. */
   volatile Optional<String> crashingPath = Optional.empty();
 
@@ -137,7 +140,7 @@
       } else {
         record.run(request, id, "call");
         Thread.sleep(workMillis);
-        answer(out, 200, request, "X-Basilport-Replica-Seal: seal." + id + "\r\n", "{\"done\":true}");
+        answer(out, 200, request, "X-Basilport-Replica-Seal: seal." + id + "\r\n", "{\"done\":true}" + " ".repeat(answerBytes - 13));
       }
     }
   }
