--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -6,7 +6,7 @@
 folder="$(mktemp -d)"
 trap 'rm -rf "$folder"' EXIT
 export TROUBLE="${TROUBLE:-1}"
-timeout -k 5 115 java -Xmx256m -cp "$repository/target/review:$repository/target/lib/*" PlannedStop "$repository" "$here" "$folder"
+timeout -k 5 115 java -Xmx256m -cp "$repository/target/review:$repository/target/lib/*" FinishedDuringMove "$repository" "$here" "$folder"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -9,7 +9,6 @@
   static final String RESUMABLE = "/short/";
   static final String MOVES = "/moves/";
   static final String LOOKUPS = "/lookups/";
-  static final String EXPORTS = "/exports/";
   static final String ENGINES = "engines";
   static final String APPLICATION = "application";
 
@@ -23,7 +22,6 @@
     routes.add(route("short", RESUMABLE, "streaming", 6_000, 1_500, 0, ENGINES, 2, true));
     routes.add(route("moves", MOVES, "non_idempotent", 1_200, 150, 2, APPLICATION, 1, false));
     routes.add(route("lookups", LOOKUPS, "idempotent", 1_200, 150, 2, APPLICATION, 2, false));
-    routes.add(route("exports", EXPORTS, "non_idempotent", 30_000, 5_000, 2, APPLICATION, 1, false));
     ArrayNode services = state.putArray("services");
     ObjectNode engines = service(ENGINES, 222);
     engines.set("engine", Store.JSON.createObjectNode().put("slots", 24).put("kv_capacity", 34_322).put("kv_token_bytes", 18_432)
--- a/review/standins/MovedStream.java
+++ b/review/standins/MovedStream.java
@@ -40,7 +40,7 @@
     for (int i = 0; i < 3; i++) {
       Replica replica =
           new Replica("i-" + (char) ('a' + i), "127.0.0.1", i < 2 ? "zone-a" : "zone-b", Deployment.ENGINES, 24, Optional.of(engine), record);
-      Proxy path = new Proxy("127.0.0.1", replica.listening());
+      Proxy path = new Proxy("127.0.0.1", replica.listening(), 0);
       replica.publish(path.address());
       replicas.add(replica);
       paths.add(path);
--- a/review/standins/Proxy.java
+++ b/review/standins/Proxy.java
@@ -4,18 +4,26 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.Arrays;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 
-/** TCP proxy before a replica, whose path can be cut: open channels are reset and new ones refused. */
+/** TCP proxy before a replica, with a one-way delay. Its path can be cut: open channels are reset and new ones refused. */
 final class Proxy {
   private final InetSocketAddress target;
   private final InetSocketAddress address;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+  private final int delayMillis;
   private volatile ServerSocket listener;
 
-  Proxy(String host, InetSocketAddress target) throws IOException {
+  /** Bytes, or the end of the channel if empty, that are due at a time. */
+  private record Part(byte[] bytes, long dueNanos) {}
+
+  Proxy(String host, InetSocketAddress target, int delayMillis) throws IOException {
     this.target = target;
+    this.delayMillis = delayMillis;
     listener = new ServerSocket();
     listener.bind(new InetSocketAddress(host, 0), 256);
     address = (InetSocketAddress) listener.getLocalSocketAddress();
@@ -46,14 +54,37 @@
   }
 
   private void copy(Socket from, Socket to) {
+    LinkedBlockingQueue<Part> parts = new LinkedBlockingQueue<>();
+    Threads.start("proxy", () -> write(parts, from, to));
     byte[] buffer = new byte[16_384];
     try {
       InputStream in = from.getInputStream();
-      OutputStream out = to.getOutputStream();
       for (int read = in.read(buffer); read >= 0; read = in.read(buffer)) {
-        out.write(buffer, 0, read);
+        parts.add(new Part(Arrays.copyOf(buffer, read), due()));
+      }
+      parts.add(new Part(new byte[0], due()));
+    } catch (IOException e) {
+      reset(from);
+      reset(to);
+    }
+  }
+
+  private long due() {
+    return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(delayMillis);
+  }
+
+  private void write(LinkedBlockingQueue<Part> parts, Socket from, Socket to) throws InterruptedException {
+    try {
+      OutputStream out = to.getOutputStream();
+      while (true) {
+        Part part = parts.take();
+        TimeUnit.NANOSECONDS.sleep(part.dueNanos - System.nanoTime());
+        if (part.bytes.length == 0) {
+          to.shutdownOutput();
+          return;
+        }
+        out.write(part.bytes);
       }
-      to.shutdownOutput();
     } catch (IOException e) {
       reset(from);
       reset(to);
--- a/review/standins/Record.java
+++ b/review/standins/Record.java
@@ -2,14 +2,17 @@
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 
 /** Writes what was sent, answered and run, with the time since the start, and counts the runs of each request. */
 final class Record {
   private final long startNanos = System.nanoTime();
   private final PrintWriter out;
   private final Map<String, Integer> runs = new LinkedHashMap<>();
+  private final Set<String> completed = new HashSet<>();
 
   Record(Path file) throws IOException {
     out = new PrintWriter(Files.newBufferedWriter(file), true);
@@ -25,6 +28,15 @@
     line("replica " + replica + " runs request " + id + " (" + how + "), run " + runs.get(id));
   }
 
+  /** Records that a replica has sent the whole answer to a request. */
+  synchronized void complete(String id) {
+    completed.add(id);
+  }
+
+  synchronized boolean completed(String id) {
+    return completed.contains(id);
+  }
+
   synchronized int runs(String id) {
     return runs.getOrDefault(id, 0);
   }
--- a/review/standins/Replica.java
+++ b/review/standins/Replica.java
@@ -39,9 +39,6 @@
   private volatile String address;
   volatile int workMillis = 20;
 
-  /** Size of the answers to calls, in bytes. */
-  volatile int answerBytes = 13;
-
   /** Path of a request that crashes each replica that begins to run it; nobody is told of a crash otherwise. */
   volatile Optional<String> crashingPath = Optional.empty();
 
@@ -140,7 +137,7 @@
       } else {
         record.run(request, id, "call");
         Thread.sleep(workMillis);
-        answer(out, 200, request, "X-Basilport-Replica-Seal: seal." + id + "\r\n", "{\"done\":true}" + " ".repeat(answerBytes - 13));
+        answer(out, 200, request, "X-Basilport-Replica-Seal: seal." + id + "\r\n", "{\"done\":true}");
       }
     }
   }
@@ -213,6 +210,7 @@
       out.write("0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
       out.flush();
       record.line("request " + request + " is complete at replica " + id);
+      record.complete(request);
       return true;
     } catch (IOException e) {
       record.line("request " + request + " is dropped at replica " + id + " after event " + run.made);
