--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -6,7 +6,9 @@
 folder="$(mktemp -d)"
 trap 'rm -rf "$folder"' EXIT
 export TROUBLE="${TROUBLE:-1}"
-timeout -k 5 115 java -Xmx256m -cp "$repository/target/review:$repository/target/lib/*" FinishedDuringMove "$repository" "$here" "$folder"
-status=$?
-[ "$status" -le 1 ] || status=2
-exit "$status"
+timeout -k 3 115 java -Xmx256m -cp "$repository/target/review:$repository/target/lib/*" FinishedDuringMove "$repository" "$here" "$folder"
+case $? in
+  10) exit 0 ;;
+  11) exit 1 ;;
+  *) exit 2 ;;
+esac
--- a/review/standins/FinishedDuringMove.java
+++ b/review/standins/FinishedDuringMove.java
@@ -49,9 +49,12 @@
     int status = 2;
     try (Gateways gateways = new Gateways(repository, folder, storeAddress, record)) {
       status = play(gateways, store, record, trouble);
+    } catch (Exception e) {
+      record.line("the case could not run: " + e);
     }
     System.out.println(status == 0 ? "held" : status == 1 ? "broken" : "could not run");
-    Runtime.getRuntime().halt(status);
+    // An offset tells a result from an exit status of the Java runtime.
+    Runtime.getRuntime().halt(10 + status);
   }
 
   private static Replica boot(int number, Store store, Record record) throws Exception {
