Log from which point a request is sent and how often it may have run

Cause: not known yet. Change: 4012 says from which event and copy a server starts, 4015 how many runs and events there were before; the counter forward.sent_again_after_run counts the latter. The count is kept in AttemptHistory, and the budget of retries is asked in one place. No logic changes.

--- a/basilport-common/src/main/java/org/basilport/event/EventType.java
+++ b/basilport-common/src/main/java/org/basilport/event/EventType.java
@@ -47,14 +47,14 @@
       4012,
       Level.INFO,
       "request={} route={} server={} run={} requests={} unread_tokens={} memory_tokens={}"
-          + " waited_ms={}"),
+          + " waited_ms={} from={}"),
   REQUEST_FINISHED(
       4013, Level.INFO, "request={} status={} server={} elapsed_ms={} first_event_ms={} events={}"),
   REQUEST_REFUSED(
       4014,
       Level.INFO,
       "request={} status={} step={} reason={} configuration={} proof_age_ms={} waiting={}"),
-  REQUEST_RETRIED(4015, Level.INFO, "request={} server={} sent again: {}"),
+  REQUEST_RETRIED(4015, Level.INFO, "request={} server={} runs={} events={} sent again: {}"),
   REQUEST_FAILED(4016, Level.WARN, "request={} status={} server={} events={} failed: {}"),
   MOVE_STARTED(4017, Level.INFO, "request={} from={} to={} events={} move started: {}"),
   MOVE_FINISHED(4018, Level.INFO, "request={} from={} to={} events={} pause_ms={}"),
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
@@ -92,8 +92,7 @@
     BackendServer responder = server;
     if (response.notExecuted() || response.status() == 421) {
       responder.load().health().recordFailure(System.nanoTime());
-      onNotExecuted(
-          Step.SEND, "server " + responder.entry().id() + " refused: " + response.status());
+      onRefusedByServer("server " + responder.entry().id() + " refused: " + response.status());
       return;
     }
     if (response.successful() && (!response.signed() || response.contentEncoded())) {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -19,6 +19,7 @@
 import org.basilport.gateway.message.CallerRequest;
 import org.basilport.gateway.message.ForwardingDetails;
 import org.basilport.gateway.message.ServerResponse;
+import org.basilport.policy.dispatch.AttemptHistory;
 import org.basilport.policy.dispatch.OutstandingWork;
 import org.basilport.policy.dispatch.PendingRequestQueue;
 import org.basilport.policy.dispatch.Quarantine;
@@ -52,8 +53,7 @@
   private final Set<String> triedServerIds = new HashSet<>();
   private Optional<PendingRequestQueue.Entry<PlacementRequest>> queueEntry = Optional.empty();
   private OutstandingWork reservedWork = OutstandingWork.NONE;
-  private int sentAttempts;
-  private int refusedAttempts;
+  private final AttemptHistory attempts = new AttemptHistory();
   private boolean callerDisconnected;
   private boolean finished;
   private Runnable endListener = () -> {};
@@ -213,9 +213,9 @@
       return;
     }
     connection = opened;
-    sentAttempts++;
+    attempts.recordSend();
     crashGuard.onSent();
-    recorder.sent(sentAttempts);
+    recorder.sent(attempts.sent(), resumePoint);
     beforeSend();
     FullHttpRequest message =
         context.codec().encodeRequest(request, details(resumePoint), server.entry().address());
@@ -322,16 +322,19 @@
     return reservedWork;
   }
 
+  /** Retries or rejects a request of which the last server has said that it did not execute it. */
+  final void onRefusedByServer(String reason) {
+    attempts.recordNotExecuted();
+    onNotExecuted(Step.SEND, reason);
+  }
+
   /**
    * Retries a request that the last server did not execute, or rejects it when no retry is
    * permitted.
    */
   final void onNotExecuted(Step step, String reason) {
-    refusedAttempts++;
-    if (refusedAttempts > MAX_REFUSED_ATTEMPTS
-        || !dispatcher
-            .retryBudget()
-            .tryAcquireRetry(context.state().instanceCount(), System.nanoTime())) {
+    attempts.recordFailed();
+    if (attempts.failed() > MAX_REFUSED_ATTEMPTS || !dispatcher.tryAcquireRetry()) {
       reject(step, reason);
       return;
     }
@@ -345,17 +348,15 @@
   final boolean tryAcquireRetry() {
     return !callerDisconnected
         && route.repeatability().repeatable()
-        && sentAttempts < route.maxAttempts() + refusedAttempts
+        && attempts.sent() < route.maxAttempts() + attempts.failed()
         && crashGuard.quarantine().isEmpty()
         && dispatcher.hasServerFor(this)
-        && dispatcher
-            .retryBudget()
-            .tryAcquireRetry(context.state().instanceCount(), System.nanoTime());
+        && dispatcher.tryAcquireRetry();
   }
 
   /** Releases the assigned server and places the request again. */
   final void retry(String reason) {
-    recorder.retried(reason);
+    recorder.retried(attempts.runs(), reason);
     releaseServer();
     placeOrQueue();
   }
@@ -370,7 +371,7 @@
     if (finished) {
       return;
     }
-    if (sentAttempts == 0 || (server == null && sentAttempts == refusedAttempts)) {
+    if (attempts.sent() == 0 || (server == null && attempts.sent() == attempts.failed())) {
       reject(Step.ADMIT, "time limit reached before the request was sent");
     } else {
       onTimeout();
@@ -438,7 +439,7 @@
   }
 
   private boolean mayHaveBeenExecuted() {
-    return sentAttempts > refusedAttempts;
+    return attempts.sent() > attempts.failed();
   }
 
   private double retryAfterSeconds() {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ExchangeRecorder.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ExchangeRecorder.java
@@ -53,7 +53,7 @@
   /**
    * Records that the request is sent to its server, with the load that the decision was based on.
    */
-  void sent(int attempts) {
+  void sent(int attempts, ResumePoint resumePoint) {
     OutstandingWork total = exchange.server.load().totalWork();
     context
         .events()
@@ -67,7 +67,8 @@
             total.requests(),
             total.pendingPrefillTokens(),
             total.memoryTokens(),
-            exchange.elapsedMillis());
+            exchange.elapsedMillis(),
+            resumePoint);
   }
 
   /**
@@ -90,8 +91,15 @@
             source);
   }
 
-  /** Records that the request is placed again. */
-  void retried(String reason) {
+  /**
+   * Records that the request is placed again.
+   *
+   * @param runs number of earlier sends that servers may have executed
+   */
+  void retried(int runs, String reason) {
+    if (runs > 0) {
+      context.metrics().counter("forward.sent_again_after_run").inc();
+    }
     context
         .events()
         .record(
@@ -99,6 +107,8 @@
             subject(),
             exchange.request.id(),
             exchange.serverId(),
+            runs,
+            exchange.eventCount(),
             reason);
   }
 
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
@@ -64,6 +64,11 @@
     return retryBudget;
   }
 
+  /** Takes a retry from the budget of the service; false if it is exhausted. */
+  boolean tryAcquireRetry() {
+    return retryBudget.tryAcquireRetry(instanceCount.getAsInt(), System.nanoTime());
+  }
+
   /** Whether the servers are model engines, whose KV cache limits their concurrency. */
   boolean placesGenerations() {
     return placesGenerations;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -278,7 +278,7 @@
     if (responseStarted) {
       failStream(Step.STREAM, reason);
     } else if (response.notExecuted() || response.status() == 421) {
-      onNotExecuted(Step.SEND, reason);
+      onRefusedByServer(reason);
     } else if (response.successful()) {
       onFailure("answer is not the server's own");
     } else if (response.status() >= 500 && tryAcquireRetry()) {
