Show that a stream runs again when its move ends at a dead server

Evidence: GatewayMovedStreamsTest on the code before the fix: 2 runs, 1 allowed, if the target ends during the last copy, if it refuses connections, and if target and source have ended.

--- /dev/null
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayMovedStreamsTest.java
@@ -0,0 +1,139 @@
+package org.basilport.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Moves streams to servers that cannot be reached. */
+class GatewayMovedStreamsTest extends GatewayFixture {
+  /** Runs that began at the beginning, at all servers. */
+  private final AtomicInteger runs = new AtomicInteger();
+
+  private final CountDownLatch stopped = new CountDownLatch(1);
+
+  /** What happens to a target when it is asked to receive a copy. */
+  private interface TargetFault {
+    void onCopy(ScriptedServer target, boolean finalCopy) throws IOException;
+  }
+
+  private final class Engine implements ScriptedServer.Script {
+    private final TargetFault fault;
+
+    Engine(TargetFault fault) {
+      this.fault = fault;
+    }
+
+    @Override
+    public void respond(ScriptedServer.Request request, OutputStream out, Socket socket)
+        throws IOException, InterruptedException {
+      if (request.line().startsWith("POST /move/")) {
+        copy(request, out);
+      } else if (request.headers().containsKey("memory")) {
+        ScriptedServer.startStream(out, request);
+        ScriptedServer.writeEvents(out, 4, 5);
+        ScriptedServer.endStream(out);
+      } else {
+        runs.incrementAndGet();
+        ScriptedServer.startStream(out, request);
+        ScriptedServer.writeEvents(out, 1, 3);
+        stopped.await(5, TimeUnit.SECONDS);
+        socket.close();
+      }
+    }
+
+    private void copy(ScriptedServer.Request request, OutputStream out) throws IOException {
+      boolean finalCopy = request.line().contains("/true");
+      String address = request.headers().get("target");
+      for (ScriptedServer server : servers) {
+        if (address.endsWith(":" + server.port())) {
+          fault.onCopy(server, finalCopy);
+        }
+      }
+      ScriptedServer.sendResponse(out, request, 200, finalCopy ? "handle-1" : "handle-0");
+      if (finalCopy) {
+        stopped.countDown();
+      }
+    }
+  }
+
+  /** Streams from an engine that leaves while two others could receive the generation. */
+  private String streamFromALeavingEngine(String target, TargetFault fault) throws Exception {
+    configure(1, "k1");
+    Engine engine = new Engine(fault);
+    serve("model", engine);
+    CompletableFuture<String> response =
+        CompletableFuture.supplyAsync(
+            () -> {
+              try {
+                return call("POST", target, "key: k1\r\ntokens: 100\r\n");
+              } catch (IOException e) {
+                throw new IllegalStateException(e);
+              }
+            });
+    Thread.sleep(200);
+    serve("model", engine);
+    serve("model", engine);
+    gateway.updateServers(entries.subList(1, 3), "test");
+    return response.get(10, TimeUnit.SECONDS);
+  }
+
+  private static void assertComplete(String response) {
+    assertThat(response.replaceAll("(?s).*?(data: t\\d).*?", "$1 "))
+        .startsWith("data: t1 data: t2 data: t3 data: t4 data: t5");
+    assertThat(response).endsWith("0\r\n\r\n");
+  }
+
+  @Nested
+  class StreamsThatAreNotResumable {
+    /** Guards against a second run of a generation that has stopped for its move. */
+    @Test
+    void doNotRunAgainIfTheTargetEndsDuringTheLastCopy() throws Exception {
+      String response =
+          streamFromALeavingEngine(
+              "/stream/x",
+              (target, finalCopy) -> {
+                if (finalCopy) {
+                  target.close();
+                }
+              });
+
+      assertThat(runs.get()).isEqualTo(1);
+      assertComplete(response);
+    }
+
+    /** Guards against a second run after a copy to a server that this instance cannot reach. */
+    @Test
+    void doNotRunAgainIfTheTargetRefusesConnections() throws Exception {
+      String response =
+          streamFromALeavingEngine("/stream/x", (target, finalCopy) -> target.close());
+
+      assertThat(runs.get()).isEqualTo(1);
+      assertThat(response).contains("data: t3");
+    }
+
+    /** Guards against a second run when neither the copy nor its source can be reached. */
+    @Test
+    void doNotRunAgainIfTargetAndSourceHaveEnded() throws Exception {
+      String response =
+          streamFromALeavingEngine(
+              "/stream/x",
+              (target, finalCopy) -> {
+                if (finalCopy) {
+                  target.close();
+                  servers.get(0).stopAccepting();
+                }
+              });
+
+      assertThat(runs.get()).isEqualTo(1);
+      assertThat(response).doesNotContain("\r\n0\r\n");
+    }
+  }
+}
--- a/basilport-gateway/src/test/java/org/basilport/gateway/ScriptedServer.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/ScriptedServer.java
@@ -122,6 +122,11 @@
     out.flush();
   }
 
+  /** Refuses new connections; open ones go on. */
+  void stopAccepting() throws IOException {
+    listener.close();
+  }
+
   @Override
   public void close() throws IOException {
     listener.close();
