Never begin a request again that has run and must run once

Cause: "this attempt was not executed" was taken for "this request was not executed". A generation that has stopped for its move has run; when no connection to its next engine opened, Exchange placed the request again without the copy, and the third engine began it anew. The count of refused attempts also included attempts that were never sent, so a request that had run could count as not executed. Change: AttemptHistory holds what is known of the runs of a request and decides whether a server may begin it; SendCheck asks it immediately before each send, whatever led there. If the target is lost nevertheless, or has not executed the continuation, the generation resumes at its source, which keeps the KV cache, and moves on from there. A move no longer counts as a run against max_attempts, a failed connection no longer adds one to it.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -41,8 +41,6 @@
   /** Queue timeout as a fraction of the target latency; the request is rejected afterwards. */
   private static final double QUEUE_TIMEOUT_RATIO = 0.8;
 
-  private static final String NOT_PROVEN = "key cannot be proven valid";
-
   final ForwardingContext context;
   final CallerRequest request;
   final ForwardingRoute route;
@@ -97,7 +95,7 @@
   }
 
   /** Rejects the request at once if it would crash the server that runs it. */
-  private boolean rejectIfQuarantined() {
+  final boolean rejectIfQuarantined() {
     Optional<Quarantine> quarantine = crashGuard.quarantine();
     quarantine.ifPresent(
         known -> {
@@ -195,25 +193,35 @@
               send(opened, resumePoint);
             },
             reason -> {
-              target.load().health().recordUnreachable(System.nanoTime());
-              if (!target.load().leaving()) {
-                crashGuard.onUnreachable(target, reason);
-              }
+              recordUnreachable(target, reason);
               if (!finished && server == target) {
-                onNotExecuted(Step.CONNECT, reason);
+                onConnectFailed(reason);
               }
             });
   }
 
+  /** Records that no connection to a server could be opened. */
+  final void recordUnreachable(BackendServer unreachable, String reason) {
+    unreachable.load().health().recordUnreachable(System.nanoTime());
+    if (!unreachable.load().leaving()) {
+      crashGuard.onUnreachable(unreachable, reason);
+    }
+  }
+
+  /** Called when no connection to the assigned server could be opened; nothing was sent to it. */
+  void onConnectFailed(String reason) {
+    onNotExecuted(Step.CONNECT, reason);
+  }
+
   private void send(BackendConnection opened, ResumePoint resumePoint) {
     SendCheck.Result result = SendPermission.check(this, resumePoint);
     if (result != SendCheck.Result.PERMITTED) {
       opened.release();
-      onSendNotPermitted(result);
+      SendPermission.refuse(this, result);
       return;
     }
     connection = opened;
-    attempts.recordSend();
+    attempts.recordSend(resumePoint.kvCache().isPresent());
     crashGuard.onSent();
     recorder.sent(attempts.sent(), resumePoint);
     beforeSend();
@@ -227,37 +235,6 @@
     return timers.remaining();
   }
 
-  private void onSendNotPermitted(SendCheck.Result result) {
-    switch (result) {
-      case CALLER_LEFT:
-        finish();
-        break;
-      case DEADLINE_PASSED:
-        connection = null;
-        onDeadline();
-        break;
-      case QUARANTINED:
-        rejectIfQuarantined();
-        break;
-      case SERVER_LEAVING:
-        onNotExecuted(Step.SEND, "backend server is leaving");
-        break;
-      default:
-        failWithoutRetry(Step.AUTHENTICATE, result);
-        break;
-    }
-  }
-
-  /** Ends a request whose key is not accepted any more; an earlier attempt may have executed it. */
-  private void failWithoutRetry(Step step, SendCheck.Result result) {
-    String reason = result == SendCheck.Result.KEY_WITHDRAWN ? "key was withdrawn" : NOT_PROVEN;
-    if (result == SendCheck.Result.KEY_WITHDRAWN && !mayHaveBeenExecuted()) {
-      sendLocalReply(401, new DefaultHttpHeaders(), step, reason);
-    } else {
-      reject(step, reason);
-    }
-  }
-
   private ForwardingDetails details(ResumePoint resumePoint) {
     return new ForwardingDetails(
         remaining(),
@@ -334,7 +311,9 @@
    */
   final void onNotExecuted(Step step, String reason) {
     attempts.recordFailed();
-    if (attempts.failed() > MAX_REFUSED_ATTEMPTS || !dispatcher.tryAcquireRetry()) {
+    if (!permitsRun()
+        || attempts.failed() > MAX_REFUSED_ATTEMPTS
+        || !dispatcher.tryAcquireRetry()) {
       reject(step, reason);
       return;
     }
@@ -348,7 +327,7 @@
   final boolean tryAcquireRetry() {
     return !callerDisconnected
         && route.repeatability().repeatable()
-        && attempts.sent() < route.maxAttempts() + attempts.failed()
+        && permitsRun()
         && crashGuard.quarantine().isEmpty()
         && dispatcher.hasServerFor(this)
         && dispatcher.tryAcquireRetry();
@@ -367,11 +346,11 @@
     }
   }
 
-  private void onDeadline() {
+  final void onDeadline() {
     if (finished) {
       return;
     }
-    if (attempts.sent() == 0 || (server == null && attempts.sent() == attempts.failed())) {
+    if (!mayHaveBeenExecuted()) {
       reject(Step.ADMIT, "time limit reached before the request was sent");
     } else {
       onTimeout();
@@ -438,8 +417,13 @@
     }
   }
 
-  private boolean mayHaveBeenExecuted() {
-    return attempts.sent() > attempts.failed();
+  final boolean mayHaveBeenExecuted() {
+    return attempts.runs() > 0;
+  }
+
+  /** Whether a server may begin the request, first or again. */
+  final boolean permitsRun() {
+    return attempts.permitsRun(route.repeatability().repeatable(), route.maxAttempts());
   }
 
   private double retryAfterSeconds() {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/SendPermission.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/SendPermission.java
@@ -1,11 +1,15 @@
 package org.basilport.gateway.forward;
 
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.util.Optional;
+import org.basilport.error.Step;
 import org.basilport.gateway.config.KeyHolder;
 import org.basilport.policy.dispatch.SendCheck;
 
-/** Collects the conditions under which an exchange may send its request now. */
+/** Decides whether an exchange may send its request now, and ends what must not be sent. */
 final class SendPermission {
+  private static final String NOT_PROVEN = "key cannot be proven valid";
+
   private SendPermission() {}
 
   /** Checks the conditions for a send to the server that is assigned to the exchange. */
@@ -24,6 +28,42 @@
             context.state().proofAgeMillis(),
             context.limits().maxProofAge().toMillis(),
             exchange.crashGuard.quarantine().isPresent(),
+            resumePoint.kvCache().isPresent() || exchange.permitsRun(),
             exchange.server.load().leaving() && resumePoint.kvCache().isEmpty()));
   }
+
+  /** Ends or places again a request that must not be sent to the assigned server. */
+  static void refuse(Exchange exchange, SendCheck.Result result) {
+    switch (result) {
+      case CALLER_LEFT:
+        exchange.finish();
+        break;
+      case DEADLINE_PASSED:
+        exchange.connection = null;
+        exchange.onDeadline();
+        break;
+      case QUARANTINED:
+        exchange.rejectIfQuarantined();
+        break;
+      case ALREADY_RUN:
+        exchange.reject(Step.SEND, "request may have run and must not run again");
+        break;
+      case SERVER_LEAVING:
+        exchange.onNotExecuted(Step.SEND, "backend server is leaving");
+        break;
+      default:
+        failWithoutRetry(exchange, result);
+        break;
+    }
+  }
+
+  /** Ends a request whose key is not accepted any more; an earlier attempt may have executed it. */
+  private static void failWithoutRetry(Exchange exchange, SendCheck.Result result) {
+    String reason = result == SendCheck.Result.KEY_WITHDRAWN ? "key was withdrawn" : NOT_PROVEN;
+    if (result == SendCheck.Result.KEY_WITHDRAWN && !exchange.mayHaveBeenExecuted()) {
+      exchange.sendLocalReply(401, new DefaultHttpHeaders(), Step.AUTHENTICATE, reason);
+    } else {
+      exchange.reject(Step.AUTHENTICATE, reason);
+    }
+  }
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -78,6 +78,9 @@
     prefillTokensWhenSent = server.load().totalWork().pendingPrefillTokens();
     firstEventReceived = reservedWork().pendingPrefillTokens() == 0;
     observeDeparture();
+    if (server.load().leaving()) {
+      onServerLeaving(GenerationMove.RETRY_DELAY_NANOS);
+    }
     if (eventGapTimer == null) {
       long maxGapNanos = maxEventGap.toNanos();
       eventGapTimer =
@@ -110,6 +113,9 @@
   public void onHead(ServerResponse serverResponse, HttpResponse httpResponse) {
     onAnswerStarted(serverResponse);
     response = serverResponse;
+    if (!refused()) {
+      move.onCopyUsed();
+    }
     if (headers == null || !responseStarted) {
       headers = context.codec().responseHeaders(httpResponse);
     }
@@ -205,6 +211,11 @@
     return response.successful() && response.signed() && !response.contentEncoded();
   }
 
+  /** Whether the server has said that it did not execute the request. */
+  private boolean refused() {
+    return response.notExecuted() || response.status() == 421;
+  }
+
   private void onFirstEvent() {
     firstEventReceived = true;
     if (firstEventMillis < 0) {
@@ -275,9 +286,12 @@
     BackendServer responder = server;
     responder.load().health().recordFailure(System.nanoTime());
     String reason = "server " + responder.entry().id() + " answered " + response.status();
+    if (refused() && move.resumeAtSource(responder, reason)) {
+      return;
+    }
     if (responseStarted) {
       failStream(Step.STREAM, reason);
-    } else if (response.notExecuted() || response.status() == 421) {
+    } else if (refused()) {
       onRefusedByServer(reason);
     } else if (response.successful()) {
       onFailure("answer is not the server's own");
@@ -297,6 +311,7 @@
       return;
     }
     move.reset();
+    move.onCopyUsed();
     recordConnectionLoss();
     server.load().health().recordFailure(System.nanoTime());
     reader.dropPartialEvent();
@@ -328,6 +343,13 @@
     sendLocalReply(502, new DefaultHttpHeaders(), step, reason);
   }
 
+  @Override
+  void onConnectFailed(String reason) {
+    if (!move.resumeAtSource(server, reason)) {
+      onNotExecuted(Step.CONNECT, reason);
+    }
+  }
+
   /** Resumes the stream at a server whose load already includes it. */
   void resumeAt(BackendServer target, OutstandingWork work, KvCacheReference kvCache) {
     reader.dropPartialEvent();
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/SendCheck.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/SendCheck.java
@@ -26,6 +26,8 @@
     KEY_NOT_PROVEN,
     /** The request, or a part of its prompt, crashes servers. */
     QUARANTINED,
+    /** The request may have run and must not run again. */
+    ALREADY_RUN,
     /** The chosen server is leaving. */
     SERVER_LEAVING
   }
@@ -41,6 +43,7 @@
    * @param proofAgeMillis age of the proof that the applied configuration is the latest
    * @param maxProofAgeMillis age above which a proof is not sufficient
    * @param quarantined whether the request or a part of its prompt is quarantined
+   * @param runPermitted whether a server may begin the request, or goes on with a run that stopped
    * @param serverLeaving whether the server is leaving and does not hold a copy of the generation
    */
   public record Conditions(
@@ -51,6 +54,7 @@
       long proofAgeMillis,
       long maxProofAgeMillis,
       boolean quarantined,
+      boolean runPermitted,
       boolean serverLeaving) {}
 
   /** Checks the conditions; the first one that is not met determines the result. */
@@ -70,6 +74,9 @@
     if (conditions.quarantined) {
       return Result.QUARANTINED;
     }
+    if (!conditions.runPermitted) {
+      return Result.ALREADY_RUN;
+    }
     return conditions.serverLeaving ? Result.SERVER_LEAVING : Result.PERMITTED;
   }
 }
