Deliver a stream that its source ends during its move

Cause: once the source was asked to stop, each end of its stream counted as the stop; without a handle of the copy the stream failed. Evidence: five of the six orders of GatewayMovedStreamsTest StreamsThatFinishDuringTheirMove failed before (reset, or continued although the stream had ended). Change: a chunked answer with its last chunk has ended, whatever the copy answers. An answer that ends with its connection has ended if the copy finds no such run.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
@@ -35,6 +35,9 @@
   /** Number of attempts after which the generation stays at its engine. */
   private static final int MAX_ATTEMPTS = 8;
 
+  /** Status of a copy whose source runs no such generation. */
+  private static final int NO_SUCH_RUN = 404;
+
   private enum State {
     IDLE,
     COPYING,
@@ -51,6 +54,7 @@
   private BackendServer target;
   private OutstandingWork reservedWork = OutstandingWork.NONE;
   private boolean sourceStreamEnded;
+  private boolean sourceEndedWell;
   private Optional<String> handle = Optional.empty();
   private Optional<BackendConnection> targetConnection = Optional.empty();
 
@@ -167,6 +171,8 @@
       reservedWork = exchange.remainingWork();
       target.load().addOwnWork(reservedWork);
       resumeAtTargetWhenReady();
+    } else if (sourceStreamEnded && sourceEndedWell && result.status() == NO_SUCH_RUN) {
+      exchange.finishStream();
     } else if (sourceStreamEnded) {
       releaseTarget();
       state = State.IDLE;
@@ -214,9 +220,14 @@
     state = State.IDLE;
   }
 
-  /** Called when the stream of the source engine ends after the request to stop the generation. */
-  void onSourceStreamEnded() {
+  /**
+   * Called when the stream of the source engine ends after the request to stop the generation.
+   *
+   * @param well whether it may be the end of a finished generation
+   */
+  void onSourceStreamEnded(boolean well) {
     sourceStreamEnded = true;
+    sourceEndedWell = well;
     resumeAtTargetWhenReady();
   }
 
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
 import java.util.Optional;
@@ -40,6 +41,10 @@
   private final DepartureListener departureListener = new GenerationDepartureListener();
   private final GenerationMove move;
   private ServerResponse response;
+
+  /** Whether the end of the answer differs from the end of its connection. */
+  private boolean endsVisibly;
+
   private HttpHeaders headers;
   private boolean responseStarted;
   private final Optional<Long> streamKey;
@@ -113,6 +118,9 @@
   public void onHead(ServerResponse serverResponse, HttpResponse httpResponse) {
     onAnswerStarted(serverResponse);
     response = serverResponse;
+    endsVisibly =
+        HttpUtil.isTransferEncodingChunked(httpResponse)
+            || HttpUtil.isContentLengthSet(httpResponse);
     if (!refused()) {
       move.onCopyUsed();
     }
@@ -260,8 +268,8 @@
   @Override
   public void onComplete() {
     if (streaming()) {
-      if (move.stopping()) {
-        move.onSourceStreamEnded();
+      if (move.stopping() && !endsVisibly) {
+        move.onSourceStreamEnded(!reader.hasPartialEvent());
       } else if (reader.hasPartialEvent() || reader.eventCount() == 0) {
         onFailure("stream ended within an event");
       } else {
@@ -272,7 +280,8 @@
     onErrorResponse();
   }
 
-  private void finishStream() {
+  /** Delivers a stream that its server has ended. */
+  void finishStream() {
     crashGuard.onAnswered();
     streamKey.ifPresent(key -> context.state().streamVersions().complete(key));
     server.load().health().recordSuccess();
@@ -307,7 +316,7 @@
   @Override
   public void onFailure(String reason) {
     if (move.stopping()) {
-      move.onSourceStreamEnded();
+      move.onSourceStreamEnded(false);
       return;
     }
     move.reset();
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayMovedStreamsTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayMovedStreamsTest.java
@@ -66,20 +66,20 @@
     }
   }
 
+  private String stream(String target) {
+    try {
+      return call("POST", target, "key: k1\r\ntokens: 100\r\n");
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   /** Streams from an engine that leaves while two others could receive the generation. */
   private String streamFromALeavingEngine(String target, TargetFault fault) throws Exception {
     configure(1, "k1");
     Engine engine = new Engine(fault);
     serve("model", engine);
-    CompletableFuture<String> response =
-        CompletableFuture.supplyAsync(
-            () -> {
-              try {
-                return call("POST", target, "key: k1\r\ntokens: 100\r\n");
-              } catch (IOException e) {
-                throw new IllegalStateException(e);
-              }
-            });
+    CompletableFuture<String> response = CompletableFuture.supplyAsync(() -> stream(target));
     Thread.sleep(200);
     serve("model", engine);
     serve("model", engine);
@@ -171,15 +171,7 @@
                 }
               });
       serve("model", engine);
-      CompletableFuture<String> response =
-          CompletableFuture.supplyAsync(
-              () -> {
-                try {
-                  return call("POST", "/resume/x", "key: k1\r\ntokens: 100\r\n");
-                } catch (IOException e) {
-                  throw new IllegalStateException(e);
-                }
-              });
+      CompletableFuture<String> response = CompletableFuture.supplyAsync(() -> stream("/resume/x"));
       Thread.sleep(200);
       serve("model", engine);
       gateway.updateServers(entries.subList(1, 2), "test");
@@ -188,4 +180,96 @@
       assertThat(after).containsExactly("3");
     }
   }
+
+  @Nested
+  class StreamsThatFinishDuringTheirMove {
+    /** Ends the stream around the last copy; a status of 0 closes the connection of the copy. */
+    private String finish(boolean endFirst, int status, String body) throws Exception {
+      CountDownLatch ended = new CountDownLatch(1);
+      CountDownLatch answered = new CountDownLatch(1);
+      configure(1, "k1");
+      serve(
+          "model",
+          (request, out, socket) -> {
+            if (request.line().startsWith("POST /move/")) {
+              boolean finalCopy = request.line().contains("/true");
+              if (finalCopy) {
+                stopped.countDown();
+                if (endFirst) {
+                  ended.await(5, TimeUnit.SECONDS);
+                  Thread.sleep(30);
+                }
+              }
+              if (finalCopy && status == 0) {
+                socket.close();
+              } else {
+                ScriptedServer.sendResponse(
+                    out, request, finalCopy ? status : 200, finalCopy ? body : "handle-0");
+              }
+              if (finalCopy) {
+                Thread.sleep(30);
+                answered.countDown();
+              }
+              return;
+            }
+            runs.incrementAndGet();
+            ScriptedServer.startStream(out, request);
+            ScriptedServer.writeEvents(out, 1, 3);
+            stopped.await(5, TimeUnit.SECONDS);
+            ScriptedServer.writeEvents(out, 4, 5);
+            if (!endFirst) {
+              answered.await(5, TimeUnit.SECONDS);
+            }
+            ScriptedServer.endStream(out);
+            ended.countDown();
+          });
+      CompletableFuture<String> response = CompletableFuture.supplyAsync(() -> stream("/stream/x"));
+      Thread.sleep(200);
+      serve("model", (request, out, socket) -> runs.incrementAndGet());
+      gateway.updateServers(entries.subList(1, 2), "test");
+      return response.get(10, TimeUnit.SECONDS);
+    }
+
+    private void assertDelivered(boolean endFirst, int status, String body) throws Exception {
+      String response = finish(endFirst, status, body);
+      assertThat(runs.get()).isEqualTo(1);
+      assertComplete(response);
+    }
+
+    /** Guards against the reset of a finished stream whose last copy finds no run. */
+    @Test
+    void areDeliveredIfTheRunEndsBeforeTheLastCopy() throws Exception {
+      assertDelivered(true, 404, "");
+    }
+
+    /** Guards against the reset of a finished stream whose last copy is refused afterwards. */
+    @Test
+    void areDeliveredIfTheLastCopyIsRefusedAfterTheirEnd() throws Exception {
+      assertDelivered(true, 503, "");
+    }
+
+    /** Guards against the reset of a finished stream whose last copy has no answer. */
+    @Test
+    void areDeliveredIfTheLastCopyHasNoAnswer() throws Exception {
+      assertDelivered(true, 0, "");
+    }
+
+    /** Guards against the reset of a stream that ends after its last copy was refused. */
+    @Test
+    void areDeliveredIfTheyEndAfterTheRefusalOfTheLastCopy() throws Exception {
+      assertDelivered(false, 404, "");
+    }
+
+    /** Guards against the continuation of a stream that its source has ended. */
+    @Test
+    void areDeliveredIfTheLastCopySucceedsAfterTheirEnd() throws Exception {
+      assertDelivered(true, 200, "handle-1");
+    }
+
+    /** Guards against the continuation of a stream whose end follows its last copy. */
+    @Test
+    void areDeliveredIfTheyEndAfterTheLastCopy() throws Exception {
+      assertDelivered(false, 200, "handle-1");
+    }
+  }
 }
