Await the first request in the tests of moved streams

Cause: the tests let the engine leave 200 ms after the call; the first request of a process takes longer, so it begins at another engine and is not moved. Evidence: mvn -Dtest=GatewayMovedStreamsTest* alone failed in 3 of 3 runs (ResumableStreams, "reset"). Change: the engine leaves 100 ms after it has received the request. No assertion is changed. Result: 4 of 4 tests pass in 3 of 3 runs alone.

--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayMovedStreamsTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayMovedStreamsTest.java
@@ -80,13 +80,21 @@
                 throw new IllegalStateException(e);
               }
             });
-    Thread.sleep(200);
+    awaitFirstEvents();
     serve("model", engine);
     serve("model", engine);
     gateway.updateServers(entries.subList(1, 3), "test");
     return response.get(10, TimeUnit.SECONDS);
   }
 
+  /** Waits until the first server runs the request; the first one of a process takes long. */
+  private void awaitFirstEvents() throws InterruptedException {
+    while (servers.get(0).requests().isEmpty()) {
+      Thread.sleep(5);
+    }
+    Thread.sleep(100);
+  }
+
   private static void assertComplete(String response) {
     assertThat(response.replaceAll("(?s).*?(data: t\\d).*?", "$1 "))
         .startsWith("data: t1 data: t2 data: t3 data: t4 data: t5");
@@ -180,7 +188,7 @@
                   throw new IllegalStateException(e);
                 }
               });
-      Thread.sleep(200);
+      awaitFirstEvents();
       serve("model", engine);
       gateway.updateServers(entries.subList(1, 2), "test");
 
