Choose loopback ports that no connection takes before they are bound

Nobody outside saw it: LoadBenchmarkTest and GatewayVersionsTest failed once each beside other builds with "Address already in use". Cause: six copies of a function chose a port of the range from which the kernel gives local ports to connections; one took it before the bind. Evidence: both traces name the bind of such a port.

--- a/basilport-bench/src/main/java/org/basilport/bench/load/DaemonProcess.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/load/DaemonProcess.java
@@ -3,6 +3,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.util.List;
+import org.basilport.misc.LoopbackPorts;
 import org.basilport.platform.InstanceKind;
 import org.basilport.platform.InstanceState;
 import org.basilport.platform.ListedInstance;
@@ -14,8 +15,8 @@
 
   private final String id;
   private final String dataCentre;
-  private final String address = LoopbackPorts.freeAddress();
-  private final String peerAddress = LoopbackPorts.freeAddress();
+  private final String address = LoopbackPorts.freeHostAndPort();
+  private final String peerAddress = LoopbackPorts.freeHostAndPort();
   private final String platformAddress;
   private final File log;
   private ChildProcess child;
--- a/basilport-bench/src/main/java/org/basilport/bench/load/LoadSite.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/load/LoadSite.java
@@ -10,6 +10,7 @@
 import org.basilport.daemon.Daemon;
 import org.basilport.daemon.DaemonFactory;
 import org.basilport.daemon.DaemonSettings;
+import org.basilport.misc.LoopbackPorts;
 import org.basilport.platform.InstanceKind;
 import org.basilport.platform.InstanceState;
 import org.basilport.platform.ListedInstance;
@@ -90,8 +91,8 @@
             "",
             LoadDeployment.REGION,
             LoadDeployment.DATA_CENTRES.get(0),
-            LoopbackPorts.freeAddress(),
-            LoopbackPorts.freeAddress(),
+            LoopbackPorts.freeHostAndPort(),
+            LoopbackPorts.freeHostAndPort(),
             InstanceState.LIVE,
             1);
     standIns.platform().putInstance(entry);
--- a/basilport-cli/src/main/java/org/basilport/cli/demo/DemoInstances.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/demo/DemoInstances.java
@@ -1,8 +1,6 @@
 package org.basilport.cli.demo;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -13,6 +11,7 @@
 import org.basilport.daemon.DaemonFactory;
 import org.basilport.daemon.DaemonSettings;
 import org.basilport.event.Event;
+import org.basilport.misc.LoopbackPorts;
 import org.basilport.platform.ListedInstance;
 import org.basilport.router.InstanceSettings;
 
@@ -32,7 +31,8 @@
 
   void start(int count, StandInSite standIns) throws IOException {
     for (int i = 0; i < count; i++) {
-      ListedInstance entry = standIns.listEntry(i, freeAddress(), freeAddress());
+      ListedInstance entry =
+          standIns.listEntry(i, LoopbackPorts.freeHostAndPort(), LoopbackPorts.freeHostAndPort());
       Daemon daemon = DaemonFactory.create(settings(entry, standIns.platformAddress()));
       daemon.start().join();
       entries.add(entry);
@@ -110,10 +110,4 @@
         "pattern",
         "warn");
   }
-
-  private static String freeAddress() throws IOException {
-    try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return "127.0.0.1:" + probe.getLocalPort();
-    }
-  }
 }
--- a/basilport-daemon/src/test/java/org/basilport/daemon/http/HttpApiServerTest.java
+++ b/basilport-daemon/src/test/java/org/basilport/daemon/http/HttpApiServerTest.java
@@ -6,8 +6,6 @@
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -27,6 +25,7 @@
 import org.basilport.error.Outcome;
 import org.basilport.error.RejectedException;
 import org.basilport.error.Step;
+import org.basilport.misc.LoopbackPorts;
 import org.basilport.router.InstanceSettings;
 import org.basilport.router.Readiness;
 import org.junit.jupiter.api.AfterEach;
@@ -50,9 +49,7 @@
 
   @BeforeEach
   void start() throws Exception {
-    try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      address = "127.0.0.1:" + probe.getLocalPort();
-    }
+    address = LoopbackPorts.freeHostAndPort();
     InstanceSettings instance =
         new InstanceSettings("entry-1", 1, "r", "dc", address, address, "k", 1, 1, 1, 1);
     DaemonSettings settings =
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
@@ -3,9 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.net.ConnectException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
@@ -27,6 +25,7 @@
 import org.basilport.gateway.config.WeightedService;
 import org.basilport.gateway.forward.ForwardingLimits;
 import org.basilport.gateway.forward.ForwardingState.RetryLimits;
+import org.basilport.misc.LoopbackPorts;
 import org.basilport.policy.dispatch.StoreRead;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -50,14 +49,14 @@
 
   @BeforeEach
   void start() throws Exception {
-    frontend = freeAddress();
+    frontend = LoopbackPorts.freeAddress();
     GatewaySettings settings =
         new GatewaySettings(
             "gateway-1",
             "a",
             false,
             frontend,
-            freeAddress(),
+            LoopbackPorts.freeAddress(),
             new RetryLimits(0.2, 50, TimeUnit.SECONDS.toNanos(10)),
             Duration.ofSeconds(3),
             new ForwardingLimits(Duration.ofSeconds(4), Duration.ofMillis(800)));
@@ -73,12 +72,6 @@
     }
   }
 
-  static InetSocketAddress freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-    }
-  }
-
   static ForwardingRoute route(String prefix, String service, Repeatability repeatability) {
     return new ForwardingRoute(
         prefix,
--- a/basilport-gateway/src/test/java/org/basilport/gateway/peer/LoadExchangeTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/peer/LoadExchangeTest.java
@@ -5,8 +5,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
-import java.net.DatagramSocket;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -30,6 +28,7 @@
 import org.basilport.gateway.config.FrontendLimits;
 import org.basilport.gateway.forward.ForwardingState;
 import org.basilport.gateway.forward.ForwardingState.RetryLimits;
+import org.basilport.misc.LoopbackPorts;
 import org.basilport.policy.dispatch.CellPartition;
 import org.basilport.policy.dispatch.OutstandingWork;
 import org.basilport.policy.dispatch.RequestContent;
@@ -199,7 +198,7 @@
   /** Instance of the fleet. */
   private final class TestInstance {
     private final String id;
-    private final InetSocketAddress address = freeAddress();
+    private final InetSocketAddress address = LoopbackPorts.freeAddress();
     private final EventLoop eventLoop = eventLoops.next();
     private final ForwardingState state;
     private final LoadExchange exchange;
@@ -219,7 +218,7 @@
 
     void start(TestInstance other) throws Exception {
       List<InstanceEntry> entries = new ArrayList<>();
-      InetSocketAddress unusedAddress = freeAddress();
+      InetSocketAddress unusedAddress = LoopbackPorts.freeAddress();
       for (String instance : instances) {
         entries.add(
             new InstanceEntry(instance, instance.equals(other.id) ? other.address : unusedAddress));
@@ -283,10 +282,4 @@
           .get(5, TimeUnit.SECONDS);
     }
   }
-
-  private static InetSocketAddress freeAddress() throws IOException {
-    try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
-      return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-    }
-  }
 }
