Give each step of a move a way back

Cause: the move kept its last attempt instead of what is known of the copy: a target that failed a last copy was chosen again, the end of the source's stream was awaited without a limit, a new move overwrote the source of an unused copy, and a resumable stream failed with its move. Change: a target that failed is refused for good; the end of a stopped stream is awaited for 100 ms; the copy keeps its own source, and the next move waits until it was used; a stream that stopped goes on after its last event if its route permits it. The test of an ended source ends it instead of its listener, since an open connection to it could still be used.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
@@ -32,12 +32,17 @@
   /** Delay between attempts; a leaving engine terminates after about 2 s. */
   static final long RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+  /** Time between the answer to the last copy and the end of the stopped stream. */
+  private static final long STREAM_END_TIMEOUT_MILLIS = 100;
+
   /** Number of attempts after which the generation stays at its engine. */
   private static final int MAX_ATTEMPTS = 8;
 
   /** Status of a copy whose source runs no such generation. */
   private static final int NO_SUCH_RUN = 404;
 
+  private record UnusedCopy(BackendServer source, KvCacheReference kvCache) {}
+
   private enum State {
     IDLE,
     COPYING,
@@ -59,7 +64,7 @@
   private Optional<BackendConnection> targetConnection = Optional.empty();
 
   /** Copy whose handle no engine has used yet. */
-  private Optional<KvCacheReference> unusedCopy = Optional.empty();
+  private Optional<UnusedCopy> unusedCopy = Optional.empty();
 
   private ScheduledFuture<?> pendingStart;
   private long stopNanos;
@@ -104,6 +109,10 @@
         || !exchange.server.load().leaving()) {
       return;
     }
+    if (unusedCopy.isPresent()) {
+      scheduleStart();
+      return;
+    }
     source = exchange.server;
     Optional<BackendServer> chosen = chooseTarget();
     if (chosen.isEmpty()) {
@@ -163,22 +172,22 @@
     }
     handle = result.handle();
     if (result.copied()) {
-      resumeAtTargetWhenReady();
+      awaitSourceStreamEnd();
     } else if (handle.isPresent()) {
       // The generation has stopped, but its copy failed: resume it at the source.
+      refusedBy.add(target.entry().id());
       releaseTarget();
       target = source;
       reservedWork = exchange.remainingWork();
       target.load().addOwnWork(reservedWork);
-      resumeAtTargetWhenReady();
+      awaitSourceStreamEnd();
     } else if (sourceStreamEnded && sourceEndedWell && result.status() == NO_SUCH_RUN) {
       exchange.finishStream();
     } else if (sourceStreamEnded) {
       releaseTarget();
       state = State.IDLE;
       sourceStreamEnded = false;
-      exchange.failStream(
-          Step.SEND, "engine stopped the generation, move answered " + result.status());
+      exchange.resumeOrFail("engine stopped the generation, move answered " + result.status());
     } else {
       releaseTarget();
       state = State.IDLE;
@@ -231,6 +240,23 @@
     resumeAtTargetWhenReady();
   }
 
+  /** Waits a limited time for the end of the stream, which a hanging source does not send. */
+  private void awaitSourceStreamEnd() {
+    int stoppedEpoch = epoch;
+    context
+        .eventLoop()
+        .schedule(
+            () -> {
+              if (stoppedEpoch == epoch && state == State.STOPPING && !sourceStreamEnded) {
+                exchange.connection.abandon();
+                onSourceStreamEnded(false);
+              }
+            },
+            STREAM_END_TIMEOUT_MILLIS,
+            TimeUnit.MILLISECONDS);
+    resumeAtTargetWhenReady();
+  }
+
   private void resumeAtTargetWhenReady() {
     if (!sourceStreamEnded || handle.isEmpty()) {
       return;
@@ -256,7 +282,7 @@
     handle = Optional.empty();
     attempts = 0;
     state = State.IDLE;
-    unusedCopy = Optional.of(kvCache);
+    unusedCopy = Optional.of(new UnusedCopy(source, kvCache));
     // The resumption takes the connection that was used last.
     releaseTargetConnection();
     exchange.resumeAt(nextServer, work, kvCache);
@@ -270,15 +296,15 @@
    *     itself failed
    */
   boolean resumeAtSource(BackendServer failed, String reason) {
-    if (unusedCopy.isEmpty() || failed == source) {
+    if (unusedCopy.filter(copy -> copy.source() != failed).isEmpty()) {
       return false;
     }
+    UnusedCopy copy = unusedCopy.get();
     refusedBy.add(failed.entry().id());
-    KvCacheReference kvCache = unusedCopy.get();
     recordFailure(failed, Step.CONNECT, reason + "; resuming at the source");
     OutstandingWork work = exchange.remainingWork();
-    source.load().addOwnWork(work);
-    exchange.resumeAt(source, work, kvCache);
+    copy.source().load().addOwnWork(work);
+    exchange.resumeAt(copy.source(), work, copy.kvCache());
     return true;
   }
 
@@ -291,11 +317,15 @@
     recordFailure(target, step, reason);
     attempts++;
     if (attempts < MAX_ATTEMPTS) {
-      pendingStart =
-          context.eventLoop().schedule(this::start, RETRY_DELAY_NANOS, TimeUnit.NANOSECONDS);
+      scheduleStart();
     }
   }
 
+  private void scheduleStart() {
+    pendingStart =
+        context.eventLoop().schedule(this::start, RETRY_DELAY_NANOS, TimeUnit.NANOSECONDS);
+  }
+
   private void recordFailure(BackendServer failed, Step step, String reason) {
     context
         .events()
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -295,13 +295,12 @@
     BackendServer responder = server;
     responder.load().health().recordFailure(System.nanoTime());
     String reason = "server " + responder.entry().id() + " answered " + response.status();
-    if (refused() && move.resumeAtSource(responder, reason)) {
-      return;
-    }
-    if (responseStarted) {
-      failStream(Step.STREAM, reason);
-    } else if (refused()) {
-      onRefusedByServer(reason);
+    if (refused()) {
+      if (!move.resumeAtSource(responder, reason)) {
+        onRefusedByServer(reason);
+      }
+    } else if (responseStarted) {
+      resumeOrFail(reason);
     } else if (response.successful()) {
       onFailure("answer is not the server's own");
     } else if (response.status() >= 500 && tryAcquireRetry()) {
@@ -332,11 +331,19 @@
       }
       return;
     }
+    resumeOrFail(reason);
+  }
+
+  /**
+   * Resumes a stream that has stopped after its last event, or fails it if that is not possible.
+   */
+  void resumeOrFail(String reason) {
+    reader.dropPartialEvent();
     if (route.repeatability() == Repeatability.RESUMABLE_STREAM && tryAcquireRetry()) {
       retry(reason);
-      return;
+    } else {
+      failStream(Step.STREAM, reason);
     }
-    failStream(Step.STREAM, reason);
   }
 
   @Override
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayMovedStreamsTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayMovedStreamsTest.java
@@ -21,6 +21,9 @@
 
   private final CountDownLatch stopped = new CountDownLatch(1);
 
+  /** Whether the source ends when it has stopped the generation. */
+  private volatile boolean sourceEnded;
+
   /** What happens to a target when it is asked to receive a copy. */
   private interface TargetFault {
     void onCopy(ScriptedServer target, boolean finalCopy) throws IOException;
@@ -62,6 +65,9 @@
       ScriptedServer.sendResponse(out, request, 200, finalCopy ? "handle-1" : "handle-0");
       if (finalCopy) {
         stopped.countDown();
+        if (sourceEnded) {
+          servers.get(0).close();
+        }
       }
     }
   }
@@ -145,7 +151,7 @@
               (target, finalCopy) -> {
                 if (finalCopy) {
                   target.close();
-                  servers.get(0).stopAccepting();
+                  sourceEnded = true;
                 }
               });
 
