Do not pass on a refusal that the server has not made

Callers saw: 408, 429 or 503 for a request that must run once and may have run; they repeat it (REFUSED). Cause: any failure of a server was passed on, though a server says with a header of its own that it has not executed a request. Evidence: both tests of GatewayRefusalsTest failed with 408 instead of 502. Change: such an answer becomes 502, which promises nothing.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
@@ -108,7 +108,9 @@
     } else {
       responder.load().health().recordSuccess();
     }
-    deliver();
+    if (!UnprovenRefusal.fail(this, response, Step.COLLECT)) {
+      deliver();
+    }
   }
 
   private void deliver() {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -305,7 +305,7 @@
       onFailure("answer is not the server's own");
     } else if (response.status() >= 500 && tryAcquireRetry()) {
       retry(reason);
-    } else {
+    } else if (!UnprovenRefusal.fail(this, response, Step.STREAM)) {
       context.metrics().counter("forward.answers." + response.status()).inc();
       caller.send(response.status(), headers, errorBody.toByteArray());
       finish();
