Show that streams go on at another version at an instance out of step

What callers see: a stream that began at a server of v2 through one instance is taken up at another one and goes on at a server of v1.

Cause: a take-up at an instance that knows one version needs no proof of the list of servers. It counts as current if the instance is a watcher and its proof of the configuration is at most 2.5 s old. That proof says nothing about the servers, whose watch may be silent, and within 2.5 s nothing about the store either (cut off, or the process stood still). An instance that polls asks the entries of the instances, which do not have a version before the next heartbeat of a watcher. A version whose servers came and left between two responses of a watch is never seen.

--- a/basilport-gateway/src/test/java/org/basilport/gateway/forward/StreamVersionsTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/forward/StreamVersionsTest.java
@@ -94,6 +94,16 @@
     assertThat(resolve()).isEmpty();
   }
 
+  /** Guards against trust in a list that nothing shows to be out of date, as after a pause. */
+  @Test
+  void trustsNoListThatIsOlderThanTheTakeUp() throws Exception {
+    archive.served = Map.of("s", Set.of("v1", "v2"));
+    archive.streams = Map.of(5L, "v2");
+    start(true, "v1");
+
+    assertThat(resolve()).hasValue("v2");
+  }
+
   /** Guards against joining streams at an instance that is cut off from the store. */
   @Test
   void trustsNoListWhileTheStoreDoesNotRespond() throws Exception {
