Take a version for the only one after a read that follows the take-up

Cause: the instance's own list counted as current, by a proof that is about the configuration and up to 2.5 s old; an instance that polls asked the entries of the instances only, which lack a version for a heartbeat.

Change: an instance that knows one version reads the lists of the servers and of the instances, both begun after the take-up, before it takes that version for the only one. No proof and no clock is involved, so it holds after a pause of any length, without peers, and with silent watches. If the store does not answer, or returned from an older copy that may lack servers, the take-up is refused with 503 and a Retry-After. Claims of instances count for one retention time after they are first seen, and are not claimed on: else an instance lost during a release would have its versions count for ever, as it did at instances that poll.

All instances together start at most 333 reads of each kind a second.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -5,6 +5,8 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -182,6 +184,15 @@
         });
   }
 
+  /**
+   * Replaces the software versions that instances claim to have served recently.
+   *
+   * @param versions versions by instance and service
+   */
+  public void updateClaimedVersions(Map<String, Map<String, Set<String>>> versions) {
+    eventLoop.execute(() -> state.streamVersions().claim(versions));
+  }
+
   /** Sets the archive of streams; to be called before the start. */
   public void setStreamArchive(StreamArchive archive) {
     state.streamVersions().setArchive(archive);
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/CoalescedRead.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/CoalescedRead.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -14,12 +15,13 @@
 final class CoalescedRead<T> {
   private final EventLoop eventLoop;
   private final Supplier<CompletableFuture<T>> source;
-  private final long intervalNanos;
+  private final LongSupplier intervalNanos;
   private List<CompletableFuture<T>> waiting = new ArrayList<>();
   private boolean scheduled;
   private long earliestStartNanos = System.nanoTime();
 
-  CoalescedRead(EventLoop eventLoop, Supplier<CompletableFuture<T>> source, long intervalNanos) {
+  CoalescedRead(
+      EventLoop eventLoop, Supplier<CompletableFuture<T>> source, LongSupplier intervalNanos) {
     this.eventLoop = eventLoop;
     this.source = source;
     this.intervalNanos = intervalNanos;
@@ -39,7 +41,7 @@
 
   private void start() {
     scheduled = false;
-    earliestStartNanos = System.nanoTime() + intervalNanos;
+    earliestStartNanos = System.nanoTime() + intervalNanos.getAsLong();
     List<CompletableFuture<T>> served = waiting;
     waiting = new ArrayList<>();
     source
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
@@ -95,7 +95,10 @@
     this.random = random;
     this.streamVersions =
         new StreamVersions(
-            servers.eventLoop(), firstStart, this::instanceCount, this::proofAgeMillis);
+            servers.eventLoop(),
+            firstStart,
+            this::instanceCount,
+            storeCompleteness::completeIncarnation);
   }
 
   /** The applied configuration; empty before the first one. Safe to call from any thread. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamArchive.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamArchive.java
@@ -1,7 +1,7 @@
 package org.basilport.gateway.forward;
 
+import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -26,8 +26,8 @@
         }
 
         @Override
-        public CompletableFuture<Map<String, Set<String>>> readServedVersions() {
-          return CompletableFuture.completedFuture(Map.of());
+        public CompletableFuture<StoredVersions> readVersions() {
+          return CompletableFuture.completedFuture(new StoredVersions(List.of(), Map.of(), 0));
         }
       };
 
@@ -40,6 +40,6 @@
   /** Reads the streams that this instance has saved, before or after its start. */
   CompletableFuture<Map<Long, String>> readFormerStreams();
 
-  /** Reads the versions that instances know to have served recently, by service. */
-  CompletableFuture<Map<String, Set<String>>> readServedVersions();
+  /** Reads which versions serve and which have served recently. */
+  CompletableFuture<StoredVersions> readVersions();
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamVersions.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamVersions.java
@@ -2,6 +2,7 @@
 
 import com.google.common.hash.Hashing;
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
@@ -13,8 +14,13 @@
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
+import org.basilport.error.FailureCode;
+import org.basilport.error.Outcome;
+import org.basilport.error.Step;
+import org.basilport.error.UnavailableException;
 import org.basilport.gateway.backend.ServerEntry;
 import org.basilport.policy.dispatch.BegunStreams;
+import org.basilport.policy.dispatch.ClaimedVersions;
 import org.basilport.policy.dispatch.ServedVersions;
 
 /**
@@ -22,20 +28,24 @@
  * after all instances have lost their memory. Confined to the event loop thread.
  *
  * <p>While one version serves, the instances store nothing for a stream. While several do, each
- * instance stores the versions of its unfinished streams in one object.
+ * instance stores the versions of its unfinished streams in one object. An instance may be out of
+ * step without a sign, so it takes a version for the only one after a read that began after the
+ * take-up.
  */
 public final class StreamVersions {
   /** Time after the longest timeout of a stream in which callers may still take it up. */
   private static final long RETENTION_MARGIN_NANOS = TimeUnit.SECONDS.toNanos(5);
 
-  /** Interval of reads of the archive, which take-ups at one instance share. */
-  private static final long READ_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+  /** Shortest interval of reads of the archive, which take-ups at one instance share. */
+  private static final long MIN_READ_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
   /**
-   * Age of the proof of freshness above which the list of servers may be out of date too, since the
-   * store has not responded; a well instance has one of up to two long polls of 1.2 s.
+   * Interval of reads for each instance of the fleet, so that all instances together make at most
+   * 333 of each kind a second.
    */
-  private static final long MAX_PROOF_AGE_MILLIS = 2_500;
+  private static final long READ_INTERVAL_NANOS_PER_INSTANCE = TimeUnit.MILLISECONDS.toNanos(3);
+
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
   /** Shortest interval of writes to the archive. */
   private static final long MIN_WRITE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
@@ -48,17 +58,17 @@
 
   private final EventLoop eventLoop;
   private final IntSupplier instanceCount;
-  private final LongSupplier proofAgeMillis;
+  private final LongSupplier completeIncarnation;
   private final BegunStreams begun = new BegunStreams();
   private final Map<String, ServedVersions> servedByService = new HashMap<>();
   private final CoalescedRead<Map<Long, String>> streamReads;
-  private final CoalescedRead<Map<String, Set<String>>> versionReads;
+  private final CoalescedRead<StoredVersions> versionReads;
+  private final ClaimedVersions claimed = new ClaimedVersions();
   private StreamArchive archive = StreamArchive.NONE;
   private Map<Long, String> saved = Map.of();
   private long retentionNanos = RETENTION_MARGIN_NANOS;
   private boolean pastKnown;
   private boolean formerStreamsRead;
-  private boolean directoryCurrent;
   private boolean writeScheduled;
 
   /**
@@ -66,22 +76,27 @@
    *
    * @param firstStart whether the fleet starts for the first time
    * @param instanceCount number of instances of the fleet
-   * @param proofAgeMillis age of the proof that this instance knows the latest configuration
+   * @param completeIncarnation latest incarnation of the store that is known to be complete
    */
   StreamVersions(
       EventLoop eventLoop,
       boolean firstStart,
       IntSupplier instanceCount,
-      LongSupplier proofAgeMillis) {
+      LongSupplier completeIncarnation) {
     this.eventLoop = eventLoop;
     this.instanceCount = instanceCount;
-    this.proofAgeMillis = proofAgeMillis;
+    this.completeIncarnation = completeIncarnation;
     this.pastKnown = firstStart;
     this.formerStreamsRead = firstStart;
     this.streamReads =
-        new CoalescedRead<>(eventLoop, () -> archive.readStreams(), READ_INTERVAL_NANOS);
+        new CoalescedRead<>(eventLoop, () -> archive.readStreams(), this::readIntervalNanos);
     this.versionReads =
-        new CoalescedRead<>(eventLoop, () -> archive.readServedVersions(), READ_INTERVAL_NANOS);
+        new CoalescedRead<>(eventLoop, () -> archive.readVersions(), this::readIntervalNanos);
+  }
+
+  private long readIntervalNanos() {
+    return Math.max(
+        MIN_READ_INTERVAL_NANOS, instanceCount.getAsInt() * READ_INTERVAL_NANOS_PER_INSTANCE);
   }
 
   /** Sets the archive; to be called before the start. */
@@ -99,26 +114,33 @@
     return retentionNanos;
   }
 
-  /** Sets whether this instance hears at once of servers that are added. */
-  public void setDirectoryCurrent(boolean current) {
-    directoryCurrent = current;
-  }
-
   /** Replaces the listed servers. */
   void list(Collection<ServerEntry> servers) {
     long now = System.nanoTime();
-    Map<String, Set<String>> versions =
-        servers.stream()
-            .collect(
-                Collectors.groupingBy(
-                    ServerEntry::service,
-                    Collectors.mapping(ServerEntry::version, Collectors.toSet())));
+    Map<String, Set<String>> versions = versionsByService(servers);
     versions.keySet().forEach(this::served);
     servedByService.forEach(
         (service, served) -> served.list(versions.getOrDefault(service, Set.of()), now));
     saveLater();
   }
 
+  private static Map<String, Set<String>> versionsByService(Collection<ServerEntry> servers) {
+    return servers.stream()
+        .collect(
+            Collectors.groupingBy(
+                ServerEntry::service,
+                Collectors.mapping(ServerEntry::version, Collectors.toSet())));
+  }
+
+  /**
+   * Replaces the versions that instances claim to have served recently.
+   *
+   * @param versions versions by instance and service
+   */
+  public void claim(Map<String, Map<String, Set<String>>> versions) {
+    claimed.replace(versions, System.nanoTime());
+  }
+
   /**
    * Adds versions that other instances, or this one before its start, know to have served.
    *
@@ -187,23 +209,47 @@
     if (own.isPresent()) {
       return CompletableFuture.completedFuture(new Resolution(own, "own stream"));
     }
-    if (directoryCurrent && proofAgeMillis.getAsLong() <= MAX_PROOF_AGE_MILLIS) {
-      return resolveElsewhere(key, service);
+    if (served(service).recent(System.nanoTime(), retentionNanos).size() > 1) {
+      return resolveStored(key);
     }
     return versionReads
         .read()
         .thenCompose(
             versions -> {
-              addServed(versions);
-              return resolveElsewhere(key, service);
+              add(versions);
+              Optional<String> only = only(service);
+              return only.isPresent()
+                  ? CompletableFuture.completedFuture(new Resolution(only, "only version"))
+                  : resolveStored(key);
             });
   }
 
-  private CompletableFuture<Resolution> resolveElsewhere(Optional<Long> key, String service) {
-    Optional<String> only = served(service).only(System.nanoTime(), retentionNanos);
-    if (only.isPresent()) {
-      return CompletableFuture.completedFuture(new Resolution(only, "only version"));
+  /** Adds what was read; fails if the store may have lost servers or claims. */
+  private void add(StoredVersions versions) {
+    if (versions.incarnation() > completeIncarnation.getAsLong()) {
+      throw new UnavailableException(
+          FailureCode.PLATFORM_UNAVAILABLE,
+          Outcome.NOT_RUN,
+          Step.STORE,
+          "incarnation " + versions.incarnation(),
+          RETRY_AFTER,
+          "the store returned from an older copy and may lack servers",
+          null);
     }
+    claim(versions.claimed());
+    claimed.services().forEach(service -> served(service).completePast());
+    long now = System.nanoTime();
+    versionsByService(versions.servers())
+        .forEach((service, names) -> served(service).add(names, now));
+    saveLater();
+  }
+
+  private Optional<String> only(String service) {
+    long now = System.nanoTime();
+    return served(service).only(claimed.recent(service, now, retentionNanos), now, retentionNanos);
+  }
+
+  private CompletableFuture<Resolution> resolveStored(Optional<Long> key) {
     if (key.isEmpty()) {
       return CompletableFuture.completedFuture(new Resolution(Optional.empty(), "unnamed stream"));
     }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -303,7 +303,6 @@
     boolean watches = watchers.stream().anyMatch(entry -> entry.id().equals(instanceId));
     if (watches != watching) {
       watching = watches;
-      state.streamVersions().setDirectoryCurrent(watches);
       configurationSubscription.setWatching(watches);
     }
     if (!watches) {
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServedVersions.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServedVersions.java
@@ -67,7 +67,17 @@
    * the past is unknown.
    */
   public Optional<String> only(long nowNanos, long retentionNanos) {
+    return only(Set.of(), nowNanos, retentionNanos);
+  }
+
+  /**
+   * The version that alone has served within the retention time.
+   *
+   * @param claimed versions that others claim to have served within that time
+   */
+  public Optional<String> only(Set<String> claimed, long nowNanos, long retentionNanos) {
     Set<String> versions = recent(nowNanos, retentionNanos);
+    versions.addAll(claimed);
     boolean known = pastKnown || nowNanos - startNanos >= retentionNanos;
     return known && versions.size() == 1 ? versions.stream().findFirst() : Optional.empty();
   }
