--- a/basilport-gateway/src/test/java/org/basilport/gateway/forward/StreamVersionsTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/forward/StreamVersionsTest.java
@@ -272,6 +272,21 @@
       }
     }
 
+    /** Guards against more reads than the store permits when all instances get take-ups. */
+    @Test
+    void readsLessOftenIfItIsLarger() throws Exception {
+      StreamVersions large = instance(350, "v1");
+      long start = System.nanoTime();
+      for (int i = 0; i < 2; i++) {
+        CompletableFuture<StreamVersions.Resolution> result = new CompletableFuture<>();
+        run(() -> large.resolve(STREAM, "s").thenAccept(result::complete));
+        result.get(5, TimeUnit.SECONDS);
+      }
+
+      assertThat(System.nanoTime() - start).isAtLeast(TimeUnit.MILLISECONDS.toNanos(1_000));
+      assertThat(archive.reads.get()).isEqualTo(2);
+    }
+
     /** Guards against joined streams at instances that have not heard of a version. */
     @ParameterizedTest
     @ValueSource(ints = {6, 95, 350})
