Wait in a planned stop for answers that are being written

Cause: Gateway.awaitDrained counted open requests and requests being received. A request is no longer open once its answer is handed to the connection. stopAccepting also closed a kept connection whose answer was still being written.

Change: a connection is writing until the socket has taken the end of its last response; the drain waits for it up to the grace period, and such a connection is not closed as idle.

A caller that reads nothing delays the stop to the end of the grace period, not beyond.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -216,9 +216,9 @@
   }
 
   /**
-   * Stops being ready and completes when the requests in progress have ended. Each response closes
-   * its connection; idle connections stay open for the minimum duration, because a request may be
-   * on its way on any of them.
+   * Stops being ready and completes when the requests in progress have ended and their responses
+   * are written. Each response closes its connection; idle connections stay open for the minimum
+   * duration, because a request may be on its way on any of them.
    *
    * @param minDuration minimum duration, during which callers with an outdated address list are
    *     still served
@@ -250,7 +250,9 @@
       CompletableFuture<Void> drained) {
     long elapsed = System.nanoTime() - startNanos;
     boolean idle =
-        forwarder.openRequests() == 0 && !frontend.receiving() && elapsed >= minDuration.toNanos();
+        forwarder.openRequests() == 0
+            && !frontend.transferring()
+            && elapsed >= minDuration.toNanos();
     if (idle || elapsed >= maxDuration.toNanos()) {
       drained.complete(null);
       return;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/frontend/CallerConnection.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/frontend/CallerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -51,6 +52,7 @@
   private boolean keepAlive;
   private boolean closing;
   private boolean headReceived;
+  private ChannelFuture responseEnd;
   private ScheduledFuture<?> idleTimer;
 
   CallerConnection(
@@ -210,7 +212,7 @@
       response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, content.length);
     }
     addConnectionHeader(response);
-    context.writeAndFlush(response);
+    responseEnd = context.writeAndFlush(response);
     endResponse();
   }
 
@@ -239,7 +241,7 @@
 
   @Override
   public void finishResponse() {
-    context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+    responseEnd = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
     endResponse();
   }
 
@@ -290,9 +292,14 @@
     return head != null || heads.hasUndecodedBytes();
   }
 
-  /** Closes the connection if it carries no request. */
+  /** Whether the socket has not yet taken the whole response to the last request. */
+  boolean writing() {
+    return responseEnd != null && !responseEnd.isDone();
+  }
+
+  /** Closes the connection if it carries neither a request nor a response. */
   void closeIfIdle() {
-    if (!responding && !receiving()) {
+    if (!responding && !receiving() && !writing()) {
       context.close();
     }
   }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/frontend/FrontendServer.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/frontend/FrontendServer.java
@@ -97,10 +97,11 @@
   }
 
   /**
-   * Whether a connection has received a part of a request; to be called on the event loop thread.
+   * Whether a connection has received a part of a request or is sending the rest of a response; to
+   * be called on the event loop thread.
    */
-  public boolean receiving() {
-    return connections.stream().anyMatch(CallerConnection::receiving);
+  public boolean transferring() {
+    return connections.stream().anyMatch(c -> c.receiving() || c.writing());
   }
 
   @Override
