Answer all requests at the end of a planned stop

Callers whose requests were open at the end of the grace period got a closed connection, and a request on a connection that had stayed open could be passed on while the process ended.

Cause: Gateway.awaitDrained completed and left the open requests and the open connections to the end of the process.

Change: RequestForwarder.endDrain ends each open request: 503 with Retry-After if it has certainly not run, else 502, and a reset for a stream that has started. Queued ones go first, so that none is sent to a server that another one releases. Later requests are rejected with 503.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -222,7 +222,7 @@
    *
    * @param minDuration minimum duration, during which callers with an outdated address list are
    *     still served
-   * @param maxDuration maximum duration, after which requests in progress are aborted
+   * @param maxDuration maximum duration, after which requests in progress are ended
    */
   public CompletableFuture<Void> drain(Duration minDuration, Duration maxDuration) {
     CompletableFuture<Void> drained = new CompletableFuture<>();
@@ -254,6 +254,7 @@
             && !frontend.transferring()
             && elapsed >= minDuration.toNanos();
     if (idle || elapsed >= maxDuration.toNanos()) {
+      forwarder.endDrain();
       drained.complete(null);
       return;
     }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/RequestForwarder.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/RequestForwarder.java
@@ -6,7 +6,10 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -46,6 +49,8 @@
    */
   private static final long START_DELAY_MILLIS = 10;
 
+  private static final String STOPPING = "instance is stopping";
+
   /** Share of the heap that response bodies may use until they are complete. */
   private static final double RESPONSE_BUFFER_SHARE = 0.2;
 
@@ -110,7 +115,7 @@
       }
     }
     if (endsAfterCutoff(request, route.get())) {
-      return reject(request.id(), 503, Step.ADMIT, "instance is stopping", caller);
+      return reject(request.id(), 503, Step.ADMIT, STOPPING, caller);
     }
     return startExchange(request, route.get(), holder, caller);
   }
@@ -173,13 +178,30 @@
   /**
    * Closes each connection of a caller after its next response.
    *
-   * @param untilCutoff time after which requests in progress are aborted
+   * @param untilCutoff time after which {@link #endDrain()} is called at the latest
    */
   public void drain(Duration untilCutoff) {
     draining = true;
     cutoffNanos = System.nanoTime() + untilCutoff.toNanos();
   }
 
+  /**
+   * Forwards no further request and ends those in progress: rejects them if they certainly have not
+   * run, and fails them otherwise.
+   */
+  public void endDrain() {
+    cutoffNanos = System.nanoTime();
+    List<Exchange> remaining = new ArrayList<>(openRequests);
+    // A queued request would be sent to the server that another one releases.
+    remaining.sort(Comparator.comparing(exchange -> exchange.server != null));
+    for (Exchange exchange : remaining) {
+      if (exchange.connection != null) {
+        exchange.connection.abandon();
+      }
+      exchange.reject(Step.ADMIT, STOPPING);
+    }
+  }
+
   /** Whether a request could still be in progress when this instance stops. */
   private boolean endsAfterCutoff(CallerRequest request, ForwardingRoute route) {
     if (!draining) {
