Refuse streams that a planned stop might cut off

Callers saw streams that were taken within their time limit before the end of the grace period and cut there, among them streams that may not run again.

Cause: DrainAdmission accepted a stream by an estimate of its length, 1 s and 12 ms for each token. A stream without a size was taken for one without output, so it was accepted until 1 s before the end; a busy engine takes longer than the estimate.

Change: a stream is accepted if its time limit ends in time. By the estimate only one is accepted that states its size and that its caller may resume at another instance.

SendDecisionsTest.Drains plays an arrival every 50 ms over a grace period of 8 s.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/RequestForwarder.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/RequestForwarder.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -208,11 +209,14 @@
       return false;
     }
     long remaining = cutoffNanos - System.nanoTime();
-    if (route.repeatability().streamed()) {
-      int output = request.generationSize().map(GenerationSize::maxOutputTokens).orElse(0);
-      return !DrainAdmission.accepts(remaining, output);
+    Duration timeLimit = route.timeLimit(request.callerTimeout());
+    if (!route.repeatability().streamed()) {
+      return !DrainAdmission.acceptsCall(remaining, timeLimit);
     }
-    return !DrainAdmission.acceptsCall(remaining, route.timeLimit(request.callerTimeout()));
+    OptionalInt output =
+        request.generationSize().stream().mapToInt(GenerationSize::maxOutputTokens).findFirst();
+    return !DrainAdmission.acceptsStream(
+        remaining, timeLimit, output, route.repeatability().repeatable());
   }
 
   @Override
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/DrainAdmission.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/DrainAdmission.java
@@ -1,6 +1,7 @@
 package org.basilport.policy.dispatch;
 
 import java.time.Duration;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -31,6 +32,22 @@
     return FIRST_TOKEN_NANOS + NANOS_PER_TOKEN * maxOutputTokens < remainingNanos;
   }
 
+  /**
+   * Whether a stream is accepted: one whose time limit ends in time, and one that its caller may
+   * resume at another instance and that is expected to finish in time. The length of a stream
+   * without a size is not known.
+   *
+   * @param remainingNanos time until open requests are cut off
+   * @param maxOutputTokens limit of the output length, if its caller states one
+   */
+  public static boolean acceptsStream(
+      long remainingNanos, Duration timeLimit, OptionalInt maxOutputTokens, boolean resumable) {
+    return acceptsCall(remainingNanos, timeLimit)
+        || (resumable
+            && maxOutputTokens.isPresent()
+            && accepts(remainingNanos, maxOutputTokens.getAsInt()));
+  }
+
   /**
    * Whether a call has ended by then even if it uses its whole time limit.
    *
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/SendDecisionsTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/SendDecisionsTest.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
+import java.util.List;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.basilport.policy.dispatch.SendCheck.Conditions;
 import org.basilport.policy.dispatch.SendCheck.Result;
@@ -203,5 +205,34 @@
       assertThat(DrainAdmission.acceptsCall(2 * SECOND, limit)).isTrue();
       assertThat(DrainAdmission.acceptsCall(SECOND, limit)).isFalse();
     }
+
+    /**
+     * Load: streams that arrive every 50 ms in a grace period of 8 s and run as long as allowed.
+     */
+    @Test
+    void rejectsAStreamThatMightBeCutOffAndNotBeResumed() {
+      long cutoff = 8 * SECOND;
+      for (Duration limit : List.of(Duration.ofSeconds(2), Duration.ofSeconds(30))) {
+        for (long arrival = 0; arrival <= cutoff; arrival += SECOND / 20) {
+          boolean ends = arrival + limit.toNanos() < cutoff;
+          assertThat(
+                  DrainAdmission.acceptsStream(cutoff - arrival, limit, OptionalInt.of(10), false))
+              .isEqualTo(ends);
+          assertThat(
+                  DrainAdmission.acceptsStream(cutoff - arrival, limit, OptionalInt.empty(), true))
+              .isEqualTo(ends);
+        }
+      }
+    }
+
+    /** Guards against rejecting short streams of callers that use an old list of addresses. */
+    @Test
+    void acceptsAShortStreamThatCanBeResumed() {
+      Duration limit = Duration.ofSeconds(30);
+      assertThat(DrainAdmission.acceptsStream(7 * SECOND, limit, OptionalInt.of(40), true))
+          .isTrue();
+      assertThat(DrainAdmission.acceptsStream(7 * SECOND, limit, OptionalInt.of(2_000), true))
+          .isFalse();
+    }
   }
 }
