Limit what a server sends beside the content of an answer

Callers of a faulty server waited until their time limit, and those of other servers were slowed meanwhile: it repeated answers to other requests, blank lines or tiny chunks with long extensions, without end.

Cause: the decoder limits single parts (a line, a head, trailers), and discarded answers were limited by the bytes of their bodies only. Nothing limited parts without content that are repeated.

Change: a connection fails after 16 discarded answers, and after 262,144 bytes beside the content plus 16 for each byte of content (ResponseOverheadLimit, before the decoder). The test of the connection builds its channel from the handlers that the pool uses.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
@@ -1,12 +1,15 @@
 package org.basilport.gateway.backend;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
@@ -40,6 +43,9 @@
   /** Interim responses to one request above which the server is considered faulty. */
   private static final int MAX_INTERIM_RESPONSES = 16;
 
+  /** Discarded responses before that to one request above which the server is faulty. */
+  private static final int MAX_DISCARDED_RESPONSES = 16;
+
   /** Size of a discarded response, in bytes, above which its end is not awaited. */
   private static final int MAX_DISCARDED_BYTES = 262_144;
 
@@ -53,7 +59,9 @@
   private boolean discarding;
   private boolean interimResponse;
   private int interimResponses;
+  private int discardedResponses;
   private int discardedBytes;
+  private final ResponseOverheadLimit overheadLimit = new ResponseOverheadLimit(this);
   private boolean reused;
   private boolean delimitedByClose;
   private boolean reusable;
@@ -66,6 +74,13 @@
     this.onIdle = onIdle;
   }
 
+  /** Handlers of the channel, in order. */
+  ChannelHandler[] handlers() {
+    return new ChannelHandler[] {
+      new HttpRequestEncoder(), overheadLimit, new HttpResponseDecoder(), this
+    };
+  }
+
   @Override
   public void handlerAdded(ChannelHandlerContext context) {
     channel = context.channel();
@@ -79,7 +94,9 @@
     headReceived = false;
     discarding = false;
     interimResponses = 0;
+    discardedResponses = 0;
     discardedBytes = 0;
+    overheadLimit.reset();
     setReading(true);
     channel
         .writeAndFlush(request)
@@ -161,6 +178,10 @@
     Optional<String> echoed = response.requestId();
     discarding = echoed.isPresent() && !echoed.get().equals(requestId);
     if (discarding) {
+      discardedResponses++;
+      if (discardedResponses > MAX_DISCARDED_RESPONSES) {
+        fail("more than " + MAX_DISCARDED_RESPONSES + " answers to other requests");
+      }
       return;
     }
     if (echoed.isEmpty() && listener.requiresRequestId(response, reused)) {
@@ -182,6 +203,7 @@
 
   private void readContent(HttpContent content) {
     boolean last = content instanceof LastHttpContent;
+    overheadLimit.onContent(content.content().readableBytes());
     if (interimResponse) {
       return;
     }
@@ -217,7 +239,8 @@
     }
   }
 
-  private void fail(String reason) {
+  /** Closes the connection; the current request fails. */
+  void fail(String reason) {
     ResponseListener failed = listener;
     listener = null;
     close();
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ConnectionPool.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ConnectionPool.java
@@ -6,8 +6,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.ArrayDeque;
 import java.util.function.Consumer;
 import org.basilport.gateway.message.MessageCodec;
@@ -76,9 +74,7 @@
             new ChannelInitializer<Channel>() {
               @Override
               protected void initChannel(Channel channel) {
-                channel
-                    .pipeline()
-                    .addLast(new HttpRequestEncoder(), new HttpResponseDecoder(), connection);
+                channel.pipeline().addLast(connection.handlers());
               }
             })
         .connect(server.host(), server.port())
--- a/basilport-gateway/src/test/java/org/basilport/gateway/backend/BackendConnectionTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/backend/BackendConnectionTest.java
@@ -8,9 +8,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -28,8 +26,7 @@
   private final List<BackendConnection> idle = new ArrayList<>();
   private final Recorder recorder = new Recorder();
   private final BackendConnection connection = new BackendConnection(new TestCodec(), idle::add);
-  private final EmbeddedChannel channel =
-      new EmbeddedChannel(new HttpRequestEncoder(), new HttpResponseDecoder(), connection);
+  private final EmbeddedChannel channel = new EmbeddedChannel(connection.handlers());
 
   @BeforeEach
   void sendRequest() {
@@ -169,6 +166,44 @@
       assertThat(recorder.log).containsExactly("broken");
     }
 
+    /** Guards against bytes before or beside an answer that are repeated for ever, in pieces. */
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "\r\n",
+          "     ",
+          "HTTP/1.1 200 OK\r\nid: r0\r\nseal: s\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 204 OK\r\nid: r0\r\nseal: s\r\n\r\n",
+        })
+    void closesAfterManyPartsWithoutAnAnswer(String part) {
+      receiveWhileOpen(part.repeat(20));
+
+      assertThat(channel.isOpen()).isFalse();
+      assertThat(recorder.log).containsExactly("broken");
+    }
+
+    /** Guards against tiny chunks with long extensions, which never end the answer. */
+    @Test
+    void closesAfterManyChunkExtensions() {
+      receive("HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\nTransfer-Encoding: chunked\r\n\r\n");
+      receiveWhileOpen("1;" + "x".repeat(100) + "\r\ny\r\n");
+
+      assertThat(channel.isOpen()).isFalse();
+      assertThat(recorder.log).contains("broken");
+    }
+
+    /** Guards against taking an answer in tiny chunks for a faulty one. */
+    @Test
+    void acceptsTinyChunks() {
+      receive("HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\nTransfer-Encoding: chunked\r\n\r\n");
+      for (int i = 0; i < 100_000; i++) {
+        receive("1\r\ny\r\n");
+      }
+      receive("0\r\n\r\n");
+
+      assertThat(recorder.log).contains("complete");
+    }
+
     /** Guards against a head, chunk extension or trailer that grows without limit. */
     @ParameterizedTest
     @ValueSource(
