Bound the answers that a router keeps of an engine

An engine in trouble that sent a failure, an event or a line without end used up the memory of the router, and the request never ended.

Cause: HttpTokenStream read the whole body of a response with another status than 200, without limit or timeout, and SseParser kept a line or an event of any length.

Change: the first 65,536 bytes of a failure count, an event has up to 2,000,000 bytes; the stream then fails as one that may have run, and its connection is closed.

Result: HttpTokenStreamTest.endsAnAnswerWithoutEnd failed before in all four cases (no failure within 5 s) and passes: the engine can send no more afterwards.

--- a/basilport-clients/src/main/java/org/basilport/engine/http/HttpTokenStream.java
+++ b/basilport-clients/src/main/java/org/basilport/engine/http/HttpTokenStream.java
@@ -1,7 +1,9 @@
 package org.basilport.engine.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.EventLoop;
+import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -79,32 +81,18 @@
   }
 
   private void receive(StreamedResponse response) {
-    if (response.getStatusCode() != 200) {
-      int status = response.getStatusCode();
-      response
-          .getBody()
-          .toList()
-          .then(chunks -> finish(FailureBody.backendFailure(address, status, text(chunks))));
-      return;
-    }
+    int status = response.getStatusCode();
+    Subscriber<ByteBuf> reader =
+        status == 200 ? new ChunkSubscriber() : new FailureSubscriber(status);
     // The execution must stay open until the stream ends, since it owns the connection.
     Promise.<Boolean>async(
             downstream -> {
               openStream = downstream;
-              response.getBody().subscribe(new ChunkSubscriber());
+              response.getBody().subscribe(reader);
             })
         .then(ended -> {});
   }
 
-  private static String text(Iterable<? extends ByteBuf> chunks) {
-    StringBuilder text = new StringBuilder();
-    for (ByteBuf chunk : chunks) {
-      text.append(chunk.toString(StandardCharsets.UTF_8));
-      chunk.release();
-    }
-    return text.toString();
-  }
-
   @Override
   public void request(int frames) {
     eventLoop.execute(
@@ -198,6 +186,56 @@
     }
   }
 
+  /** Reads the body of an error response, which a faulty server may send without end. */
+  private final class FailureSubscriber implements Subscriber<ByteBuf> {
+    private static final int MAX_BYTES = 65_536;
+
+    private final int status;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+    private FailureSubscriber(int status) {
+      this.status = status;
+    }
+
+    @Override
+    public void onSubscribe(Subscription started) {
+      subscription = started;
+      if (finished) {
+        release();
+      } else {
+        started.request(1);
+      }
+    }
+
+    @Override
+    public void onNext(ByteBuf chunk) {
+      int length = Math.min(chunk.readableBytes(), MAX_BYTES - body.size());
+      body.writeBytes(ByteBufUtil.getBytes(chunk, chunk.readerIndex(), length));
+      chunk.release();
+      if (body.size() == MAX_BYTES) {
+        finishWithBody();
+      } else if (!finished) {
+        subscription.request(1);
+      }
+    }
+
+    @Override
+    public void onError(Throwable cause) {
+      subscription = null;
+      fail(cause);
+    }
+
+    @Override
+    public void onComplete() {
+      subscription = null;
+      finishWithBody();
+    }
+
+    private void finishWithBody() {
+      finish(FailureBody.backendFailure(address, status, body.toString(StandardCharsets.UTF_8)));
+    }
+  }
+
   private final class ChunkSubscriber implements Subscriber<ByteBuf> {
     @Override
     public void onSubscribe(Subscription started) {
--- a/basilport-clients/src/main/java/org/basilport/engine/http/SseParser.java
+++ b/basilport-clients/src/main/java/org/basilport/engine/http/SseParser.java
@@ -2,6 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,10 +13,17 @@
   private static final String DATA_FIELD = "data:";
   private static final byte LINE_FEED = '\n';
 
+  /** Size limit of one event; an engine in trouble may send bytes without an event for ever. */
+  private static final int MAX_EVENT_BYTES = 2_000_000;
+
   private final ByteArrayOutputStream line = new ByteArrayOutputStream();
   private final StringBuilder data = new StringBuilder();
 
-  /** Consumes a chunk and returns the data of all events that it completes. */
+  /**
+   * Consumes a chunk and returns the data of all events that it completes.
+   *
+   * @throws UncheckedIOException if an event is too long
+   */
   List<String> add(ByteBuf chunk) {
     List<String> events = new ArrayList<>();
     int length = chunk.bytesBefore(LINE_FEED);
@@ -29,6 +38,10 @@
   }
 
   private void addToLine(ByteBuf chunk, int length) {
+    if (line.size() + data.length() + length > MAX_EVENT_BYTES) {
+      throw new UncheckedIOException(
+          new IOException("event longer than " + MAX_EVENT_BYTES + " bytes"));
+    }
     byte[] bytes = new byte[length];
     chunk.readBytes(bytes);
     line.writeBytes(bytes);
--- a/basilport-clients/src/test/java/org/basilport/engine/http/HttpTokenStreamTest.java
+++ b/basilport-clients/src/test/java/org/basilport/engine/http/HttpTokenStreamTest.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import java.net.InetAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -33,6 +34,7 @@
 
 class HttpTokenStreamTest {
   private static final int TOKEN_CHARS = 50_000;
+  private static final int BLOCK_BYTES = 32_768;
   private static final long MAX_UNREAD_FRAMES = 500;
 
   private final HttpTransport transport = HttpTransport.standalone(1, HttpTimeouts.defaults());
@@ -141,6 +143,35 @@
         .isEqualTo(new GenerationEnd("g", 4, GenerationEnd.Reason.STOP));
   }
 
+  /** Guards against an endless failure, event or line that is kept until the memory is used up. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {"500|x", "503|x", "200|x", "200|data: x\\n"})
+  void endsAnAnswerWithoutEnd(int status, String part) throws Exception {
+    String block = part.replace("\\n", "\n").repeat(BLOCK_BYTES / part.length());
+    open(context -> {
+          context
+              .getResponse()
+              .status(status)
+              .sendStream(
+                  Streams.periodically(
+                      context,
+                      Duration.ofMillis(2),
+                      i -> {
+                        sent.incrementAndGet();
+                        return Unpooled.copiedBuffer(block, StandardCharsets.UTF_8);
+                      }));
+        })
+        .request(1);
+
+    assertThat(failure.get(5, TimeUnit.SECONDS).outcome()).isEqualTo(Outcome.MAY_HAVE_RUN);
+    assertThat(received.get()).isEqualTo(0);
+    long sentAtTheEnd = sent.get();
+    TimeUnit.MILLISECONDS.sleep(500);
+    assertThat(sent.get()).isLessThan(sentAtTheEnd + 50);
+  }
+
   @Nested
   class Parser {
     /**
