Let incomplete events count towards a budget

An event without end costs up to 256 KB for each stream, up to 512 KB by the growth of its buffer, and no limit of the instance counts it: 400 such streams need more than the heap of an instance (110 MB). The buffer also stayed as large until the stream ended.

Change: EventStreamReader reserves its buffer in a budget, never makes it larger than the longest event, and gives it back when the event is complete or dropped. 32 KB for each stream are guaranteed.

Result: EventStreamReaderTest.Budgets plays 400 events without end beside a sound stream.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/EventStreamReader.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/EventStreamReader.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Optional;
+import org.basilport.policy.dispatch.ResponseBufferBudget;
 
 /**
  * Splits a stream of server-sent events into complete events.
@@ -29,7 +30,11 @@
    */
   private static final int MAX_BYTES_WITHOUT_PROGRESS = 65_536;
 
-  private byte[] pending = new byte[512];
+  /** Size of the buffer of a stream whose events are short. */
+  private static final int INITIAL_BYTES = 512;
+
+  private final ResponseBufferBudget budget;
+  private byte[] pending = new byte[INITIAL_BYTES];
   private int length;
   private int lineStart;
   private int completeLength;
@@ -39,6 +44,16 @@
   private int bytesWithoutProgress;
   private Optional<String> problem = Optional.empty();
 
+  /** Creates a reader whose memory is limited only by the size of one event. */
+  EventStreamReader() {
+    this(new ResponseBufferBudget(MAX_EVENT_BYTES));
+  }
+
+  /** Creates a reader whose incomplete event counts towards the budget of the instance. */
+  EventStreamReader(ResponseBufferBudget budget) {
+    this.budget = budget;
+  }
+
   /**
    * Appends received bytes and returns the events that they complete; empty if there are none.
    * Stops before the first event that must not be forwarded; {@link #problem()} then holds the
@@ -53,8 +68,9 @@
       problem = Optional.of("event longer than " + MAX_EVENT_BYTES + " bytes");
       return Unpooled.EMPTY_BUFFER;
     }
-    if (length + receivedBytes > pending.length) {
-      pending = Arrays.copyOf(pending, Math.max(2 * pending.length, length + receivedBytes));
+    if (length + receivedBytes > pending.length && !grow(length + receivedBytes)) {
+      problem = Optional.of("event is too large to be kept");
+      return Unpooled.EMPTY_BUFFER;
     }
     content.readBytes(pending, length, receivedBytes);
     int from = length;
@@ -68,9 +84,28 @@
     length -= completeLength;
     lineStart -= completeLength;
     completeLength = 0;
+    if (length == 0) {
+      shrink();
+    }
     return completeEvents;
   }
 
+  private boolean grow(int requiredBytes) {
+    int capacity = Math.min(MAX_EVENT_BYTES, Math.max(2 * pending.length, requiredBytes));
+    if (!budget.tryReserve(pending.length - INITIAL_BYTES, capacity - pending.length)) {
+      return false;
+    }
+    pending = Arrays.copyOf(pending, capacity);
+    return true;
+  }
+
+  private void shrink() {
+    if (pending.length > INITIAL_BYTES) {
+      budget.release(pending.length - INITIAL_BYTES);
+      pending = new byte[INITIAL_BYTES];
+    }
+  }
+
   private void scanLines(int from) {
     for (int i = from; i < length && problem.isEmpty(); i++) {
       if (pending[i] != '\n') {
@@ -131,13 +166,17 @@
     return problem;
   }
 
-  /** Discards the bytes of an incomplete event, and the problem, before the stream is resumed. */
+  /**
+   * Discards the bytes of an incomplete event, and the problem, before the stream is resumed or
+   * when it has ended.
+   */
   void dropPartialEvent() {
     problem = Optional.empty();
     bytesWithoutProgress = 0;
     length = 0;
     lineStart = 0;
     pendingId = Optional.empty();
+    shrink();
   }
 
   /** Whether the bytes received so far end within an event. */
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayEndlessBytesTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayEndlessBytesTest.java
@@ -11,8 +11,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -23,6 +25,7 @@
 class GatewayEndlessBytesTest extends GatewayFixture {
   private static final int SERVERS = 64;
   private static final int WRITE_BYTES = 32_768;
+  private static final int EVENT_BYTES = 200_000;
   private static final String HEAD = "HTTP/1.1 200 S\r\nid: ID\r\nseal: s\r\n";
   private static final String CHUNKED = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
 
@@ -139,4 +142,28 @@
     assertThat(writing.get()).isEqualTo(0);
     assertThat(bufferedBytes()).isEqualTo(0);
   }
+
+  /** Guards against incomplete events on many streams that no limit of the instance counts. */
+  @Test
+  void incompleteEventsCountTowardsTheBudget() throws Exception {
+    configure(1, "k1");
+    String part = Integer.toHexString(EVENT_BYTES) + "\r\n" + "x".repeat(EVENT_BYTES) + "\r\n";
+    serve(
+        "model",
+        (request, out, socket) -> {
+          ScriptedServer.write(out, CHUNKED.replace("ID", request.id()) + part);
+          Thread.sleep(5_000);
+        });
+    CompletableFuture<String> response = callAsync("/stream/x", "tokens: 100\r\n");
+    for (int i = 0; i < 50 && bufferedBytes() < EVENT_BYTES; i++) {
+      Thread.sleep(10);
+    }
+    assertThat(bufferedBytes()).isAtLeast(EVENT_BYTES);
+
+    assertThat(response.get(5, TimeUnit.SECONDS)).startsWith("HTTP/1.1 502");
+    for (int i = 0; i < 100 && bufferedBytes() > 0; i++) {
+      Thread.sleep(10);
+    }
+    assertThat(bufferedBytes()).isEqualTo(0);
+  }
 }
--- a/basilport-gateway/src/test/java/org/basilport/gateway/forward/EventStreamReaderTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/forward/EventStreamReaderTest.java
@@ -5,6 +5,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.basilport.policy.dispatch.ResponseBufferBudget;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 /** Tests the splitting of streams at all kinds of boundaries. */
@@ -87,4 +91,50 @@
     assertThat(passed.toString()).isEqualTo(stream);
     assertThat(reader.hasPartialEvent()).isFalse();
   }
+
+  @Nested
+  class Budgets {
+    private static final int READERS = 400;
+    private static final long LIMIT_BYTES = 4_000_000;
+    private static final long GUARANTEED_BYTES = 32_768;
+
+    private final ResponseBufferBudget budget = new ResponseBufferBudget(LIMIT_BYTES);
+
+    /** Load: events without end on many streams at once; each is below the limit of one event. */
+    @Test
+    void boundIncompleteEventsOfAllStreams() {
+      ByteBuf part = Unpooled.copiedBuffer("x".repeat(4_096), StandardCharsets.UTF_8);
+      List<EventStreamReader> readers = new ArrayList<>();
+      for (int i = 0; i < READERS; i++) {
+        EventStreamReader endless = new EventStreamReader(budget);
+        readers.add(endless);
+        while (endless.problem().isEmpty()) {
+          endless.read(part.duplicate());
+        }
+      }
+      assertThat(budget.usedBytes()).isAtMost(LIMIT_BYTES + READERS * GUARANTEED_BYTES);
+
+      EventStreamReader sound = new EventStreamReader(budget);
+      String event = "id: 1\ndata: " + "a".repeat(8_000) + "\n\n";
+      ByteBuf events = sound.read(Unpooled.copiedBuffer(event, StandardCharsets.UTF_8));
+      assertThat(events.toString(StandardCharsets.UTF_8)).isEqualTo(event);
+
+      readers.forEach(EventStreamReader::dropPartialEvent);
+      assertThat(budget.usedBytes()).isEqualTo(0);
+    }
+
+    /** Guards against memory of a long event that its stream keeps until its end. */
+    @Test
+    void areReturnedWhenTheEventIsComplete() {
+      EventStreamReader counted = new EventStreamReader(budget);
+      for (int i = 0; i < 25; i++) {
+        counted.read(Unpooled.copiedBuffer("x".repeat(4_096), StandardCharsets.UTF_8));
+      }
+      assertThat(budget.usedBytes()).isAtLeast(100_000);
+      ByteBuf events = counted.read(Unpooled.copiedBuffer("\nid: 1\n\n", StandardCharsets.UTF_8));
+
+      assertThat(events.readableBytes()).isEqualTo(25 * 4_096 + 8);
+      assertThat(budget.usedBytes()).isEqualTo(0);
+    }
+  }
 }
