--- a/basilport-gateway/src/test/java/org/basilport/gateway/frontend/CallerConnectionTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/frontend/CallerConnectionTest.java
@@ -16,6 +16,8 @@
 import org.basilport.gateway.forward.ResponseChannel;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Writes the bytes of callers to a connection. */
 class CallerConnectionTest {
@@ -90,6 +92,27 @@
           .startsWith("HTTP/1.1 413");
       assertThat(other.channel.isOpen()).isFalse();
     }
+
+    /** Guards against a head, chunk extension or trailer of a caller that grows without limit. */
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "GET /a/",
+          "GET /a/ HTTP/1.1\r\nHost: h\r\n",
+          "GET /a/ HTTP/1.1\r\nHost: h\r\na: ",
+          "POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+          "POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+        })
+    void closesWithinAnEndlessPart(String start) {
+      StringBuilder response = new StringBuilder(send(start));
+      for (int i = 0; i < 1_000 && channel.isOpen(); i++) {
+        response.append(send(start.endsWith("\r\n") ? "name: value\r\n" : "x".repeat(100)));
+      }
+
+      assertThat(channel.isOpen()).isFalse();
+      assertThat(response.toString()).startsWith("HTTP/1.1 4");
+      assertThat(received).isEmpty();
+    }
   }
 
   @Nested
