Count incomplete events of streams towards the budget of the instance

Cause: up to 256 KB of an incomplete event of each stream counted towards no limit of the instance. Evidence: GatewayEndlessBytesTest incompleteEventsCountTowardsTheBudget failed: 0 bytes counted, 200,000 expected. Change: StreamedExchange gives its reader the budget of the instance and returns it at its end.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -36,7 +36,7 @@
    */
   private static final double PROBE_RATIO = 0.25;
 
-  private final EventStreamReader reader = new EventStreamReader();
+  private final EventStreamReader reader = new EventStreamReader(context.responseBuffer());
   private final ResponseBody errorBody = new ResponseBody(context.responseBuffer());
   private final DepartureListener departureListener = new GenerationDepartureListener();
   private final GenerationMove move;
@@ -431,6 +431,7 @@
   void onFinished() {
     stopObservingDeparture();
     move.cancel();
+    reader.dropPartialEvent();
     errorBody.clear();
     if (eventGapTimer != null) {
       eventGapTimer.cancel(false);
