--- /dev/null
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayPausedServersTest.java
@@ -0,0 +1,176 @@
+package org.basilport.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.basilport.policy.dispatch.StoreRead;
+import org.junit.jupiter.api.Test;
+
+/** Servers that refuse requests and say for how long they want no others. */
+class GatewayPausedServersTest extends GatewayFixture {
+  /** Requests within a pause that a server tolerates. */
+  private static final int MAX_REQUESTS_IN_A_PAUSE = 2;
+
+  /** Time after a refusal in which requests may be on their way to the server. */
+  private static final long ON_THEIR_WAY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  private static final double PAUSE_SECONDS = 3;
+
+  /** Callers of four servers with six slots each, so that each server is needed. */
+  private static final int CALLERS = 20;
+
+  private static final long SERVICE_MILLIS = 60;
+  private static final long CALL_INTERVAL_MILLIS = 10;
+
+  /** Time for which a request may wait: 0.8 of the target latency of 150 ms. */
+  private static final long QUEUE_TIMEOUT_MILLIS = 120;
+
+  private final AtomicInteger ids = new AtomicInteger();
+  private final AtomicInteger served = new AtomicInteger();
+  private final AtomicInteger calls = new AtomicInteger();
+
+  /** Server that refuses requests during its pause, and counts all by its own clock. */
+  private static final class PausingServer {
+    private final int refusalInterval;
+    private final List<Long> arrivals = new CopyOnWriteArrayList<>();
+    private volatile long firstRefusalNanos;
+
+    /** Creates a server that refuses one request of {@code refusalInterval}. */
+    PausingServer(int refusalInterval) {
+      this.refusalInterval = refusalInterval;
+    }
+
+    void respond(ScriptedServer.Request request, java.io.OutputStream out) throws IOException {
+      long now = System.nanoTime();
+      arrivals.add(now);
+      if (firstRefusalNanos == 0 && arrivals.size() % refusalInterval == 0) {
+        firstRefusalNanos = now;
+      }
+      double left = PAUSE_SECONDS - (now - firstRefusalNanos) / 1e9;
+      if (left > 0 && arrivals.size() % refusalInterval == 0) {
+        ScriptedServer.sendResponse(
+            out, request, 503, "not-run: 1\r\npause: " + left + "\r\n", "busy");
+      } else {
+        ScriptedServer.sendResponse(out, request, 200, "ok");
+      }
+    }
+
+    int requestsInThePause() {
+      long from = firstRefusalNanos + ON_THEIR_WAY_NANOS;
+      long to = firstRefusalNanos + Math.round(PAUSE_SECONDS * 1e9);
+      return (int) arrivals.stream().filter(at -> at - from > 0 && to - at > 0).count();
+    }
+  }
+
+  private PausingServer servePausing(int refusalInterval) throws IOException {
+    PausingServer server = new PausingServer(refusalInterval);
+    serve("plain", (request, out, socket) -> server.respond(request, out));
+    return server;
+  }
+
+  private String read() throws IOException {
+    return callAs("r" + ids.incrementAndGet(), "GET", "/read/x", "key: k1\r\n");
+  }
+
+  private void load(long millis) throws Exception {
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+    ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
+    List<Future<?>> ended = new ArrayList<>();
+    for (int i = 0; i < CALLERS; i++) {
+      ended.add(
+          callers.submit(
+              () -> {
+                while (end - System.nanoTime() > 0) {
+                  gateway.recordConfigurationRead(
+                      new StoreRead(0, System.nanoTime(), System.currentTimeMillis()));
+                  calls.incrementAndGet();
+                  served.addAndGet(read().startsWith("HTTP/1.1 200") ? 1 : 0);
+                  TimeUnit.MILLISECONDS.sleep(CALL_INTERVAL_MILLIS);
+                }
+                return null;
+              }));
+    }
+    for (Future<?> future : ended) {
+      future.get(20, TimeUnit.SECONDS);
+    }
+    callers.shutdown();
+  }
+
+  private static long pauseMillis(double share) {
+    return Math.round(share * PAUSE_SECONDS * 1_000);
+  }
+
+  /** Guards against requests to the one server of four that wants none for a while. */
+  @Test
+  void getNothingWhileOthersServe() throws Exception {
+    configure(1, "k1");
+    PausingServer pausing = servePausing(2);
+    for (int i = 0; i < 3; i++) {
+      serve(
+          "plain",
+          (request, out, socket) -> {
+            TimeUnit.MILLISECONDS.sleep(SERVICE_MILLIS);
+            ScriptedServer.sendResponse(out, request, 200, "ok");
+          });
+    }
+    load(pauseMillis(1));
+
+    assertThat(pausing.firstRefusalNanos).isNotEqualTo(0);
+    assertThat(pausing.requestsInThePause()).isAtMost(MAX_REQUESTS_IN_A_PAUSE);
+    assertThat(served.get()).isEqualTo(calls.get());
+  }
+
+  /** Guards against requests that are tried at servers of which none wants any. */
+  @Test
+  void getNothingIfAllOfThemPause() throws Exception {
+    configure(1, "k1");
+    List<PausingServer> pausing = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      pausing.add(servePausing(1));
+    }
+    load(pauseMillis(0.8));
+    long start = System.nanoTime();
+    String response = read();
+    long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+
+    for (PausingServer server : pausing) {
+      assertThat(server.firstRefusalNanos).isNotEqualTo(0);
+      assertThat(server.requestsInThePause()).isAtMost(MAX_REQUESTS_IN_A_PAUSE);
+    }
+    assertThat(response).startsWith("HTTP/1.1 503");
+    assertThat(elapsedMillis).isLessThan(QUEUE_TIMEOUT_MILLIS);
+    double retryAfter =
+        Double.parseDouble(response.replaceAll("(?s).*retry-after: ([0-9.]+).*", "$1"));
+    TimeUnit.NANOSECONDS.sleep(Math.round(retryAfter * 1e9));
+    gateway.recordConfigurationRead(
+        new StoreRead(0, System.nanoTime(), System.currentTimeMillis()));
+    assertThat(read()).startsWith("HTTP/1.1 200");
+  }
+
+  /** Guards against an instance that does not serve after a restart in the middle of a pause. */
+  @Test
+  void areAskedAgainByAnInstanceThatRestarted() throws Exception {
+    configure(1, "k1");
+    PausingServer pausing = servePausing(1);
+    load(pauseMillis(0.3));
+    gateway.stop().get(5, TimeUnit.SECONDS);
+    start();
+    configure(1, "k1");
+    gateway.updateServers(entries, "test");
+    long restartNanos = System.nanoTime();
+    load(pauseMillis(0.9));
+
+    int before = (int) pausing.arrivals.stream().filter(at -> restartNanos - at > 0).count();
+    assertThat(before).isAtLeast(1);
+    assertThat(pausing.arrivals.size()).isGreaterThan(before);
+    assertThat(read()).startsWith("HTTP/1.1 200");
+  }
+}
--- a/basilport-gateway/src/test/java/org/basilport/gateway/ScriptedServer.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/ScriptedServer.java
@@ -82,13 +82,22 @@
   /** Writes a complete, signed response. */
   static void sendResponse(OutputStream out, Request request, int status, String body)
       throws IOException {
+    sendResponse(out, request, status, "", body);
+  }
+
+  /** Writes a complete, signed response with additional header lines, each with its line end. */
+  static void sendResponse(
+      OutputStream out, Request request, int status, String headers, String body)
+      throws IOException {
     write(
         out,
         "HTTP/1.1 "
             + status
             + " S\r\nid: "
             + request.id()
-            + "\r\nseal: s\r\nContent-Length: "
+            + "\r\nseal: s\r\n"
+            + headers
+            + "Content-Length: "
             + body.length()
             + "\r\n\r\n"
             + body);
@@ -96,11 +105,17 @@
 
   /** Writes the head of an event stream. */
   static void startStream(OutputStream out, Request request) throws IOException {
+    startStream(out, request, "");
+  }
+
+  /** Writes the head of an event stream with additional header lines. */
+  static void startStream(OutputStream out, Request request, String headers) throws IOException {
     write(
         out,
         "HTTP/1.1 200 S\r\nid: "
             + request.id()
             + "\r\nseal: s\r\n"
+            + headers
             + "Transfer-Encoding: chunked\r\n\r\n");
   }
 
