Send nothing more to a server that says that it leaves

What callers saw: requests at servers that were about to end, as long as the store was away or slow to tell. Cause: the header by which a leaving server says so was not read. Change: BackendConnection reports the notice of each head, interim ones too, but not of 421, which another server at the address gives. ServerTable marks that start as departed, so that its streams move and the other instances hear of it; the mark outlives a missing entry by 10 minutes and does not hold for a new start. Event 6018, a counter. The header still goes to the caller: the answer stays the server's.

--- a/basilport-common/src/main/java/org/basilport/event/EventType.java
+++ b/basilport-common/src/main/java/org/basilport/event/EventType.java
@@ -86,6 +86,8 @@
   CONTENT_CLEARED(6016, Level.INFO, "quarantine of content {} lifted: a server answered it"),
   BACKEND_LIMIT_CHANGED(
       6017, Level.INFO, "backend server {} accepts requests per second: {}, source: {}"),
+  BACKEND_TOLD_DEPARTURE(
+      6018, Level.INFO, "request={} server={} incarnation={} says in its answer that it leaves"),
   PLATFORM_UNAVAILABLE(7001, Level.WARN, "platform call {} failed: {}"),
   PLATFORM_AVAILABLE(7002, Level.INFO, "platform answers again after {} ms"),
   PLATFORM_BUDGET_SPENT(7003, Level.WARN, "platform call {} delayed, request budget exhausted"),
--- a/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -89,6 +89,7 @@
             settings.frontendAddress(),
             state,
             events);
+    metrics.counter("forward.leaving_notices", servers::leavingNotices);
     metrics.gauge("forward.open", () -> forwarder::openRequests);
     metrics.gauge("forward.waiting", () -> state::queueLength);
   }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
@@ -37,6 +37,9 @@
    */
   private static final long MAX_IDLE_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(8);
 
+  /** Status with which another server answers that has taken over the address. */
+  private static final int MISDIRECTED = 421;
+
   /** Interim responses to one request above which the server is considered faulty. */
   private static final int MAX_INTERIM_RESPONSES = 16;
 
@@ -45,6 +48,7 @@
 
   private final MessageCodec codec;
   private final Consumer<BackendConnection> onIdle;
+  private final ServerNoticeListener noticeListener;
   private Channel channel;
   private ResponseListener listener;
   private String requestId = "";
@@ -61,9 +65,11 @@
   private long idleTimeoutNanos = DEFAULT_IDLE_TIMEOUT_NANOS;
   private long idleSinceNanos;
 
-  BackendConnection(MessageCodec codec, Consumer<BackendConnection> onIdle) {
+  BackendConnection(
+      MessageCodec codec, Consumer<BackendConnection> onIdle, ServerNoticeListener noticeListener) {
     this.codec = codec;
     this.onIdle = onIdle;
+    this.noticeListener = noticeListener;
   }
 
   @Override
@@ -149,6 +155,10 @@
   }
 
   private void readHead(HttpResponse head) {
+    ServerResponse response = codec.decodeResponse(head);
+    if (response.status() != MISDIRECTED) {
+      noticeListener.onNotice(response.requestId().orElse(requestId), response.notice());
+    }
     interimResponse = head.status().code() >= 100 && head.status().code() < 200;
     if (interimResponse) {
       interimResponses++;
@@ -157,7 +167,6 @@
       }
       return;
     }
-    ServerResponse response = codec.decodeResponse(head);
     Optional<String> echoed = response.requestId();
     discarding = echoed.isPresent() && !echoed.get().equals(requestId);
     if (discarding) {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ConnectionPool.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ConnectionPool.java
@@ -25,14 +25,20 @@
   private final ServerEntry server;
   private final EventLoop eventLoop;
   private final MessageCodec codec;
+  private final ServerNoticeListener noticeListener;
   private final ArrayDeque<BackendConnection> idle = new ArrayDeque<>();
   private boolean closing;
 
   /** Creates an empty pool. */
-  public ConnectionPool(ServerEntry server, EventLoop eventLoop, MessageCodec codec) {
+  ConnectionPool(
+      ServerEntry server,
+      EventLoop eventLoop,
+      MessageCodec codec,
+      ServerNoticeListener noticeListener) {
     this.server = server;
     this.eventLoop = eventLoop;
     this.codec = codec;
+    this.noticeListener = noticeListener;
   }
 
   /**
@@ -66,7 +72,7 @@
   }
 
   private void connect(Consumer<BackendConnection> onConnected, Consumer<String> onFailed) {
-    BackendConnection connection = new BackendConnection(codec, this::release);
+    BackendConnection connection = new BackendConnection(codec, this::release, noticeListener);
     new Bootstrap()
         .group(eventLoop)
         .channel(NioSocketChannel.class)
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -1,5 +1,6 @@
 package org.basilport.gateway.backend;
 
+import com.codahale.metrics.Counter;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -16,6 +17,7 @@
 import org.basilport.gateway.config.ForwardingConfiguration;
 import org.basilport.gateway.config.ForwardingService;
 import org.basilport.gateway.message.MessageCodec;
+import org.basilport.gateway.message.ServerNotice;
 import org.basilport.policy.dispatch.OutstandingWork;
 import org.basilport.policy.dispatch.PeerWorkTable;
 import org.basilport.policy.dispatch.ServerLoad;
@@ -34,6 +36,12 @@
    */
   private static final long DEPARTURE_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(30);
 
+  /**
+   * Retention of departures that the server itself told in an answer. The directory may list such a
+   * server for much longer, or again after an outage.
+   */
+  private static final long TOLD_DEPARTURE_RETENTION_NANOS = TimeUnit.MINUTES.toNanos(10);
+
   private final EventLoop eventLoop;
   private final MessageCodec codec;
   private final EventSink events;
@@ -44,6 +52,7 @@
   private final PeerWorkTable peerWork;
   private final Map<String, BackendServer> byId = new HashMap<>();
   private final Map<String, Departure> departures = new HashMap<>();
+  private final Counter leavingNotices = new Counter();
   private final Map<String, List<BackendServer>> byService = new HashMap<>();
   private long revision;
 
@@ -112,7 +121,15 @@
     long memory = service.engine().map(engine -> engine.memoryTokens()).orElse(0L);
     ServerLoad load = new ServerLoad(entry.id(), entry.dataCentre(), slots, memory);
     BackendServer server =
-        new BackendServer(entry, service, load, new ConnectionPool(entry, eventLoop, codec));
+        new BackendServer(
+            entry,
+            service,
+            load,
+            new ConnectionPool(
+                entry,
+                eventLoop,
+                codec,
+                (requestId, notice) -> onNotice(entry, requestId, notice)));
     if (server.engine().isPresent()) {
       load.onChange(() -> engineWorkListener.accept(server));
     }
@@ -174,9 +191,37 @@
     }
   }
 
+  /** Applies what a start of a server says of itself; ignored if another start is listed. */
+  private void onNotice(ServerEntry entry, String requestId, ServerNotice notice) {
+    BackendServer known = byId.get(entry.id());
+    boolean replaced = known != null && known.entry().incarnation() != entry.incarnation();
+    if (!notice.leaving() || replaced || toldDeparture(entry)) {
+      return;
+    }
+    leavingNotices.inc();
+    events.record(
+        EventType.BACKEND_TOLD_DEPARTURE,
+        EventSubject.request(requestId, "").withServer(entry.id()),
+        requestId,
+        entry.id(),
+        entry.incarnation());
+    departures.put(entry.id(), new Departure(entry.incarnation(), System.nanoTime(), true));
+    markLeaving(entry.id(), entry.incarnation(), "its answer");
+  }
+
+  /** Counts the starts of servers that said in an answer that they leave. */
+  public Counter leavingNotices() {
+    return leavingNotices;
+  }
+
+  private boolean toldDeparture(ServerEntry entry) {
+    return hasDeparted(entry) && departures.get(entry.id()).told();
+  }
+
   private void startDeparture(BackendServer server) {
+    ServerEntry entry = server.entry();
     departures.put(
-        server.entry().id(), new Departure(server.entry().incarnation(), System.nanoTime()));
+        entry.id(), new Departure(entry.incarnation(), System.nanoTime(), toldDeparture(entry)));
     revision++;
     departureListener.run();
     server.startDeparture();
@@ -187,7 +232,7 @@
     long now = System.nanoTime();
     departures
         .values()
-        .removeIf(departure -> now - departure.detectedNanos() > DEPARTURE_RETENTION_NANOS);
+        .removeIf(departure -> now - departure.detectedNanos() > departure.retentionNanos());
     Map<String, Long> recent = new HashMap<>();
     departures.forEach(
         (id, departure) -> {
@@ -203,8 +248,16 @@
     return departure != null && departure.incarnation() == entry.incarnation();
   }
 
-  /** Departure of one incarnation of a server. */
-  private record Departure(long incarnation, long detectedNanos) {}
+  /**
+   * Departure of one incarnation of a server.
+   *
+   * @param told whether the server itself told it in an answer to this instance
+   */
+  private record Departure(long incarnation, long detectedNanos, boolean told) {
+    long retentionNanos() {
+      return told ? TOLD_DEPARTURE_RETENTION_NANOS : DEPARTURE_RETENTION_NANOS;
+    }
+  }
 
   /** Event loop to which the servers are confined. */
   public EventLoop eventLoop() {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/message/ServerResponse.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/message/ServerResponse.java
@@ -18,6 +18,7 @@
  *     it names a limit
  * @param closesConnection whether the server closes the connection after the response
  * @param idleTimeoutSeconds idle timeout of the connection at the server, if it sends it
+ * @param notice what the server says of itself
  */
 public record ServerResponse(
     Optional<String> requestId,
@@ -28,7 +29,8 @@
     OptionalInt queueLength,
     OptionalDouble requestLimit,
     boolean closesConnection,
-    OptionalInt idleTimeoutSeconds) {
+    OptionalInt idleTimeoutSeconds,
+    ServerNotice notice) {
 
   /** Whether the status is 2xx. */
   public boolean successful() {
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
@@ -47,22 +47,31 @@
 
   Gateway gateway;
   InetSocketAddress frontend;
+  InetSocketAddress peerAddress;
 
   @BeforeEach
   void start() throws Exception {
     frontend = freeAddress();
+    peerAddress = freeAddress();
+    gateway = startGateway("gateway-1", frontend, peerAddress, metrics);
+  }
+
+  static Gateway startGateway(
+      String id, InetSocketAddress frontend, InetSocketAddress peerAddress, MetricRegistry metrics)
+      throws Exception {
     GatewaySettings settings =
         new GatewaySettings(
-            "gateway-1",
+            id,
             "a",
             false,
             frontend,
-            freeAddress(),
+            peerAddress,
             new RetryLimits(0.2, 50, TimeUnit.SECONDS.toNanos(10)),
             Duration.ofSeconds(3),
             new ForwardingLimits(Duration.ofSeconds(4), Duration.ofMillis(800)));
-    gateway = new Gateway(settings, new TestCodec(), EventSink.none(), metrics);
-    gateway.start().get(5, TimeUnit.SECONDS);
+    Gateway started = new Gateway(settings, new TestCodec(), EventSink.none(), metrics);
+    started.start().get(5, TimeUnit.SECONDS);
+    return started;
   }
 
   @AfterEach
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayLeavingServersTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayLeavingServersTest.java
@@ -2,13 +2,17 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.basilport.gateway.backend.ServerEntry;
+import org.basilport.gateway.peer.InstanceEntry;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -157,6 +161,54 @@
     }
   }
 
+  @Nested
+  class OtherInstances {
+    /** Time after which other instances have received a report. */
+    private static final long REPORT_MILLIS = 500;
+
+    /** Guards against requests from an instance that could have heard of the departure. */
+    @Test
+    void hearOfTheDeparture() throws Exception {
+      InetSocketAddress otherPeerAddress = freeAddress();
+      InetSocketAddress otherFrontend = freeAddress();
+      Gateway other =
+          startGateway("gateway-2", otherFrontend, otherPeerAddress, new MetricRegistry());
+      List<InstanceEntry> instances =
+          List.of(
+              new InstanceEntry("gateway-1", peerAddress),
+              new InstanceEntry("gateway-2", otherPeerAddress));
+      gateway.updateInstances(instances);
+      other.updateInstances(instances);
+      configure(1, "k1");
+      ScriptedServer server =
+          serve(
+              "plain",
+              (request, out, socket) ->
+                  ScriptedServer.sendResponse(out, request, 200, LEAVING, "ok"));
+      read();
+      gateway = switchTo(other, otherFrontend);
+      configure(1, "k1");
+      gateway.updateServers(entries, "test");
+      Thread.sleep(REPORT_MILLIS);
+
+      assertThat(read()).startsWith("HTTP/1.1 503");
+      assertThat(server.requests()).hasSize(1);
+    }
+
+    private Gateway switchTo(Gateway other, InetSocketAddress otherFrontend) {
+      former = gateway;
+      frontend = otherFrontend;
+      return other;
+    }
+
+    private Gateway former;
+
+    @AfterEach
+    void stopFormer() throws Exception {
+      former.stop().get(5, TimeUnit.SECONDS);
+    }
+  }
+
   @Nested
   class WholeServices {
     /** Guards against requests that wait although no server takes any. */
@@ -220,7 +272,7 @@
           (request, out, socket) -> {
             if (request.line().startsWith("POST /move/")) {
               boolean finalCopy = request.line().contains("/true");
-              ScriptedServer.sendResponse(out, request, 200, LEAVING, finalCopy ? "handle" : "");
+              ScriptedServer.sendResponse(out, request, 200, LEAVING, "handle");
               if (finalCopy) {
                 stopped.countDown();
               }
@@ -240,6 +292,7 @@
       CompletableFuture<String> first = stream("r1");
       Thread.sleep(200);
       CompletableFuture<String> second = stream("r2");
+      Thread.sleep(200);
       ScriptedServer target = serve("model", engine);
 
       assertThat(first.get(10, TimeUnit.SECONDS)).contains("data: t5");
--- a/basilport-gateway/src/test/java/org/basilport/gateway/TestCodec.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/TestCodec.java
@@ -20,6 +20,7 @@
 import org.basilport.gateway.message.GenerationSize;
 import org.basilport.gateway.message.MessageCodec;
 import org.basilport.gateway.message.MoveResult;
+import org.basilport.gateway.message.ServerNotice;
 import org.basilport.gateway.message.ServerResponse;
 
 /** Codec with its own header names, for tests without a deployment. */
@@ -79,7 +80,8 @@
             ? OptionalDouble.of(Double.parseDouble(headers.get("limit")))
             : OptionalDouble.empty(),
         headers.contains("connection"),
-        OptionalInt.of(30));
+        OptionalInt.of(30),
+        new ServerNotice(headers.contains("leaves")));
   }
 
   @Override
--- a/basilport-gateway/src/test/java/org/basilport/gateway/backend/BackendConnectionTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/backend/BackendConnectionTest.java
@@ -26,8 +26,17 @@
 /** Writes the responses of faulty servers to a connection. */
 class BackendConnectionTest {
   private final List<BackendConnection> idle = new ArrayList<>();
+  private final List<String> leavingToldBy = new ArrayList<>();
   private final Recorder recorder = new Recorder();
-  private final BackendConnection connection = new BackendConnection(new TestCodec(), idle::add);
+  private final BackendConnection connection =
+      new BackendConnection(
+          new TestCodec(),
+          idle::add,
+          (requestId, notice) -> {
+            if (notice.leaving()) {
+              leavingToldBy.add(requestId);
+            }
+          });
   private final EmbeddedChannel channel =
       new EmbeddedChannel(new HttpRequestEncoder(), new HttpResponseDecoder(), connection);
 
@@ -139,6 +148,31 @@
     assertThat(channel.config().isAutoRead()).isTrue();
   }
 
+  /** Guards against reading the departure of a server from some kinds of answers only. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\nleaves: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\nleaves: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nleaves: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 429 S\r\nid: r1\r\nnot-run: 1\r\nleaves: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 103 S\r\nleaves: 1\r\n\r\n",
+        "HTTP/1.1 500 S\r\nid: r1\r\nleaves: 1\r\nContent-Length: 0\r\n\r\n"
+      })
+  void reportsTheDepartureOfTheServer(String answer) {
+    receive(answer);
+
+    assertThat(leavingToldBy).containsExactly("r1");
+  }
+
+  /** Guards against a departure that another server at the address of this one tells. */
+  @Test
+  void ignoresTheDepartureOfAnotherServer() {
+    receive("HTTP/1.1 421 S\r\nid: r1\r\nleaves: 1\r\nContent-Length: 0\r\n\r\n");
+
+    assertThat(leavingToldBy).isEmpty();
+  }
+
   /** Answers that do not end until the caller closes the connection. */
   @Nested
   class EndlessAnswers {
