Send nothing to a server that has asked for a pause

What callers saw: refusals, and servers in need that got more requests: a server that refuses with 503 and names a time was asked again and again. Cause: the time was not read; a refusal counted as a failure, which suspends a server for a guessed time and not if most are suspended. Change: ServerAdmission decides for departures, pauses, named limits and suspensions, in place of ServerLoad. ServerPause holds back all requests until its end, then all but one until it is answered; ServerPauses spreads the ends over the instances and keeps a pause while the entry of its server is missing. A request that waited for a connection is checked again and placed elsewhere, without a retry, since nothing was sent. Requests in the line that no server takes while they can wait are rejected at once, with the time until one does. A pause is no failure. Event 6019, a counter.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.basilport.gateway.message.MessageCodec;
+import org.basilport.gateway.message.ServerNotice;
 import org.basilport.gateway.message.ServerResponse;
 
 /**
@@ -156,10 +157,14 @@
 
   private void readHead(HttpResponse head) {
     ServerResponse response = codec.decodeResponse(head);
-    if (response.status() != MISDIRECTED) {
-      noticeListener.onNotice(response.requestId().orElse(requestId), response.notice());
-    }
+    Optional<String> echoed = response.requestId();
+    boolean announces = !response.notice().equals(ServerNotice.NONE);
     interimResponse = head.status().code() >= 100 && head.status().code() < 200;
+    discarding = !interimResponse && echoed.isPresent() && !echoed.get().equals(requestId);
+    // An answer to another request may be old: that it announces nothing means nothing.
+    if (response.status() != MISDIRECTED && (announces || !(interimResponse || discarding))) {
+      noticeListener.onNotice(echoed.orElse(requestId), response.notice());
+    }
     if (interimResponse) {
       interimResponses++;
       if (interimResponses > MAX_INTERIM_RESPONSES) {
@@ -167,8 +172,6 @@
       }
       return;
     }
-    Optional<String> echoed = response.requestId();
-    discarding = echoed.isPresent() && !echoed.get().equals(requestId);
     if (discarding) {
       return;
     }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendServer.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendServer.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.basilport.gateway.config.EngineCapacity;
 import org.basilport.gateway.config.ForwardingService;
+import org.basilport.gateway.message.ServerResponse;
 import org.basilport.policy.dispatch.MoveCandidateSelector;
 import org.basilport.policy.dispatch.MoveSchedule;
 import org.basilport.policy.dispatch.ServerLoad;
@@ -56,6 +57,16 @@
     return engine;
   }
 
+  /**
+   * Records an answer by which the server failed or refused a request. One that asks for a pause is
+   * no sign of bad health.
+   */
+  public void recordFailedAnswer(ServerResponse response) {
+    if (response.notice().pause().isEmpty()) {
+      load.health().recordFailure(System.nanoTime());
+    }
+  }
+
   /** Load and health of the server. */
   public ServerLoad load() {
     return load;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerLimits.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerLimits.java
@@ -93,15 +93,18 @@
 
   private void apply(BackendServer server, NamedLimit limit) {
     if (limit.perSecond().isEmpty()) {
-      server.load().removeRateLimit();
+      server.load().admission().removeRateLimit();
       return;
     }
     double perSecond = limit.perSecond().getAsDouble();
-    Optional<SharedRateLimit> share = server.load().rateLimit();
+    Optional<SharedRateLimit> share = server.load().admission().rateLimit();
     if (share.isPresent()) {
       share.get().update(perSecond, instances, rank, System.nanoTime());
     } else {
-      server.load().limitRate(new SharedRateLimit(perSecond, instances, rank, limit.sinceNanos()));
+      server
+          .load()
+          .admission()
+          .limitRate(new SharedRateLimit(perSecond, instances, rank, limit.sinceNanos()));
     }
   }
 
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerNoticeListener.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerNoticeListener.java
@@ -7,7 +7,8 @@
 interface ServerNoticeListener {
 
   /**
-   * Called for the head of each answer, before the listener of the request.
+   * Called for the head of each final answer, before the listener of the request. For interim
+   * answers and those to other requests, it is called only if the server announces something.
    *
    * @param requestId id of the request that the server answers
    */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -47,6 +47,9 @@
   private final EventSink events;
   private final CrashMonitor crashMonitor;
   private final ServerLimits limits;
+  private final ServerPauses pauses;
+  private Runnable admissionListener = () -> {};
+  private boolean admissionChangeScheduled;
   private Runnable departureListener = () -> {};
   private Consumer<BackendServer> engineWorkListener = server -> {};
   private final PeerWorkTable peerWork;
@@ -73,6 +76,7 @@
     this.codec = codec;
     this.events = events;
     this.limits = new ServerLimits(events);
+    this.pauses = new ServerPauses(events);
     this.crashMonitor = new CrashMonitor(eventLoop, events);
   }
 
@@ -144,6 +148,7 @@
         entry.id(),
         entry.incarnation(),
         entry.version());
+    pauses.restore(server);
     if (entry.leaving() || hasDeparted(entry)) {
       startDeparture(server);
     }
@@ -195,7 +200,11 @@
   private void onNotice(ServerEntry entry, String requestId, ServerNotice notice) {
     BackendServer known = byId.get(entry.id());
     boolean replaced = known != null && known.entry().incarnation() != entry.incarnation();
-    if (!notice.leaving() || replaced || toldDeparture(entry)) {
+    if (replaced) {
+      return;
+    }
+    applyPause(entry, Optional.ofNullable(known), requestId, notice);
+    if (!notice.leaving() || toldDeparture(entry)) {
       return;
     }
     leavingNotices.inc();
@@ -209,6 +218,41 @@
     markLeaving(entry.id(), entry.incarnation(), "its answer");
   }
 
+  private void applyPause(
+      ServerEntry entry, Optional<BackendServer> listed, String requestId, ServerNotice notice) {
+    boolean changed =
+        notice.pause().isPresent()
+            ? pauses.record(entry, listed, requestId, notice.pause().get())
+            : listed
+                .filter(server -> server.load().admission().pause().recordAnswer(System.nanoTime()))
+                .isPresent();
+    if (changed) {
+      scheduleAdmissionChange();
+    }
+  }
+
+  /** Calls the listener after the present change of the table, which may be one of several. */
+  private void scheduleAdmissionChange() {
+    if (!admissionChangeScheduled) {
+      admissionChangeScheduled = true;
+      eventLoop.execute(
+          () -> {
+            admissionChangeScheduled = false;
+            admissionListener.run();
+          });
+    }
+  }
+
+  /** Sets the listener that is called after a server began or ceased to take new requests. */
+  public void onAdmissionChange(Runnable listener) {
+    admissionListener = listener;
+  }
+
+  /** Pauses that servers asked for. */
+  public ServerPauses pauses() {
+    return pauses;
+  }
+
   /** Counts the starts of servers that said in an answer that they leave. */
   public Counter leavingNotices() {
     return leavingNotices;
@@ -224,6 +268,7 @@
         entry.id(), new Departure(entry.incarnation(), System.nanoTime(), toldDeparture(entry)));
     revision++;
     departureListener.run();
+    scheduleAdmissionChange();
     server.startDeparture();
   }
 
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/BufferedExchange.java
@@ -91,7 +91,7 @@
   public void onComplete() {
     BackendServer responder = server;
     if (response.notExecuted() || response.status() == 421) {
-      responder.load().health().recordFailure(System.nanoTime());
+      responder.recordFailedAnswer(response);
       onRefusedByServer("server " + responder.entry().id() + " refused: " + response.status());
       return;
     }
@@ -100,7 +100,7 @@
       return;
     }
     if (response.status() >= 500) {
-      responder.load().health().recordFailure(System.nanoTime());
+      responder.recordFailedAnswer(response);
       if (tryAcquireRetry()) {
         retry("status " + response.status());
         return;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -41,8 +41,6 @@
   /** Queue timeout as a fraction of the target latency; the request is rejected afterwards. */
   private static final double QUEUE_TIMEOUT_RATIO = 0.8;
 
-  private static final String NOT_PROVEN = "key cannot be proven valid";
-
   final ForwardingContext context;
   final CallerRequest request;
   final ForwardingRoute route;
@@ -87,7 +85,8 @@
     }
     dispatcher.retryBudget().recordRequest(timers.arrivalNanos());
     timers.startQueueTimeout(
-        Math.round(QUEUE_TIMEOUT_RATIO * route.targetLatency().toNanos()), this::onQueueTimeout);
+        Math.round(QUEUE_TIMEOUT_RATIO * route.targetLatency().toNanos()),
+        () -> onHopeless("no room at any backend server"));
     place();
   }
 
@@ -158,6 +157,13 @@
     reject(Step.ADMIT, reason);
   }
 
+  @Override
+  public final void onHopeless(String reason) {
+    if (queueEntry.isPresent() && !responseStarted()) {
+      reject(Step.ADMIT, reason);
+    }
+  }
+
   @Override
   public final long maxWaitNanos() {
     return timers.maxWaitNanos();
@@ -240,21 +246,24 @@
         rejectIfQuarantined();
         break;
       case SERVER_LEAVING:
-        onNotExecuted(Step.SEND, "backend server is leaving");
+      case SERVER_PAUSED:
+        triedServerIds.remove(serverId());
+        retry("backend server takes no requests any more: " + result);
         break;
       default:
-        failWithoutRetry(Step.AUTHENTICATE, result);
+        failWithoutRetry(result);
         break;
     }
   }
 
   /** Ends a request whose key is not accepted any more; an earlier attempt may have executed it. */
-  private void failWithoutRetry(Step step, SendCheck.Result result) {
-    String reason = result == SendCheck.Result.KEY_WITHDRAWN ? "key was withdrawn" : NOT_PROVEN;
-    if (result == SendCheck.Result.KEY_WITHDRAWN && !mayHaveBeenExecuted()) {
-      sendLocalReply(401, new DefaultHttpHeaders(), step, reason);
+  private void failWithoutRetry(SendCheck.Result result) {
+    boolean withdrawn = result == SendCheck.Result.KEY_WITHDRAWN;
+    String reason = withdrawn ? "key was withdrawn" : "key cannot be proven valid";
+    if (withdrawn && !mayHaveBeenExecuted()) {
+      sendLocalReply(401, new DefaultHttpHeaders(), Step.AUTHENTICATE, reason);
     } else {
-      reject(step, reason);
+      reject(Step.AUTHENTICATE, reason);
     }
   }
 
@@ -361,12 +370,6 @@
     placeOrQueue();
   }
 
-  private void onQueueTimeout() {
-    if (!finished && queueEntry.isPresent()) {
-      reject(Step.ADMIT, "no room at any backend server");
-    }
-  }
-
   private void onDeadline() {
     if (finished) {
       return;
@@ -413,7 +416,7 @@
    * have executed, since a rejection states that none has.
    */
   final void reject(Step step, String reason) {
-    reject(step, reason, retryAfterSeconds());
+    reject(step, reason, dispatcher.retryAfterSeconds(route.targetLatency(), context.random()));
   }
 
   private void reject(Step step, String reason, double retryAfterSeconds) {
@@ -442,11 +445,6 @@
     return attempts.sent() > attempts.failed();
   }
 
-  private double retryAfterSeconds() {
-    double base = route.targetLatency().toMillis() / 1_000.0;
-    return base * (0.5 + context.random().nextDouble());
-  }
-
   /** Ends the exchange with a response that the gateway generates itself. */
   final void sendLocalReply(int status, HttpHeaders headers, Step step, String reason) {
     recorder.localReply(status, step, reason);
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
@@ -93,6 +93,7 @@
     this.servers = servers;
     this.events = events;
     this.random = random;
+    servers.onAdmissionChange(this::onAdmissionChange);
     this.streamVersions =
         new StreamVersions(
             servers.eventLoop(), firstStart, this::instanceCount, this::proofAgeMillis);
@@ -313,6 +314,11 @@
     List.copyOf(dispatchers.values()).forEach(ServiceDispatcher::placeQueued);
   }
 
+  private void onAdmissionChange() {
+    List.copyOf(dispatchers.values()).forEach(ServiceDispatcher::rejectHopeless);
+    placeAllQueued();
+  }
+
   /** Number of queued requests of all services. */
   public int queueLength() {
     return dispatchers.values().stream().mapToInt(ServiceDispatcher::queueLength).sum();
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/PlacementRequest.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/PlacementRequest.java
@@ -31,6 +31,9 @@
   /** Time for which the request can still wait, in nanoseconds. */
   long maxWaitNanos();
 
+  /** Called while the request is queued and no server takes it while it can wait. */
+  void onHopeless(String reason);
+
   /** Called when the request was not queued, or was evicted from the queue. */
   void onNotQueued(String reason);
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
@@ -1,14 +1,19 @@
 package org.basilport.gateway.forward;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 import org.basilport.gateway.backend.BackendServer;
 import org.basilport.gateway.backend.ServerTable;
 import org.basilport.policy.dispatch.PendingRequestQueue;
 import org.basilport.policy.dispatch.RequestDemand;
+import org.basilport.policy.dispatch.ServerAdmission.State;
 import org.basilport.policy.dispatch.ServerLoad;
 import org.basilport.policy.dispatch.ServerSelector;
 import org.basilport.policy.dispatch.WindowedRetryBudget;
@@ -24,6 +29,8 @@
   /** Number of failed placements after which the rest of the queue is not tried. */
   private static final int MAX_FAILED_PLACEMENTS = 4;
 
+  private static final String NONE_ACCEPTS = "all backend servers limit their requests or pause";
+
   private static final String QUEUE_FULL = "waiting line is full";
 
   private final String service;
@@ -95,9 +102,8 @@
     if (queue.size() == 0 && place(request)) {
       return;
     }
-    long nanosToPermit = nanosToPermit(request);
-    if (nanosToPermit > 0 && nanosToPermit > request.maxWaitNanos()) {
-      request.onNotQueued("all backend servers limit their requests");
+    if (cannotBeServed(request)) {
+      request.onNotQueued(NONE_ACCEPTS);
       return;
     }
     Optional<PendingRequestQueue.Entry<PlacementRequest>> entry =
@@ -112,20 +118,51 @@
     schedulePermit(request);
   }
 
-  /** Time until the limit of some server permits the request; 0 if a server has no limit. */
-  private long nanosToPermit(PlacementRequest request) {
+  /** Rejects the queued requests that no server takes while they can wait. */
+  void rejectHopeless() {
+    for (PlacementRequest request : queue.requests()) {
+      if (cannotBeServed(request)) {
+        request.onHopeless(NONE_ACCEPTS);
+      } else if (!hasServers()) {
+        request.onHopeless("no backend server");
+      }
+    }
+    queue.requests().stream().findFirst().ifPresent(this::schedulePermit);
+  }
+
+  /**
+   * Whether no server takes the request while it can wait. The pause of a server counts also if the
+   * server has refused the request, since the request may not be sent there before its end.
+   */
+  private boolean cannotBeServed(PlacementRequest request) {
+    boolean accepted = hasServerFor(request);
+    long nanosToAccept = nanosToAccept(server -> !accepted || request.accepts(server));
+    return nanosToAccept > 0 && nanosToAccept > request.maxWaitNanos();
+  }
+
+  /**
+   * Delay for the caller of a rejected request, in seconds: some server takes requests by then, and
+   * callers do not return at once.
+   */
+  double retryAfterSeconds(Duration targetLatency, SplittableRandom random) {
+    double untilAccepted = (double) nanosToAccept(server -> true) / TimeUnit.SECONDS.toNanos(1);
+    double base = targetLatency.toMillis() / 1_000.0;
+    return untilAccepted + base * (0.5 + random.nextDouble());
+  }
+
+  private long nanosToAccept(Predicate<BackendServer> filter) {
     long now = System.nanoTime();
     return servers.servers(service).stream()
-        .filter(server -> !server.load().leaving() && request.accepts(server))
-        .map(BackendServer::load)
-        .mapToLong(load -> load.nanosToPermit(now))
+        .filter(filter)
+        .map(server -> server.load().admission().nanosToAccept(now))
+        .flatMapToLong(OptionalLong::stream)
         .min()
         .orElse(0);
   }
 
   /** Places queued requests again as soon as a limit permits one. */
   private void schedulePermit(PlacementRequest request) {
-    long delayNanos = nanosToPermit(request);
+    long delayNanos = nanosToAccept(request::accepts);
     if (delayNanos > 0 && queue.size() > 0 && !permitScheduled) {
       permitScheduled = true;
       servers.runLater(
@@ -180,8 +217,12 @@
    */
   private List<BackendServer> usableServers(PlacementRequest request) {
     List<BackendServer> all = servers.servers(service);
+    long now = System.nanoTime();
     List<BackendServer> own =
-        all.stream().filter(serverFilter).filter(server -> !server.load().leaving()).toList();
+        all.stream()
+            .filter(serverFilter)
+            .filter(server -> server.load().admission().state(now).compareTo(State.PAUSED) < 0)
+            .toList();
     boolean usable =
         request.requiredVersion().isEmpty()
             ? !own.isEmpty()
@@ -214,14 +255,13 @@
     List<ServerLoad> candidates = new ArrayList<>();
     List<ServerLoad> suspended = new ArrayList<>();
     for (BackendServer server : serviceServers) {
-      if (server.load().leaving()
+      State state = server.load().admission().state(now);
+      if (state.compareTo(State.SUSPENDED) > 0
           || !request.accepts(server)
-          || !server.hasConnection(instances)
-          || !server.load().permitsRequest(now)) {
+          || !server.hasConnection(instances)) {
         continue;
       }
-      boolean isSuspended = server.load().health().suspended(now);
-      (isSuspended ? suspended : candidates).add(server.load());
+      (state == State.SUSPENDED ? suspended : candidates).add(server.load());
     }
     // If more than half of the servers are suspended, the cause is probably the network or the
     // requests.
@@ -229,7 +269,7 @@
       candidates.addAll(suspended);
     }
     Optional<ServerLoad> chosen = placementSelector.select(candidates, demand, now);
-    chosen.flatMap(ServerLoad::rateLimit).ifPresent(limit -> limit.tryAcquire(now));
+    chosen.map(ServerLoad::admission).ifPresent(admission -> admission.recordPlaced(now));
     return chosen.flatMap(load -> servers.server(load.id()));
   }
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -273,7 +273,7 @@
 
   private void onErrorResponse() {
     BackendServer responder = server;
-    responder.load().health().recordFailure(System.nanoTime());
+    responder.recordFailedAnswer(response);
     String reason = "server " + responder.entry().id() + " answered " + response.status();
     if (responseStarted) {
       failStream(Step.STREAM, reason);
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -164,6 +164,7 @@
   private void onMembersUpdated() {
     state.setInstanceCount(members.size());
     state.servers().limits().setFleetPosition(members.size(), members.rank());
+    state.servers().pauses().setRank(members.rank());
     instancesKnown = true;
     updateCells();
   }
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
@@ -160,6 +160,21 @@
     return server;
   }
 
+  /** Entry of the next start of a server under the same id and address. */
+  static ServerEntry restarted(ServerEntry entry) {
+    return new ServerEntry(
+        entry.id(),
+        entry.incarnation() + 1,
+        entry.service(),
+        entry.version(),
+        entry.host(),
+        entry.port(),
+        entry.dataCentre(),
+        entry.slots(),
+        false,
+        entry.warmUpRemaining());
+  }
+
   /** Memory of the response bodies that the gateway keeps, in bytes. */
   long bufferedBytes() {
     return (Long) metrics.gauge("forward.buffered_bytes", () -> () -> 0L).getValue();
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayLeavingServersTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayLeavingServersTest.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.basilport.gateway.backend.ServerEntry;
 import org.basilport.gateway.peer.InstanceEntry;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -145,20 +144,6 @@
       assertThat(read()).startsWith("HTTP/1.1 503");
       assertThat(server.requests()).hasSize(1);
     }
-
-    private ServerEntry restarted(ServerEntry entry) {
-      return new ServerEntry(
-          entry.id(),
-          entry.incarnation() + 1,
-          entry.service(),
-          entry.version(),
-          entry.host(),
-          entry.port(),
-          entry.dataCentre(),
-          entry.slots(),
-          false,
-          entry.warmUpRemaining());
-    }
   }
 
   @Nested
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayPausedServersTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayPausedServersTest.java
@@ -155,6 +155,96 @@
     assertThat(read()).startsWith("HTTP/1.1 200");
   }
 
+  private ScriptedServer serveRefusing(String pause) throws IOException {
+    return serve(
+        "plain",
+        (request, out, socket) ->
+            ScriptedServer.sendResponse(
+                out, request, 503, "not-run: 1\r\npause: " + pause + "\r\n", "busy"));
+  }
+
+  /** Guards against forgetting a pause when the entry of the server is written again. */
+  @Test
+  void getNothingIfOnlyTheirEntryReturns() throws Exception {
+    configure(1, "k1");
+    ScriptedServer server = serveRefusing("30");
+    read();
+    gateway.updateServers(List.of(), "test");
+    gateway.updateServers(entries, "test");
+
+    assertThat(read()).startsWith("HTTP/1.1 503");
+    assertThat(server.requests()).hasSize(1);
+  }
+
+  /** Guards against a server that no request reaches again after a value that is too large. */
+  @Test
+  void areUsedAtOnceByAnotherStartUnderTheSameId() throws Exception {
+    configure(1, "k1");
+    ScriptedServer server = serveRefusing("1e9");
+    read();
+    assertThat(read()).startsWith("HTTP/1.1 503");
+    assertThat(server.requests()).hasSize(1);
+    gateway.updateServers(List.of(restarted(entries.get(0))), "test");
+    read();
+
+    assertThat(server.requests()).hasSize(2);
+  }
+
+  /** Guards against queued requests that wait although the pause outlasts them. */
+  @Test
+  void rejectQueuedRequestsAtOnce() throws Exception {
+    configure(1, "k1");
+    AtomicInteger answers = new AtomicInteger();
+    serve(
+        "plain",
+        (request, out, socket) -> {
+          boolean first = answers.incrementAndGet() == 1;
+          TimeUnit.MILLISECONDS.sleep(first ? SERVICE_MILLIS : 10 * SERVICE_MILLIS);
+          ScriptedServer.sendResponse(
+              out, request, first ? 503 : 200, first ? "not-run: 1\r\npause: 30\r\n" : "", "ok");
+        });
+    ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
+    List<Future<String>> responses = new ArrayList<>();
+    for (int i = 0; i < CALLERS; i++) {
+      responses.add(callers.submit(this::read));
+    }
+    int rejected = 0;
+    for (Future<String> response : responses) {
+      rejected += response.get(5, TimeUnit.SECONDS).contains("or pause") ? 1 : 0;
+    }
+    callers.shutdown();
+
+    // The server has room for nine requests at a time, of which it refuses one.
+    assertThat(answers.get()).isEqualTo(9);
+    assertThat(rejected).isEqualTo(CALLERS - 8);
+  }
+
+  /** Guards against requests to a paused engine, which another selector chooses. */
+  @Test
+  void getNoStreams() throws Exception {
+    configure(1, "k1");
+    ScriptedServer pausing =
+        serve(
+            "model",
+            (request, out, socket) ->
+                ScriptedServer.sendResponse(
+                    out, request, 503, "not-run: 1\r\npause: 30\r\n", "busy"));
+    callAs("s1", "POST", "/stream/x", "key: k1\r\ntokens: 100\r\n");
+    serve(
+        "model",
+        (request, out, socket) -> {
+          ScriptedServer.startStream(out, request);
+          ScriptedServer.writeEvents(out, 1, 2);
+          ScriptedServer.endStream(out);
+        });
+    for (int i = 0; i < CALLERS; i++) {
+      assertThat(callAs("t" + i, "POST", "/stream/x", "key: k1\r\ntokens: 100\r\n"))
+          .contains("data: t2");
+    }
+
+    assertThat(pausing.requests()).hasSize(1);
+  }
+
   /** Guards against an instance that does not serve after a restart in the middle of a pause. */
   @Test
   void areAskedAgainByAnInstanceThatRestarted() throws Exception {
--- a/basilport-gateway/src/test/java/org/basilport/gateway/TestCodec.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/TestCodec.java
@@ -81,7 +81,10 @@
             : OptionalDouble.empty(),
         headers.contains("connection"),
         OptionalInt.of(30),
-        new ServerNotice(headers.contains("leaves")));
+        new ServerNotice(
+            headers.contains("leaves"),
+            Optional.ofNullable(headers.get("pause"))
+                .map(seconds -> Duration.ofNanos(Math.round(Double.parseDouble(seconds) * 1e9)))));
   }
 
   @Override
--- a/basilport-gateway/src/test/java/org/basilport/gateway/backend/BackendConnectionTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/backend/BackendConnectionTest.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import org.basilport.gateway.TestCodec;
 import org.basilport.gateway.message.ServerResponse;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -45,6 +46,11 @@
     connection.send(request(), "r1", recorder);
   }
 
+  @AfterEach
+  void releaseBuffers() {
+    channel.finishAndReleaseAll();
+  }
+
   private static FullHttpRequest request() {
     return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/a/");
   }
--- a/basilport-gateway/src/test/java/org/basilport/gateway/forward/ForwardingStateTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/forward/ForwardingStateTest.java
@@ -160,6 +160,11 @@
       return Long.MAX_VALUE;
     }
 
+    @Override
+    public void onHopeless(String reason) {
+      onNotQueued(reason);
+    }
+
     @Override
     public void onNotQueued(String reason) {
       throw new AssertionError("the queue is empty");
--- a/basilport-gateway/src/test/java/org/basilport/gateway/peer/LimitReportsTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/peer/LimitReportsTest.java
@@ -81,7 +81,7 @@
     }
 
     assertThat(limit(first)).isEqualTo(told);
-    assertThat(server(second).load().rateLimit().isPresent()).isTrue();
+    assertThat(server(second).load().admission().rateLimit().isPresent()).isTrue();
   }
 
   /** Guards against an ended limit that lives on where its end was told too early. */
@@ -96,7 +96,7 @@
     second.limits().record(server(second), OptionalDouble.empty());
     tell(second, first);
 
-    assertThat(server(first).load().rateLimit().isPresent()).isFalse();
+    assertThat(server(first).load().admission().rateLimit().isPresent()).isFalse();
   }
 
   /** Guards against a limit that was reported before a pause and is taken for new after it. */
@@ -106,6 +106,6 @@
     delayed = true;
     tell(first, second);
 
-    assertThat(server(second).load().rateLimit().isPresent()).isFalse();
+    assertThat(server(second).load().admission().rateLimit().isPresent()).isFalse();
   }
 }
--- a/basilport-gateway/src/test/java/org/basilport/gateway/peer/LoadExchangeTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/peer/LoadExchangeTest.java
@@ -267,7 +267,16 @@
 
     boolean limited() throws Exception {
       return eventLoop
-          .submit(() -> state.servers().server(engine).orElseThrow().load().rateLimit().isPresent())
+          .submit(
+              () ->
+                  state
+                      .servers()
+                      .server(engine)
+                      .orElseThrow()
+                      .load()
+                      .admission()
+                      .rateLimit()
+                      .isPresent())
           .get(5, TimeUnit.SECONDS);
     }
 
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/PendingRequestQueue.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/PendingRequestQueue.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
@@ -79,6 +80,11 @@
     }
   }
 
+  /** The queued requests, in order. */
+  public List<T> requests() {
+    return entries.stream().map(Entry::request).toList();
+  }
+
   /** Number of queued requests. */
   public int size() {
     return entries.size();
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/SendCheck.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/SendCheck.java
@@ -27,7 +27,9 @@
     /** The request, or a part of its prompt, crashes servers. */
     QUARANTINED,
     /** The chosen server is leaving. */
-    SERVER_LEAVING
+    SERVER_LEAVING,
+    /** The chosen server has asked for a pause since it was chosen. */
+    SERVER_PAUSED
   }
 
   /**
@@ -42,6 +44,7 @@
    * @param maxProofAgeMillis age above which a proof is not sufficient
    * @param quarantined whether the request or a part of its prompt is quarantined
    * @param serverLeaving whether the server is leaving and does not hold a copy of the generation
+   * @param serverPaused whether the server wants no requests now and does not hold such a copy
    */
   public record Conditions(
       boolean callerConnected,
@@ -51,7 +54,8 @@
       long proofAgeMillis,
       long maxProofAgeMillis,
       boolean quarantined,
-      boolean serverLeaving) {}
+      boolean serverLeaving,
+      boolean serverPaused) {}
 
   /** Checks the conditions; the first one that is not met determines the result. */
   public static Result check(Conditions conditions) {
@@ -70,6 +74,9 @@
     if (conditions.quarantined) {
       return Result.QUARANTINED;
     }
-    return conditions.serverLeaving ? Result.SERVER_LEAVING : Result.PERMITTED;
+    if (conditions.serverLeaving) {
+      return Result.SERVER_LEAVING;
+    }
+    return conditions.serverPaused ? Result.SERVER_PAUSED : Result.PERMITTED;
   }
 }
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServerLoad.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServerLoad.java
@@ -1,7 +1,5 @@
 package org.basilport.policy.dispatch;
 
-import java.util.Optional;
-
 /**
  * Load, capacity and observed behaviour of one backend server, as seen by one instance.
  *
@@ -16,13 +14,11 @@
   private final String dataCentre;
   private final int slots;
   private final long memoryTokens;
-  private final ServerHealth health = new ServerHealth();
+  private final ServerAdmission admission = new ServerAdmission();
   private OutstandingWork ownWork = OutstandingWork.NONE;
   private OutstandingWork peerWork = OutstandingWork.NONE;
   private long precedingMemoryTokens;
   private Runnable changeListener = () -> {};
-  private boolean leaving;
-  private Optional<SharedRateLimit> rateLimit = Optional.empty();
   private long warmUpEndNanos = Long.MIN_VALUE;
   private double nanosPerPrefillToken = EarliestFirstTokenSelector.DEFAULT_PREFILL_NANOS_PER_TOKEN;
 
@@ -59,9 +55,14 @@
     return memoryTokens;
   }
 
+  /** Decides whether the server takes new requests of this instance. */
+  public ServerAdmission admission() {
+    return admission;
+  }
+
   /** Passive health check of the server. */
   public ServerHealth health() {
-    return health;
+    return admission.health();
   }
 
   /** Outstanding work of this instance. */
@@ -108,37 +109,12 @@
 
   /** Whether the server is leaving and receives no new work. */
   public boolean leaving() {
-    return leaving;
+    return admission.leaving();
   }
 
   /** Marks the server as leaving; this cannot be undone. */
   public void markLeaving() {
-    leaving = true;
-  }
-
-  /** Share of this instance in the rate that the server accepts; empty if it names no limit. */
-  public Optional<SharedRateLimit> rateLimit() {
-    return rateLimit;
-  }
-
-  /** Sets the share of this instance in the rate that the server accepts. */
-  public void limitRate(SharedRateLimit limit) {
-    rateLimit = Optional.of(limit);
-  }
-
-  /** Removes the limit of a server that names none any more. */
-  public void removeRateLimit() {
-    rateLimit = Optional.empty();
-  }
-
-  /** Whether the limit that the server names permits a request now. */
-  public boolean permitsRequest(long nowNanos) {
-    return rateLimit.isEmpty() || rateLimit.get().available(nowNanos);
-  }
-
-  /** Time until the limit that the server names permits a request; 0 if it does now. */
-  public long nanosToPermit(long nowNanos) {
-    return rateLimit.map(limit -> limit.nanosToPermit(nowNanos)).orElse(0L);
+    admission.markLeaving();
   }
 
   /** Sets the end of the server's warm-up, in monotonic nanoseconds. */
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/SendDecisionsTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/SendDecisionsTest.java
@@ -19,7 +19,15 @@
         boolean connected, long remainingMillis, boolean keyKnown, long proofAge, boolean leaving) {
       return SendCheck.check(
           new Conditions(
-              connected, remainingMillis, true, keyKnown, proofAge, 4_600, false, leaving));
+              connected, remainingMillis, true, keyKnown, proofAge, 4_600, false, leaving, false));
+    }
+
+    /** Guards against a request that reaches a server which has asked for a pause meanwhile. */
+    @Test
+    void checksThePauseOfTheServer() {
+      assertThat(
+              SendCheck.check(new Conditions(true, 500, true, true, 0, 4_600, false, false, true)))
+          .isEqualTo(Result.SERVER_PAUSED);
     }
 
     /** Guards against sending a request on a permission that ran out while it waited. */
@@ -38,7 +46,7 @@
     @Test
     void continuesAStartedResponseWithoutAProof() {
       Conditions started =
-          new Conditions(true, 500, false, false, Long.MAX_VALUE, 4_600, false, false);
+          new Conditions(true, 500, false, false, Long.MAX_VALUE, 4_600, false, false, false);
       assertThat(SendCheck.check(started)).isEqualTo(Result.PERMITTED);
     }
   }
