--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
 import java.util.Optional;
@@ -40,6 +41,10 @@
   private final DepartureListener departureListener = new GenerationDepartureListener();
   private final GenerationMove move;
   private ServerResponse response;
+
+  /** Whether the end of the answer differs from the end of its connection. */
+  private boolean endsVisibly;
+
   private HttpHeaders headers;
   private boolean responseStarted;
   private final Optional<Long> streamKey;
@@ -78,6 +83,9 @@
     prefillTokensWhenSent = server.load().totalWork().pendingPrefillTokens();
     firstEventReceived = reservedWork().pendingPrefillTokens() == 0;
     observeDeparture();
+    if (server.load().leaving()) {
+      onServerLeaving(GenerationMove.RETRY_DELAY_NANOS);
+    }
     if (eventGapTimer == null) {
       long maxGapNanos = maxEventGap.toNanos();
       eventGapTimer =
@@ -110,6 +118,12 @@
   public void onHead(ServerResponse serverResponse, HttpResponse httpResponse) {
     onAnswerStarted(serverResponse);
     response = serverResponse;
+    endsVisibly =
+        HttpUtil.isTransferEncodingChunked(httpResponse)
+            || HttpUtil.isContentLengthSet(httpResponse);
+    if (!refused()) {
+      move.onCopyUsed();
+    }
     if (headers == null || !responseStarted) {
       headers = context.codec().responseHeaders(httpResponse);
     }
@@ -205,6 +219,11 @@
     return response.successful() && response.signed() && !response.contentEncoded();
   }
 
+  /** Whether the server has said that it did not execute the request. */
+  private boolean refused() {
+    return response.notExecuted() || response.status() == 421;
+  }
+
   private void onFirstEvent() {
     firstEventReceived = true;
     if (firstEventMillis < 0) {
@@ -249,8 +268,8 @@
   @Override
   public void onComplete() {
     if (streaming()) {
-      if (move.stopping()) {
-        move.onSourceStreamEnded();
+      if (move.stopping() && !endsVisibly) {
+        move.onSourceStreamEnded(!reader.hasPartialEvent());
       } else if (reader.hasPartialEvent() || reader.eventCount() == 0) {
         onFailure("stream ended within an event");
       } else {
@@ -261,7 +280,8 @@
     onErrorResponse();
   }
 
-  private void finishStream() {
+  /** Delivers a stream that its server has ended. */
+  void finishStream() {
     crashGuard.onAnswered();
     streamKey.ifPresent(key -> context.state().streamVersions().complete(key));
     server.load().health().recordSuccess();
@@ -275,9 +295,12 @@
     BackendServer responder = server;
     responder.recordFailedAnswer(response);
     String reason = "server " + responder.entry().id() + " answered " + response.status();
+    if (refused() && move.resumeAtSource(responder, reason)) {
+      return;
+    }
     if (responseStarted) {
       failStream(Step.STREAM, reason);
-    } else if (response.notExecuted() || response.status() == 421) {
+    } else if (refused()) {
       onRefusedByServer(reason);
     } else if (response.successful()) {
       onFailure("answer is not the server's own");
@@ -293,10 +316,11 @@
   @Override
   public void onFailure(String reason) {
     if (move.stopping()) {
-      move.onSourceStreamEnded();
+      move.onSourceStreamEnded(false);
       return;
     }
     move.reset();
+    move.onCopyUsed();
     recordConnectionLoss();
     server.load().health().recordFailure(System.nanoTime());
     reader.dropPartialEvent();
@@ -328,6 +352,13 @@
     sendLocalReply(502, new DefaultHttpHeaders(), step, reason);
   }
 
+  @Override
+  void onConnectFailed(String reason) {
+    if (!move.resumeAtSource(server, reason)) {
+      onNotExecuted(Step.CONNECT, reason);
+    }
+  }
+
   /** Resumes the stream at a server whose load already includes it. */
   void resumeAt(BackendServer target, OutstandingWork work, KvCacheReference kvCache) {
     reader.dropPartialEvent();
