Replace a move's target that leaves or pauses before the last copy

What callers saw: streams that moved to an engine that had begun to leave, and ended with it. Cause: the target was chosen before the first copy and not checked again. Evidence: GatewayMovedStreamsTest.TargetsThatLeave failed: the target got the request after its departure was known. Change: the move checks the target when its connection is open, before the generation stops, and takes another one. Result: the test passes.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
@@ -199,6 +199,11 @@
                 opened.release();
                 return;
               }
+              if (connecting.load().admission().refusesAll(System.nanoTime())) {
+                opened.release();
+                rejectTarget(Step.CONNECT, "target takes no requests any more");
+                return;
+              }
               targetConnection = Optional.of(opened);
               state = State.STOPPING;
               stopNanos = System.nanoTime();
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
@@ -162,16 +162,25 @@
 
   /** Entry of the next start of a server under the same id and address. */
   static ServerEntry restarted(ServerEntry entry) {
+    return changed(entry, entry.incarnation() + 1, false);
+  }
+
+  /** Entry of a server that has begun to leave. */
+  static ServerEntry leaving(ServerEntry entry) {
+    return changed(entry, entry.incarnation(), true);
+  }
+
+  private static ServerEntry changed(ServerEntry entry, long incarnation, boolean leaving) {
     return new ServerEntry(
         entry.id(),
-        entry.incarnation() + 1,
+        incarnation,
         entry.service(),
         entry.version(),
         entry.host(),
         entry.port(),
         entry.dataCentre(),
         entry.slots(),
-        false,
+        leaving,
         entry.warmUpRemaining());
   }
 
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayLeavingServersTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayLeavingServersTest.java
@@ -249,6 +249,14 @@
           });
     }
 
+    /** Waits until a server runs requests; the first one of a process takes long. */
+    private void awaitRequests(ScriptedServer server, int count) throws InterruptedException {
+      while (server.requests().size() < count) {
+        Thread.sleep(5);
+      }
+      Thread.sleep(100);
+    }
+
     /** Guards against streams that stay at an engine until it ends. */
     @Test
     void moveWhenTheHeadOfAnyTellsOfTheDeparture() throws Exception {
@@ -275,9 +283,9 @@
           };
       ScriptedServer leaving = serve("model", engine);
       CompletableFuture<String> first = stream("r1");
-      Thread.sleep(200);
+      awaitRequests(leaving, 1);
       CompletableFuture<String> second = stream("r2");
-      Thread.sleep(200);
+      awaitRequests(leaving, 2);
       ScriptedServer target = serve("model", engine);
 
       assertThat(first.get(10, TimeUnit.SECONDS)).contains("data: t5");
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayMovedStreamsTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayMovedStreamsTest.java
@@ -5,12 +5,15 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import org.basilport.gateway.backend.ServerEntry;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -93,6 +96,29 @@
     assertThat(response).endsWith("0\r\n\r\n");
   }
 
+  @Nested
+  class TargetsThatLeave {
+    private final AtomicReference<ScriptedServer> leaving = new AtomicReference<>();
+
+    /** Reports the first target as leaving while it receives the first copy. */
+    private void leave(ScriptedServer target, boolean finalCopy) {
+      if (!finalCopy && leaving.compareAndSet(null, target)) {
+        List<ServerEntry> listed = new ArrayList<>(entries.subList(1, 3));
+        listed.replaceAll(entry -> entry.port() == target.port() ? leaving(entry) : entry);
+        gateway.updateServers(listed, "test");
+      }
+    }
+
+    /** Guards against a move to an engine that leaves, or wants no requests, since its choice. */
+    @Test
+    void areReplacedBeforeTheGenerationStops() throws Exception {
+      String response = streamFromALeavingEngine("/stream/x", this::leave);
+
+      assertComplete(response);
+      assertThat(leaving.get().requests()).isEmpty();
+    }
+  }
+
   @Nested
   class StreamsThatAreNotResumable {
     /** Guards against a second run of a generation that has stopped for its move. */
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServerAdmission.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServerAdmission.java
@@ -53,6 +53,11 @@
     return OptionalLong.of(Math.max(pause.nanosToEnd(nowNanos), toPermit));
   }
 
+  /** Whether the server takes no request, also none that is placed already: it leaves or pauses. */
+  public boolean refusesAll(long nowNanos) {
+    return leaving || pause.nanosToEnd(nowNanos) > 0;
+  }
+
   /** Records that a request is placed at the server, which uses a permit of its limit. */
   public void recordPlaced(long nowNanos) {
     rateLimit.ifPresent(limit -> limit.tryAcquire(nowNanos));
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/ServerAdmissionTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/ServerAdmissionTest.java
@@ -83,6 +83,18 @@
       assertThat(admission.nanosToAccept(0).isPresent()).isFalse();
     }
 
+    /** Guards against taking a limit, or the first request after a pause, for a refusal of all. */
+    @Test
+    void refuseWhatIsPlacedOnlyIfTheServerPausesOrLeaves() {
+      admission.limitRate(new SharedRateLimit(0.25, 1, 0, 0));
+      admission.pause().pauseUntil(SECOND, 0);
+      assertThat(admission.refusesAll(0)).isTrue();
+      admission.recordPlaced(SECOND);
+      assertThat(admission.refusesAll(SECOND)).isFalse();
+      admission.markLeaving();
+      assertThat(admission.refusesAll(SECOND)).isTrue();
+    }
+
     /** Guards against a request at the end of a pause that the named limit does not permit. */
     @Test
     void lastAsLongAsTheLastOfThem() {
