Place queued requests only when a pause of this instance has ended

What callers saw: nothing yet; queued generations of all instances would have gone to a new engine at once when any server left. Cause: the notice of a departure also placed the line, and on the event loop's next turn. Evidence: ForwardingStateTest.delaysGenerationsWhenAnEngineIsAdded failed with ConcurrentModificationException. Change: a departure or pause only rejects what no server takes any more, at the end of the change; the answer to the first request after a pause places the line. Result: the test passes, and 77 others of the gateway.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -48,8 +48,9 @@
   private final CrashMonitor crashMonitor;
   private final ServerLimits limits;
   private final ServerPauses pauses;
-  private Runnable admissionListener = () -> {};
-  private boolean admissionChangeScheduled;
+  private Runnable refusalListener = () -> {};
+  private Runnable pauseEndListener = () -> {};
+  private boolean refusalsBegan;
   private Runnable departureListener = () -> {};
   private Consumer<BackendServer> engineWorkListener = server -> {};
   private final PeerWorkTable peerWork;
@@ -111,6 +112,7 @@
         remove(server, "no longer listed by " + source);
       }
     }
+    reportRefusals();
   }
 
   private static boolean isSameIncarnation(ServerEntry known, ServerEntry listed) {
@@ -193,6 +195,7 @@
     if (server != null && server.entry().incarnation() == incarnation && !server.load().leaving()) {
       events.record(EventType.BACKEND_LEAVING, EventSubject.server(id), id, source);
       startDeparture(server);
+      reportRefusals();
     }
   }
 
@@ -204,6 +207,7 @@
       return;
     }
     applyPause(entry, Optional.ofNullable(known), requestId, notice);
+    reportRefusals();
     if (!notice.leaving() || toldDeparture(entry)) {
       return;
     }
@@ -220,32 +224,33 @@
 
   private void applyPause(
       ServerEntry entry, Optional<BackendServer> listed, String requestId, ServerNotice notice) {
-    boolean changed =
-        notice.pause().isPresent()
-            ? pauses.record(entry, listed, requestId, notice.pause().get())
-            : listed
-                .filter(server -> server.load().admission().pause().recordAnswer(System.nanoTime()))
-                .isPresent();
-    if (changed) {
-      scheduleAdmissionChange();
+    if (notice.pause().isPresent()) {
+      refusalsBegan |= pauses.record(entry, listed, requestId, notice.pause().get());
+    } else if (listed
+        .filter(server -> server.load().admission().pause().recordAnswer(System.nanoTime()))
+        .isPresent()) {
+      pauseEndListener.run();
     }
   }
 
-  /** Calls the listener after the present change of the table, which may be one of several. */
-  private void scheduleAdmissionChange() {
-    if (!admissionChangeScheduled) {
-      admissionChangeScheduled = true;
-      eventLoop.execute(
-          () -> {
-            admissionChangeScheduled = false;
-            admissionListener.run();
-          });
+  /** Notifies the listener once after a change that may concern several servers. */
+  private void reportRefusals() {
+    if (refusalsBegan) {
+      refusalsBegan = false;
+      refusalListener.run();
     }
   }
 
-  /** Sets the listener that is called after a server began or ceased to take new requests. */
-  public void onAdmissionChange(Runnable listener) {
-    admissionListener = listener;
+  /** Sets the listener that is called after servers began to leave or to pause. */
+  public void onRefusals(Runnable listener) {
+    refusalListener = listener;
+  }
+
+  /**
+   * Sets the listener that is called when a server has answered the first request after a pause.
+   */
+  public void onPauseEnd(Runnable listener) {
+    pauseEndListener = listener;
   }
 
   /** Pauses that servers asked for. */
@@ -268,7 +273,7 @@
         entry.id(), new Departure(entry.incarnation(), System.nanoTime(), toldDeparture(entry)));
     revision++;
     departureListener.run();
-    scheduleAdmissionChange();
+    refusalsBegan = true;
     server.startDeparture();
   }
 
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
@@ -93,7 +93,8 @@
     this.servers = servers;
     this.events = events;
     this.random = random;
-    servers.onAdmissionChange(this::onAdmissionChange);
+    servers.onRefusals(this::rejectHopeless);
+    servers.onPauseEnd(this::placeAllQueued);
     this.streamVersions =
         new StreamVersions(
             servers.eventLoop(), firstStart, this::instanceCount, this::proofAgeMillis);
@@ -314,9 +315,9 @@
     List.copyOf(dispatchers.values()).forEach(ServiceDispatcher::placeQueued);
   }
 
-  private void onAdmissionChange() {
+  /** Rejects the queued requests that no server takes while they can wait. */
+  private void rejectHopeless() {
     List.copyOf(dispatchers.values()).forEach(ServiceDispatcher::rejectHopeless);
-    placeAllQueued();
   }
 
   /** Number of queued requests of all services. */
