--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.basilport.gateway.message.MessageCodec;
+import org.basilport.gateway.message.ServerNotice;
 import org.basilport.gateway.message.ServerResponse;
 
 /**
@@ -40,6 +41,9 @@
    */
   private static final long MAX_IDLE_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(8);
 
+  /** Status with which another server answers that has taken over the address. */
+  private static final int MISDIRECTED = 421;
+
   /** Interim responses to one request above which the server is considered faulty. */
   private static final int MAX_INTERIM_RESPONSES = 16;
 
@@ -51,6 +55,7 @@
 
   private final MessageCodec codec;
   private final Consumer<BackendConnection> onIdle;
+  private final ServerNoticeListener noticeListener;
   private Channel channel;
   private ResponseListener listener;
   private String requestId = "";
@@ -69,9 +74,11 @@
   private long idleTimeoutNanos = DEFAULT_IDLE_TIMEOUT_NANOS;
   private long idleSinceNanos;
 
-  BackendConnection(MessageCodec codec, Consumer<BackendConnection> onIdle) {
+  BackendConnection(
+      MessageCodec codec, Consumer<BackendConnection> onIdle, ServerNoticeListener noticeListener) {
     this.codec = codec;
     this.onIdle = onIdle;
+    this.noticeListener = noticeListener;
   }
 
   /** Handlers of the channel, in order. */
@@ -166,7 +173,15 @@
   }
 
   private void readHead(HttpResponse head) {
+    ServerResponse response = codec.decodeResponse(head);
+    Optional<String> echoed = response.requestId();
+    boolean announces = !response.notice().equals(ServerNotice.NONE);
     interimResponse = head.status().code() >= 100 && head.status().code() < 200;
+    discarding = !interimResponse && echoed.isPresent() && !echoed.get().equals(requestId);
+    // An answer to another request may be old: that it announces nothing means nothing.
+    if (response.status() != MISDIRECTED && (announces || !(interimResponse || discarding))) {
+      noticeListener.onNotice(echoed.orElse(requestId), response.notice());
+    }
     if (interimResponse) {
       interimResponses++;
       if (interimResponses > MAX_INTERIM_RESPONSES) {
@@ -174,9 +189,6 @@
       }
       return;
     }
-    ServerResponse response = codec.decodeResponse(head);
-    Optional<String> echoed = response.requestId();
-    discarding = echoed.isPresent() && !echoed.get().equals(requestId);
     if (discarding) {
       discardedResponses++;
       if (discardedResponses > MAX_DISCARDED_RESPONSES) {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -1,5 +1,6 @@
 package org.basilport.gateway.backend;
 
+import com.codahale.metrics.Counter;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -16,6 +17,7 @@
 import org.basilport.gateway.config.ForwardingConfiguration;
 import org.basilport.gateway.config.ForwardingService;
 import org.basilport.gateway.message.MessageCodec;
+import org.basilport.gateway.message.ServerNotice;
 import org.basilport.policy.dispatch.OutstandingWork;
 import org.basilport.policy.dispatch.PeerWorkTable;
 import org.basilport.policy.dispatch.ServerLoad;
@@ -34,16 +36,27 @@
    */
   private static final long DEPARTURE_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(30);
 
+  /**
+   * Retention of departures that the server itself told in an answer. The directory may list such a
+   * server for much longer, or again after an outage.
+   */
+  private static final long TOLD_DEPARTURE_RETENTION_NANOS = TimeUnit.MINUTES.toNanos(10);
+
   private final EventLoop eventLoop;
   private final MessageCodec codec;
   private final EventSink events;
   private final CrashMonitor crashMonitor;
   private final ServerLimits limits;
+  private final ServerPauses pauses;
+  private Runnable refusalListener = () -> {};
+  private Runnable pauseEndListener = () -> {};
+  private boolean refusalsBegan;
   private Runnable departureListener = () -> {};
   private Consumer<BackendServer> engineWorkListener = server -> {};
   private final PeerWorkTable peerWork;
   private final Map<String, BackendServer> byId = new HashMap<>();
   private final Map<String, Departure> departures = new HashMap<>();
+  private final Counter leavingNotices = new Counter();
   private final Map<String, List<BackendServer>> byService = new HashMap<>();
   private long revision;
 
@@ -64,6 +77,7 @@
     this.codec = codec;
     this.events = events;
     this.limits = new ServerLimits(events);
+    this.pauses = new ServerPauses(events);
     this.crashMonitor = new CrashMonitor(eventLoop, events);
   }
 
@@ -98,6 +112,7 @@
         remove(server, "no longer listed by " + source);
       }
     }
+    reportRefusals();
   }
 
   private static boolean isSameIncarnation(ServerEntry known, ServerEntry listed) {
@@ -112,7 +127,15 @@
     long memory = service.engine().map(engine -> engine.memoryTokens()).orElse(0L);
     ServerLoad load = new ServerLoad(entry.id(), entry.dataCentre(), slots, memory);
     BackendServer server =
-        new BackendServer(entry, service, load, new ConnectionPool(entry, eventLoop, codec));
+        new BackendServer(
+            entry,
+            service,
+            load,
+            new ConnectionPool(
+                entry,
+                eventLoop,
+                codec,
+                (requestId, notice) -> onNotice(entry, requestId, notice)));
     if (server.engine().isPresent()) {
       load.onChange(() -> engineWorkListener.accept(server));
     }
@@ -127,6 +150,7 @@
         entry.id(),
         entry.incarnation(),
         entry.version());
+    pauses.restore(server);
     if (entry.leaving() || hasDeparted(entry)) {
       startDeparture(server);
     }
@@ -171,14 +195,85 @@
     if (server != null && server.entry().incarnation() == incarnation && !server.load().leaving()) {
       events.record(EventType.BACKEND_LEAVING, EventSubject.server(id), id, source);
       startDeparture(server);
+      reportRefusals();
     }
   }
 
+  /** Applies what a start of a server says of itself; ignored if another start is listed. */
+  private void onNotice(ServerEntry entry, String requestId, ServerNotice notice) {
+    BackendServer known = byId.get(entry.id());
+    boolean replaced = known != null && known.entry().incarnation() != entry.incarnation();
+    if (replaced) {
+      return;
+    }
+    applyPause(entry, Optional.ofNullable(known), requestId, notice);
+    reportRefusals();
+    if (!notice.leaving() || toldDeparture(entry)) {
+      return;
+    }
+    leavingNotices.inc();
+    events.record(
+        EventType.BACKEND_TOLD_DEPARTURE,
+        EventSubject.request(requestId, "").withServer(entry.id()),
+        requestId,
+        entry.id(),
+        entry.incarnation());
+    departures.put(entry.id(), new Departure(entry.incarnation(), System.nanoTime(), true));
+    markLeaving(entry.id(), entry.incarnation(), "its answer");
+  }
+
+  private void applyPause(
+      ServerEntry entry, Optional<BackendServer> listed, String requestId, ServerNotice notice) {
+    if (notice.pause().isPresent()) {
+      refusalsBegan |= pauses.record(entry, listed, requestId, notice.pause().get());
+    } else if (listed
+        .filter(server -> server.load().admission().pause().recordAnswer(System.nanoTime()))
+        .isPresent()) {
+      pauseEndListener.run();
+    }
+  }
+
+  /** Notifies the listener once after a change that may concern several servers. */
+  private void reportRefusals() {
+    if (refusalsBegan) {
+      refusalsBegan = false;
+      refusalListener.run();
+    }
+  }
+
+  /** Sets the listener that is called after servers began to leave or to pause. */
+  public void onRefusals(Runnable listener) {
+    refusalListener = listener;
+  }
+
+  /**
+   * Sets the listener that is called when a server has answered the first request after a pause.
+   */
+  public void onPauseEnd(Runnable listener) {
+    pauseEndListener = listener;
+  }
+
+  /** Pauses that servers asked for. */
+  public ServerPauses pauses() {
+    return pauses;
+  }
+
+  /** Counts the starts of servers that said in an answer that they leave. */
+  public Counter leavingNotices() {
+    return leavingNotices;
+  }
+
+  private boolean toldDeparture(ServerEntry entry) {
+    return hasDeparted(entry) && departures.get(entry.id()).told();
+  }
+
   private void startDeparture(BackendServer server) {
+    ServerEntry entry = server.entry();
     departures.put(
-        server.entry().id(), new Departure(server.entry().incarnation(), System.nanoTime()));
+        entry.id(), new Departure(entry.incarnation(), System.nanoTime(), toldDeparture(entry)));
     revision++;
     departureListener.run();
+    refusalsBegan = true;
     server.startDeparture();
   }
 
@@ -187,7 +282,7 @@
     long now = System.nanoTime();
     departures
         .values()
-        .removeIf(departure -> now - departure.detectedNanos() > DEPARTURE_RETENTION_NANOS);
+        .removeIf(departure -> now - departure.detectedNanos() > departure.retentionNanos());
     Map<String, Long> recent = new HashMap<>();
     departures.forEach(
         (id, departure) -> {
@@ -203,8 +298,16 @@
     return departure != null && departure.incarnation() == entry.incarnation();
   }
 
-  /** Departure of one incarnation of a server. */
-  private record Departure(long incarnation, long detectedNanos) {}
+  /**
+   * Departure of one incarnation of a server.
+   *
+   * @param told whether the server itself told it in an answer to this instance
+   */
+  private record Departure(long incarnation, long detectedNanos, boolean told) {
+    long retentionNanos() {
+      return told ? TOLD_DEPARTURE_RETENTION_NANOS : DEPARTURE_RETENTION_NANOS;
+    }
+  }
 
   /** Event loop to which the servers are confined. */
   public EventLoop eventLoop() {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -85,7 +85,8 @@
     }
     dispatcher.retryBudget().recordRequest(timers.arrivalNanos());
     timers.startQueueTimeout(
-        Math.round(QUEUE_TIMEOUT_RATIO * route.targetLatency().toNanos()), this::onQueueTimeout);
+        Math.round(QUEUE_TIMEOUT_RATIO * route.targetLatency().toNanos()),
+        () -> onHopeless("no room at any backend server"));
     place();
   }
 
@@ -156,6 +157,13 @@
     reject(Step.ADMIT, reason);
   }
 
+  @Override
+  public final void onHopeless(String reason) {
+    if (queueEntry.isPresent() && !responseStarted()) {
+      reject(Step.ADMIT, reason);
+    }
+  }
+
   @Override
   public final long maxWaitNanos() {
     return timers.maxWaitNanos();
@@ -333,6 +341,12 @@
         && dispatcher.tryAcquireRetry();
   }
 
+  /** Places a request again that was not sent to the assigned server. */
+  final void placeAgain(String reason) {
+    triedServerIds.remove(serverId());
+    retry(reason);
+  }
+
   /** Releases the assigned server and places the request again. */
   final void retry(String reason) {
     recorder.retried(attempts.runs(), reason);
@@ -340,12 +354,6 @@
     placeOrQueue();
   }
 
-  private void onQueueTimeout() {
-    if (!finished && queueEntry.isPresent()) {
-      reject(Step.ADMIT, "no room at any backend server");
-    }
-  }
-
   final void onDeadline() {
     if (finished) {
       return;
@@ -392,7 +400,7 @@
    * have executed, since a rejection states that none has.
    */
   final void reject(Step step, String reason) {
-    reject(step, reason, retryAfterSeconds());
+    reject(step, reason, dispatcher.retryAfterSeconds(route.targetLatency(), context.random()));
   }
 
   private void reject(Step step, String reason, double retryAfterSeconds) {
@@ -426,11 +434,6 @@
     return attempts.permitsRun(route.repeatability().repeatable(), route.maxAttempts());
   }
 
-  private double retryAfterSeconds() {
-    double base = route.targetLatency().toMillis() / 1_000.0;
-    return base * (0.5 + context.random().nextDouble());
-  }
-
   /** Ends the exchange with a response that the gateway generates itself. */
   final void sendLocalReply(int status, HttpHeaders headers, Step step, String reason) {
     recorder.localReply(status, step, reason);
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
@@ -93,6 +93,8 @@
     this.servers = servers;
     this.events = events;
     this.random = random;
+    servers.onRefusals(this::rejectHopeless);
+    servers.onPauseEnd(this::placeAllQueued);
     this.streamVersions =
         new StreamVersions(
             servers.eventLoop(),
@@ -316,6 +318,11 @@
     List.copyOf(dispatchers.values()).forEach(ServiceDispatcher::placeQueued);
   }
 
+  /** Rejects the queued requests that no server takes while they can wait. */
+  private void rejectHopeless() {
+    List.copyOf(dispatchers.values()).forEach(ServiceDispatcher::rejectHopeless);
+  }
+
   /** Number of queued requests of all services. */
   public int queueLength() {
     return dispatchers.values().stream().mapToInt(ServiceDispatcher::queueLength).sum();
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/SendPermission.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/SendPermission.java
@@ -5,6 +5,7 @@
 import org.basilport.error.Step;
 import org.basilport.gateway.config.KeyHolder;
 import org.basilport.policy.dispatch.SendCheck;
+import org.basilport.policy.dispatch.ServerAdmission;
 
 /** Decides whether an exchange may send its request now, and ends what must not be sent. */
 final class SendPermission {
@@ -15,6 +16,7 @@
   /** Checks the conditions for a send to the server that is assigned to the exchange. */
   static SendCheck.Result check(Exchange exchange, ResumePoint resumePoint) {
     ForwardingContext context = exchange.context;
+    ServerAdmission admission = exchange.server.load().admission();
     Optional<String> workspace =
         exchange.request.accessKey().flatMap(context.state()::workspaceOfKey);
     return SendCheck.check(
@@ -29,7 +31,9 @@
             context.limits().maxProofAge().toMillis(),
             exchange.crashGuard.quarantine().isPresent(),
             resumePoint.kvCache().isPresent() || exchange.permitsRun(),
-            exchange.server.load().leaving() && resumePoint.kvCache().isEmpty()));
+            exchange.server.load().leaving() && resumePoint.kvCache().isEmpty(),
+            admission.pause().nanosToEnd(System.nanoTime()) > 0
+                && resumePoint.kvCache().isEmpty()));
   }
 
   /** Ends or places again a request that must not be sent to the assigned server. */
@@ -49,7 +53,8 @@
         exchange.reject(Step.SEND, "request may have run and must not run again");
         break;
       case SERVER_LEAVING:
-        exchange.onNotExecuted(Step.SEND, "backend server is leaving");
+      case SERVER_PAUSED:
+        exchange.placeAgain("backend server takes no requests any more: " + result);
         break;
       default:
         failWithoutRetry(exchange, result);
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
@@ -46,22 +46,31 @@
 
   Gateway gateway;
   InetSocketAddress frontend;
+  InetSocketAddress peerAddress;
 
   @BeforeEach
   void start() throws Exception {
     frontend = LoopbackPorts.freeAddress();
+    peerAddress = LoopbackPorts.freeAddress();
+    gateway = startGateway("gateway-1", frontend, peerAddress, metrics);
+  }
+
+  static Gateway startGateway(
+      String id, InetSocketAddress frontend, InetSocketAddress peerAddress, MetricRegistry metrics)
+      throws Exception {
     GatewaySettings settings =
         new GatewaySettings(
-            "gateway-1",
+            id,
             "a",
             false,
             frontend,
-            LoopbackPorts.freeAddress(),
+            peerAddress,
             new RetryLimits(0.2, 50, TimeUnit.SECONDS.toNanos(10)),
             Duration.ofSeconds(3),
             new ForwardingLimits(Duration.ofSeconds(4), Duration.ofMillis(800)));
-    gateway = new Gateway(settings, new TestCodec(), EventSink.none(), metrics);
-    gateway.start().get(5, TimeUnit.SECONDS);
+    Gateway started = new Gateway(settings, new TestCodec(), EventSink.none(), metrics);
+    started.start().get(5, TimeUnit.SECONDS);
+    return started;
   }
 
   @AfterEach
@@ -144,6 +153,30 @@
     return server;
   }
 
+  /** Entry of the next start of a server under the same id and address. */
+  static ServerEntry restarted(ServerEntry entry) {
+    return changed(entry, entry.incarnation() + 1, false);
+  }
+
+  /** Entry of a server that has begun to leave. */
+  static ServerEntry leaving(ServerEntry entry) {
+    return changed(entry, entry.incarnation(), true);
+  }
+
+  private static ServerEntry changed(ServerEntry entry, long incarnation, boolean leaving) {
+    return new ServerEntry(
+        entry.id(),
+        incarnation,
+        entry.service(),
+        entry.version(),
+        entry.host(),
+        entry.port(),
+        entry.dataCentre(),
+        entry.slots(),
+        leaving,
+        entry.warmUpRemaining());
+  }
+
   /** Memory of the response bodies that the gateway keeps, in bytes. */
   long bufferedBytes() {
     return (Long) metrics.gauge("forward.buffered_bytes", () -> () -> 0L).getValue();
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/SendCheck.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/SendCheck.java
@@ -29,7 +29,9 @@
     /** The request may have run and must not run again. */
     ALREADY_RUN,
     /** The chosen server is leaving. */
-    SERVER_LEAVING
+    SERVER_LEAVING,
+    /** The chosen server has asked for a pause since it was chosen. */
+    SERVER_PAUSED
   }
 
   /**
@@ -45,6 +47,7 @@
    * @param quarantined whether the request or a part of its prompt is quarantined
    * @param runPermitted whether a server may begin the request, or goes on with a run that stopped
    * @param serverLeaving whether the server is leaving and does not hold a copy of the generation
+   * @param serverPaused whether the server wants no requests now and does not hold such a copy
    */
   public record Conditions(
       boolean callerConnected,
@@ -55,7 +58,8 @@
       long maxProofAgeMillis,
       boolean quarantined,
       boolean runPermitted,
-      boolean serverLeaving) {}
+      boolean serverLeaving,
+      boolean serverPaused) {}
 
   /** Checks the conditions; the first one that is not met determines the result. */
   public static Result check(Conditions conditions) {
@@ -77,6 +81,9 @@
     if (!conditions.runPermitted) {
       return Result.ALREADY_RUN;
     }
-    return conditions.serverLeaving ? Result.SERVER_LEAVING : Result.PERMITTED;
+    if (conditions.serverLeaving) {
+      return Result.SERVER_LEAVING;
+    }
+    return conditions.serverPaused ? Result.SERVER_PAUSED : Result.PERMITTED;
   }
 }
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/SendDecisionsTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/SendDecisionsTest.java
@@ -21,7 +21,23 @@
         boolean connected, long remainingMillis, boolean keyKnown, long proofAge, boolean leaving) {
       return SendCheck.check(
           new Conditions(
-              connected, remainingMillis, true, keyKnown, proofAge, 4_600, false, true, leaving));
+              connected,
+              remainingMillis,
+              true,
+              keyKnown,
+              proofAge,
+              4_600,
+              false,
+              true,
+              leaving,
+              false));
+    }
+
+    /** Guards against a request that reaches a server which has asked for a pause meanwhile. */
+    @Test
+    void checksThePauseOfTheServer() {
+      Conditions paused = new Conditions(true, 500, true, true, 0, 4_600, false, true, false, true);
+      assertThat(SendCheck.check(paused)).isEqualTo(Result.SERVER_PAUSED);
     }
 
     /** Guards against sending a request on a permission that ran out while it waited. */
@@ -40,14 +56,15 @@
     @Test
     void continuesAStartedResponseWithoutAProof() {
       Conditions started =
-          new Conditions(true, 500, false, false, Long.MAX_VALUE, 4_600, false, true, false);
+          new Conditions(true, 500, false, false, Long.MAX_VALUE, 4_600, false, true, false, false);
       assertThat(SendCheck.check(started)).isEqualTo(Result.PERMITTED);
     }
 
     /** Guards against a second run of a request that may run once, whatever led to the send. */
     @Test
     void doesNotBeginARequestThatHasRun() {
-      Conditions started = new Conditions(true, 500, false, false, 0, 4_600, false, false, false);
+      Conditions started =
+          new Conditions(true, 500, false, false, 0, 4_600, false, false, false, false);
       assertThat(SendCheck.check(started)).isEqualTo(Result.ALREADY_RUN);
     }
   }
