--- a/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -5,6 +5,8 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -184,6 +186,15 @@
         });
   }
 
+  /**
+   * Replaces the software versions that instances claim to have served recently.
+   *
+   * @param versions versions by instance and service
+   */
+  public void updateClaimedVersions(Map<String, Map<String, Set<String>>> versions) {
+    eventLoop.execute(() -> state.streamVersions().claim(versions));
+  }
+
   /** Sets the archive of streams; to be called before the start. */
   public void setStreamArchive(StreamArchive archive) {
     state.streamVersions().setArchive(archive);
@@ -218,13 +229,13 @@
   }
 
   /**
-   * Stops being ready and completes when the requests in progress have ended. Each response closes
-   * its connection; idle connections stay open for the minimum duration, because a request may be
-   * on its way on any of them.
+   * Stops being ready and completes when the requests in progress have ended and their responses
+   * are written. Each response closes its connection; idle connections stay open for the minimum
+   * duration, because a request may be on its way on any of them.
    *
    * @param minDuration minimum duration, during which callers with an outdated address list are
    *     still served
-   * @param maxDuration maximum duration, after which requests in progress are aborted
+   * @param maxDuration maximum duration, after which requests in progress are ended
    */
   public CompletableFuture<Void> drain(Duration minDuration, Duration maxDuration) {
     CompletableFuture<Void> drained = new CompletableFuture<>();
@@ -252,8 +263,11 @@
       CompletableFuture<Void> drained) {
     long elapsed = System.nanoTime() - startNanos;
     boolean idle =
-        forwarder.openRequests() == 0 && !frontend.receiving() && elapsed >= minDuration.toNanos();
+        forwarder.openRequests() == 0
+            && !frontend.transferring()
+            && elapsed >= minDuration.toNanos();
     if (idle || elapsed >= maxDuration.toNanos()) {
+      forwarder.endDrain();
       drained.complete(null);
       return;
     }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
@@ -97,7 +97,10 @@
     servers.onPauseEnd(this::placeAllQueued);
     this.streamVersions =
         new StreamVersions(
-            servers.eventLoop(), firstStart, this::instanceCount, this::proofAgeMillis);
+            servers.eventLoop(),
+            firstStart,
+            this::instanceCount,
+            storeCompleteness::completeIncarnation);
   }
 
   /** The applied configuration; empty before the first one. Safe to call from any thread. */
