Bound the way back of a move by the drain period of its source

A resumption at a leaving source could reach it later than the drain period permits (DRAIN), and a move started anew without a limit (4 to 8 last copies for one target in 1.4 s, 1 allowed). Cause: the way back asked neither how long the source had been leaving nor how many moves there had been; the held connection went through the pool, where another request could take it or its idle time began anew. Change: a source is used again only within its drain period less 200 ms; the count of attempts goes on; the next move starts with the answer of the source; the held connection is handed over, and the idle time of a connection begins when it opens. A generation without an event is not moved. A request whose quarantine ends between check and rejection is placed again instead of waiting for its deadline.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
@@ -132,10 +132,7 @@
 
   /** Returns a connection on which nothing was sent to its pool. */
   public void release() {
-    // The idle timeout of a reused connection goes on: the server has received nothing meanwhile.
-    if (!reused) {
-      markIdle();
-    }
+    // The idle timeout goes on: the server has received nothing meanwhile.
     onIdle.accept(this);
   }
 
@@ -149,6 +146,11 @@
     idleSinceNanos = System.nanoTime();
   }
 
+  /** Whether a connection that carries no request can be used. */
+  public boolean usable() {
+    return usable(System.nanoTime());
+  }
+
   /** Whether an idle connection can be reused. */
   boolean usable(long nowNanos) {
     return !closed && channel.isActive() && nowNanos - idleSinceNanos < idleTimeoutNanos;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendServer.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendServer.java
@@ -1,5 +1,6 @@
 package org.basilport.gateway.backend;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -26,6 +27,7 @@
   private final ConnectionPool connections;
   private final List<DepartureListener> departureListeners = new ArrayList<>();
   private boolean dead;
+  private long leavingSinceNanos;
 
   /** Creates a server without outstanding work. */
   public BackendServer(
@@ -52,6 +54,11 @@
     return load.leaving() && !dead;
   }
 
+  /** Whether the server does not leave, or has been known to leave for less than the given time. */
+  public boolean leavingForLessThan(Duration time) {
+    return !load.leaving() || System.nanoTime() - leavingSinceNanos < time.toNanos();
+  }
+
   /** Capacity of the engine; empty for a server that is no model engine. */
   public Optional<EngineCapacity> engine() {
     return engine;
@@ -105,6 +112,7 @@
       return;
     }
     load.markLeaving();
+    leavingSinceNanos = System.nanoTime();
     List<MoveCandidateSelector.Candidate<DepartureListener>> candidates =
         departureListeners.stream()
             .map(
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ConnectionPool.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ConnectionPool.java
@@ -62,7 +62,6 @@
   public void probe(Consumer<Boolean> onResult) {
     connect(
         opened -> {
-          opened.markIdle();
           release(opened);
           onResult.accept(true);
         },
@@ -87,6 +86,7 @@
         .addListener(
             result -> {
               if (result.isSuccess()) {
+                connection.markIdle();
                 onConnected.accept(connection);
               } else {
                 onFailed.accept("cannot connect to " + server.address() + ": " + result.cause());
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -221,7 +221,8 @@
     onNotExecuted(Step.CONNECT, reason);
   }
 
-  private void send(BackendConnection opened, ResumePoint resumePoint) {
+  /** Sends the request on a connection to the assigned server. */
+  final void send(BackendConnection opened, ResumePoint resumePoint) {
     SendCheck.Result result = SendPermission.check(this, resumePoint);
     if (result != SendCheck.Result.PERMITTED) {
       opened.release();
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
@@ -1,6 +1,7 @@
 package org.basilport.gateway.forward;
 
 import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -30,11 +31,14 @@
  */
 final class GenerationMove {
   /** Delay between attempts; a leaving engine terminates after about 2 s. */
-  static final long RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+  private static final long RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
   /** Time between the answer to the last copy and the end of the stopped stream. */
   private static final long STREAM_END_TIMEOUT_MILLIS = 100;
 
+  /** Time within which a request reaches an engine after the decision to send it. */
+  private static final Duration SEND_MARGIN = Duration.ofMillis(200);
+
   /** Number of attempts after which the generation stays at its engine. */
   private static final int MAX_ATTEMPTS = 8;
 
@@ -173,7 +177,7 @@
     handle = result.handle();
     if (result.copied()) {
       awaitSourceStreamEnd();
-    } else if (handle.isPresent()) {
+    } else if (handle.isPresent() && mayResumeAt(source)) {
       // The generation has stopped, but its copy failed: resume it at the source.
       refusedBy.add(target.entry().id());
       releaseTarget();
@@ -183,10 +187,11 @@
       awaitSourceStreamEnd();
     } else if (sourceStreamEnded && sourceEndedWell && result.status() == NO_SUCH_RUN) {
       exchange.finishStream();
-    } else if (sourceStreamEnded) {
+    } else if (sourceStreamEnded || handle.isPresent()) {
       releaseTarget();
       state = State.IDLE;
       sourceStreamEnded = false;
+      handle = Optional.empty();
       exchange.resumeOrFail("engine stopped the generation, move answered " + result.status());
     } else {
       releaseTarget();
@@ -285,12 +290,14 @@
     target = null;
     sourceStreamEnded = false;
     handle = Optional.empty();
-    attempts = 0;
+    if (nextServer != source) {
+      attempts = 0;
+    }
     state = State.IDLE;
     unusedCopy = Optional.of(new UnusedCopy(source, kvCache));
-    // The resumption takes the connection that was used last.
-    releaseTargetConnection();
-    exchange.resumeAt(nextServer, work, kvCache);
+    Optional<BackendConnection> connection = targetConnection;
+    targetConnection = Optional.empty();
+    exchange.resumeAt(nextServer, work, kvCache, connection);
   }
 
   /**
@@ -301,7 +308,9 @@
    *     itself failed
    */
   boolean resumeAtSource(BackendServer failed, String reason) {
-    if (unusedCopy.filter(copy -> copy.source() != failed).isEmpty()) {
+    if (unusedCopy
+        .filter(copy -> copy.source() != failed && mayResumeAt(copy.source()))
+        .isEmpty()) {
       return false;
     }
     UnusedCopy copy = unusedCopy.get();
@@ -309,10 +318,14 @@
     recordFailure(failed, Step.CONNECT, reason + "; resuming at the source");
     OutstandingWork work = exchange.remainingWork();
     copy.source().load().addOwnWork(work);
-    exchange.resumeAt(copy.source(), work, copy.kvCache());
+    exchange.resumeAt(copy.source(), work, copy.kvCache(), Optional.empty());
     return true;
   }
 
+  private boolean mayResumeAt(BackendServer leaving) {
+    return leaving.leavingForLessThan(context.limits().drainPeriod().minus(SEND_MARGIN));
+  }
+
   /** Called when an engine may have used the handle of the copy. */
   void onCopyUsed() {
     unusedCopy = Optional.empty();
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/SendPermission.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/SendPermission.java
@@ -47,7 +47,9 @@
         exchange.onDeadline();
         break;
       case QUARANTINED:
-        exchange.rejectIfQuarantined();
+        if (!exchange.rejectIfQuarantined()) {
+          exchange.placeAgain("quarantine has just ended");
+        }
         break;
       case ALREADY_RUN:
         exchange.reject(Step.SEND, "request may have run and must not run again");
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.basilport.error.Step;
+import org.basilport.gateway.backend.BackendConnection;
 import org.basilport.gateway.backend.BackendServer;
 import org.basilport.gateway.backend.DepartureListener;
 import org.basilport.gateway.config.EngineCapacity;
@@ -51,6 +52,10 @@
   private Optional<String> version = Optional.empty();
   private boolean begun;
   private boolean firstEventReceived;
+
+  /** Whether the stream resumed at a server that is leaving. */
+  private boolean movesOnWithAnswer;
+
   private long sentNanos;
   private long prefillTokensWhenSent;
   private long firstEventMillis = -1;
@@ -81,11 +86,9 @@
     sentNanos = System.nanoTime();
     lastEventNanos = sentNanos;
     prefillTokensWhenSent = server.load().totalWork().pendingPrefillTokens();
-    firstEventReceived = reservedWork().pendingPrefillTokens() == 0;
+    firstEventReceived = reader.eventCount() > 0 && reservedWork().pendingPrefillTokens() == 0;
     observeDeparture();
-    if (server.load().leaving()) {
-      onServerLeaving(GenerationMove.RETRY_DELAY_NANOS);
-    }
+    movesOnWithAnswer = server.load().leaving();
     if (eventGapTimer == null) {
       long maxGapNanos = maxEventGap.toNanos();
       eventGapTimer =
@@ -124,6 +127,10 @@
     if (!refused()) {
       move.onCopyUsed();
     }
+    if (movesOnWithAnswer && streaming()) {
+      movesOnWithAnswer = false;
+      onServerLeaving(0);
+    }
     if (headers == null || !responseStarted) {
       headers = context.codec().responseHeaders(httpResponse);
     }
@@ -366,13 +373,27 @@
     }
   }
 
-  /** Resumes the stream at a server whose load already includes it. */
-  void resumeAt(BackendServer target, OutstandingWork work, KvCacheReference kvCache) {
+  /**
+   * Resumes the stream at a server whose load already includes it.
+   *
+   * @param opened connection to the server, if one is held
+   */
+  void resumeAt(
+      BackendServer target,
+      OutstandingWork work,
+      KvCacheReference kvCache,
+      Optional<BackendConnection> opened) {
     reader.dropPartialEvent();
     move.reset();
     releaseServer();
     assignServer(target, work);
-    connect(new ResumePoint(reader.lastId(), Optional.of(kvCache)));
+    ResumePoint resumePoint = new ResumePoint(reader.lastId(), Optional.of(kvCache));
+    if (opened.filter(BackendConnection::usable).isPresent()) {
+      send(opened.get(), resumePoint);
+    } else {
+      opened.ifPresent(BackendConnection::close);
+      connect(resumePoint);
+    }
   }
 
   /** Work that the generation adds to another engine. */
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
@@ -67,7 +67,8 @@
             peerAddress,
             new RetryLimits(0.2, 50, TimeUnit.SECONDS.toNanos(10)),
             Duration.ofSeconds(3),
-            new ForwardingLimits(Duration.ofSeconds(4), Duration.ofMillis(800)));
+            new ForwardingLimits(
+                Duration.ofSeconds(4), Duration.ofMillis(800), Duration.ofSeconds(2)));
     Gateway started = new Gateway(settings, new TestCodec(), EventSink.none(), metrics);
     started.start().get(5, TimeUnit.SECONDS);
     return started;
