Decide in pure code who goes on with a generation that is moved

Callers saw: a stream that its engine had stopped for a move was delivered with its proper end, as if it were complete; a stream that another engine had resumed broke off. Cause: the answer to the last copy, the end of the stopped stream and the departure of the target were judged one by one, in the order in which tests had met them. (1) When the answer was lost the move was forgotten, and the end of a stream that only its connection delimits then counted as the end of a finished generation. (2) When the copy failed and the source could not resume, another engine was asked at once, while the stream of the source was still read. (3) Nothing asked again, between the copy and the continuation, whether the target may still be sent requests (DRAIN). Change: GenerationHandover (pure) holds the state between the request for the last copy and the first answer to the continuation; GenerationMove carries out its decisions. The drain period is checked before the continuation is sent.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/CrashGuard.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/CrashGuard.java
@@ -55,7 +55,10 @@
 
   /** Called when no connection to a server could be opened. */
   void onUnreachable(BackendServer server, String reason) {
-    monitor.recordDeadServer(server.entry(), reason);
+    server.load().health().recordUnreachable(System.nanoTime());
+    if (!server.load().leaving()) {
+      monitor.recordDeadServer(server.entry(), reason);
+    }
   }
 
   /** Whether the server has begun its response to this attempt. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -201,21 +201,13 @@
               send(opened, resumePoint);
             },
             reason -> {
-              recordUnreachable(target, reason);
+              crashGuard.onUnreachable(target, reason);
               if (!finished && server == target) {
                 onConnectFailed(reason);
               }
             });
   }
 
-  /** Records that no connection to a server could be opened. */
-  final void recordUnreachable(BackendServer unreachable, String reason) {
-    unreachable.load().health().recordUnreachable(System.nanoTime());
-    if (!unreachable.load().leaving()) {
-      crashGuard.onUnreachable(unreachable, reason);
-    }
-  }
-
   /** Called when no connection to the assigned server could be opened; nothing was sent to it. */
   void onConnectFailed(String reason) {
     onNotExecuted(Step.CONNECT, reason);
@@ -342,6 +334,11 @@
         && dispatcher.tryAcquireRetry();
   }
 
+  /** Called when the request must not be sent to the assigned server any more. */
+  void onServerUnavailable(String reason) {
+    placeAgain(reason);
+  }
+
   /** Places a request again that was not sent to the assigned server. */
   final void placeAgain(String reason) {
     triedServerIds.remove(serverId());
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
@@ -13,6 +13,7 @@
 import org.basilport.gateway.config.EngineCapacity;
 import org.basilport.gateway.message.KvCacheReference;
 import org.basilport.gateway.message.MoveResult;
+import org.basilport.policy.dispatch.GenerationHandover;
 import org.basilport.policy.dispatch.MoveTargetSelector;
 import org.basilport.policy.dispatch.OutstandingWork;
 import org.basilport.policy.dispatch.RequestDemand;
@@ -27,7 +28,8 @@
  * engine.
  *
  * <p>The generation is stopped only when a connection to the target is open. If the target is lost
- * nevertheless, the generation resumes at its source, which keeps the KV cache.
+ * nevertheless, the generation resumes at its source, which keeps the KV cache. {@link
+ * GenerationHandover} decides who goes on with it.
  */
 final class GenerationMove {
   /** Delay between attempts; a leaving engine terminates after about 2 s. */
@@ -60,10 +62,9 @@
   private State state = State.IDLE;
   private BackendServer source;
   private final Set<String> refusedBy = new HashSet<>();
+  private final GenerationHandover handover = new GenerationHandover();
   private BackendServer target;
   private OutstandingWork reservedWork = OutstandingWork.NONE;
-  private boolean sourceStreamEnded;
-  private boolean sourceEndedWell;
   private Optional<String> handle = Optional.empty();
   private Optional<BackendConnection> targetConnection = Optional.empty();
 
@@ -175,28 +176,73 @@
       return;
     }
     handle = result.handle();
+    act(
+        handover.onLastCopy(lastCopy(result), movedGeneration()),
+        "last copy answered " + result.status());
+  }
+
+  private static GenerationHandover.LastCopy lastCopy(MoveResult result) {
     if (result.copied()) {
-      awaitSourceStreamEnd();
-    } else if (handle.isPresent() && mayResumeAt(source)) {
-      // The generation has stopped, but its copy failed: resume it at the source.
-      refusedBy.add(target.entry().id());
-      releaseTarget();
-      target = source;
-      reservedWork = exchange.remainingWork();
-      target.load().addOwnWork(reservedWork);
-      awaitSourceStreamEnd();
-    } else if (sourceStreamEnded && sourceEndedWell && result.status() == NO_SUCH_RUN) {
-      exchange.finishStream();
-    } else if (sourceStreamEnded || handle.isPresent()) {
-      releaseTarget();
-      state = State.IDLE;
-      sourceStreamEnded = false;
-      handle = Optional.empty();
-      exchange.resumeOrFail("engine stopped the generation, move answered " + result.status());
-    } else {
-      releaseTarget();
-      state = State.IDLE;
-      fail(Step.SEND, "last copy answered " + result.status());
+      return GenerationHandover.LastCopy.COPIED;
+    }
+    if (result.handle().isPresent()) {
+      return GenerationHandover.LastCopy.KEPT_AT_SOURCE;
+    }
+    return result.status() == NO_SUCH_RUN
+        ? GenerationHandover.LastCopy.NO_SUCH_RUN
+        : GenerationHandover.LastCopy.UNKNOWN;
+  }
+
+  private GenerationHandover.Availability movedGeneration() {
+    return availability(target, source);
+  }
+
+  private GenerationHandover.Availability availability(
+      BackendServer possibleTarget, BackendServer possibleSource) {
+    return new GenerationHandover.Availability() {
+      @Override
+      public boolean target() {
+        return possibleTarget != null && mayResumeAt(possibleTarget);
+      }
+
+      @Override
+      public boolean source() {
+        return possibleSource != null && mayResumeAt(possibleSource);
+      }
+    };
+  }
+
+  private void act(GenerationHandover.Decision decision, String reason) {
+    switch (decision) {
+      case STAY:
+        releaseTarget();
+        state = State.IDLE;
+        fail(Step.SEND, reason);
+        break;
+      case FINISH:
+        exchange.finishStream();
+        break;
+      case CONTINUE_AT_TARGET:
+        resumeFromCopy();
+        break;
+      case CONTINUE_AT_SOURCE:
+        refusedBy.add(target.entry().id());
+        releaseTarget();
+        target = source;
+        reservedWork = exchange.remainingWork();
+        target.load().addOwnWork(reservedWork);
+        resumeFromCopy();
+        break;
+      case BREAK_OFF:
+        reset();
+        handover.restart();
+        exchange.resumeOrFail("engine stopped the generation: " + reason);
+        break;
+      default:
+        if (state == State.STOPPING && handle.isPresent()) {
+          limitWaitForStreamEnd();
+        }
+        break;
     }
   }
 
@@ -220,11 +266,12 @@
               }
               targetConnection = Optional.of(opened);
               state = State.STOPPING;
+              handover.beginStop();
               stopNanos = System.nanoTime();
               requestCopy(true);
             },
             reason -> {
-              exchange.recordUnreachable(connecting, reason);
+              exchange.crashGuard.onUnreachable(connecting, reason);
               if (requestedEpoch == epoch && state == State.CONNECTING) {
                 rejectTarget(Step.CONNECT, reason);
               }
@@ -240,37 +287,31 @@
   }
 
   /**
-   * Called when the stream of the source engine ends after the request to stop the generation.
-   *
-   * @param well whether it may be the end of a finished generation
+   * Called when the stream of the engine that runs the generation has ended; delivers the stream if
+   * it is complete.
    */
-  void onSourceStreamEnded(boolean well) {
-    sourceStreamEnded = true;
-    sourceEndedWell = well;
-    resumeAtTargetWhenReady();
+  void onStreamEnded(GenerationHandover.StreamEnd end) {
+    act(handover.onStreamEnd(end, movedGeneration()), "stream ended");
   }
 
   /** Waits a limited time for the end of the stream, which a hanging source does not send. */
-  private void awaitSourceStreamEnd() {
+  private void limitWaitForStreamEnd() {
     int stoppedEpoch = epoch;
     context
         .eventLoop()
         .schedule(
             () -> {
-              if (stoppedEpoch == epoch && state == State.STOPPING && !sourceStreamEnded) {
+              if (stoppedEpoch == epoch && state == State.STOPPING) {
                 exchange.connection.abandon();
-                onSourceStreamEnded(false);
+                onStreamEnded(GenerationHandover.StreamEnd.BROKEN);
               }
             },
             STREAM_END_TIMEOUT_MILLIS,
             TimeUnit.MILLISECONDS);
-    resumeAtTargetWhenReady();
   }
 
-  private void resumeAtTargetWhenReady() {
-    if (!sourceStreamEnded || handle.isEmpty()) {
-      return;
-    }
+  /** Sends the continuation to the engine that is now the target. */
+  private void resumeFromCopy() {
     long pause = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - stopNanos);
     context
         .events()
@@ -288,7 +329,6 @@
     BackendServer nextServer = target;
     reservedWork = OutstandingWork.NONE;
     target = null;
-    sourceStreamEnded = false;
     handle = Optional.empty();
     if (nextServer != source) {
       attempts = 0;
@@ -308,12 +348,15 @@
    *     itself failed
    */
   boolean resumeAtSource(BackendServer failed, String reason) {
-    if (unusedCopy
-        .filter(copy -> copy.source() != failed && mayResumeAt(copy.source()))
-        .isEmpty()) {
+    if (unusedCopy.isEmpty() || !handover.continuing()) {
       return false;
     }
     UnusedCopy copy = unusedCopy.get();
+    GenerationHandover.Decision decision =
+        handover.onContinuationNotExecuted(availability(null, copy.source()));
+    if (decision != GenerationHandover.Decision.CONTINUE_AT_SOURCE) {
+      return false;
+    }
     refusedBy.add(failed.entry().id());
     recordFailure(failed, Step.CONNECT, reason + "; resuming at the source");
     OutstandingWork work = exchange.remainingWork();
@@ -322,13 +365,16 @@
     return true;
   }
 
-  private boolean mayResumeAt(BackendServer leaving) {
-    return leaving.leavingForLessThan(context.limits().drainPeriod().minus(SEND_MARGIN));
+  private boolean mayResumeAt(BackendServer server) {
+    return server.leavingForLessThan(context.limits().drainPeriod().minus(SEND_MARGIN));
   }
 
-  /** Called when an engine may have used the handle of the copy. */
+  /** Called when an engine runs the generation or may have used the handle of the copy. */
   void onCopyUsed() {
     unusedCopy = Optional.empty();
+    if (!handover.stopping()) {
+      handover.restart();
+    }
   }
 
   private void fail(Step step, String reason) {
@@ -394,7 +440,6 @@
       pendingStart.cancel(false);
     }
     releaseTarget();
-    sourceStreamEnded = false;
     handle = Optional.empty();
     state = State.IDLE;
   }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/SendPermission.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/SendPermission.java
@@ -31,7 +31,9 @@
             context.limits().maxProofAge().toMillis(),
             exchange.crashGuard.quarantine().isPresent(),
             resumePoint.kvCache().isPresent() || exchange.permitsRun(),
-            exchange.server.load().leaving() && resumePoint.kvCache().isEmpty(),
+            resumePoint.kvCache().isEmpty()
+                ? exchange.server.load().leaving()
+                : !exchange.server.leavingForLessThan(context.limits().drainPeriod()),
             admission.pause().nanosToEnd(System.nanoTime()) > 0
                 && resumePoint.kvCache().isEmpty()));
   }
@@ -56,7 +58,7 @@
         break;
       case SERVER_LEAVING:
       case SERVER_PAUSED:
-        exchange.placeAgain("backend server takes no requests any more: " + result);
+        exchange.onServerUnavailable("backend server takes no requests any more: " + result);
         break;
       default:
         failWithoutRetry(exchange, result);
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -22,6 +22,7 @@
 import org.basilport.gateway.message.KvCacheReference;
 import org.basilport.gateway.message.ServerResponse;
 import org.basilport.policy.dispatch.EventGapLimit;
+import org.basilport.policy.dispatch.GenerationHandover.StreamEnd;
 import org.basilport.policy.dispatch.OutstandingWork;
 import org.basilport.policy.dispatch.RequestDemand;
 
@@ -39,7 +40,7 @@
 
   private final EventStreamReader reader = new EventStreamReader(context.responseBuffer());
   private final ResponseBody errorBody = new ResponseBody(context.responseBuffer());
-  private final DepartureListener departureListener = new GenerationDepartureListener();
+  private final DepartureListener departureListener = new GenerationDeparture(this);
   private final GenerationMove move;
   private ServerResponse response;
 
@@ -265,7 +266,8 @@
     }
   }
 
-  private void onServerLeaving(long delayNanos) {
+  /** Moves the generation to another engine, after a delay. */
+  void onServerLeaving(long delayNanos) {
     if (finished() || server == null || !firstEventReceived) {
       return;
     }
@@ -274,17 +276,13 @@
 
   @Override
   public void onComplete() {
-    if (streaming()) {
-      if (move.stopping() && !endsVisibly) {
-        move.onSourceStreamEnded(!reader.hasPartialEvent());
-      } else if (reader.hasPartialEvent() || reader.eventCount() == 0) {
-        onFailure("stream ended within an event");
-      } else {
-        finishStream();
-      }
-      return;
+    if (!streaming()) {
+      onErrorResponse();
+    } else if (reader.hasPartialEvent() || reader.eventCount() == 0) {
+      onFailure("stream ended within an event");
+    } else {
+      move.onStreamEnded(endsVisibly ? StreamEnd.COMPLETE : StreamEnd.POSSIBLY_COMPLETE);
     }
-    onErrorResponse();
   }
 
   /** Delivers a stream that its server has ended. */
@@ -322,7 +320,7 @@
   @Override
   public void onFailure(String reason) {
     if (move.stopping()) {
-      move.onSourceStreamEnded(false);
+      move.onStreamEnded(StreamEnd.BROKEN);
       return;
     }
     move.reset();
@@ -366,6 +364,13 @@
     sendLocalReply(502, new DefaultHttpHeaders(), step, reason);
   }
 
+  @Override
+  void onServerUnavailable(String reason) {
+    if (!move.resumeAtSource(server, reason)) {
+      super.onServerUnavailable(reason);
+    }
+  }
+
   @Override
   void onConnectFailed(String reason) {
     if (!move.resumeAtSource(server, reason)) {
@@ -402,7 +407,7 @@
   }
 
   /** KV cache that the generation uses at its engine, in tokens. */
-  private long usedTokens() {
+  long usedTokens() {
     int perEvent = server.engine().map(EngineCapacity::tokensPerEvent).orElse(1);
     return request.generationSize().map(GenerationSize::promptTokens).orElse(0)
         + (long) perEvent * reader.eventCount();
@@ -459,30 +464,6 @@
     }
   }
 
-  /** Starts the move of the generation when its engine starts to leave. */
-  private final class GenerationDepartureListener implements DepartureListener {
-    /** Producing one output token takes about as long as the prefill of ten prompt tokens. */
-    private static final int OUTPUT_WEIGHT = 10;
-
-    @Override
-    public long memoryTokens() {
-      return server == null ? 0 : usedTokens();
-    }
-
-    @Override
-    public double completionValue() {
-      return request
-          .generationSize()
-          .map(size -> (double) size.promptTokens() + OUTPUT_WEIGHT * size.maxOutputTokens())
-          .orElse(0.0);
-    }
-
-    @Override
-    public void onDeparture(long delayNanos) {
-      onServerLeaving(delayNanos);
-    }
-  }
-
   @Override
   int eventCount() {
     return reader.eventCount();
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
@@ -58,6 +58,16 @@
   static Gateway startGateway(
       String id, InetSocketAddress frontend, InetSocketAddress peerAddress, MetricRegistry metrics)
       throws Exception {
+    return startGateway(id, frontend, peerAddress, metrics, Duration.ofSeconds(2));
+  }
+
+  static Gateway startGateway(
+      String id,
+      InetSocketAddress frontend,
+      InetSocketAddress peerAddress,
+      MetricRegistry metrics,
+      Duration drainPeriod)
+      throws Exception {
     GatewaySettings settings =
         new GatewaySettings(
             id,
@@ -67,8 +77,7 @@
             peerAddress,
             new RetryLimits(0.2, 50, TimeUnit.SECONDS.toNanos(10)),
             Duration.ofSeconds(3),
-            new ForwardingLimits(
-                Duration.ofSeconds(4), Duration.ofMillis(800), Duration.ofSeconds(2)));
+            new ForwardingLimits(Duration.ofSeconds(4), Duration.ofMillis(800), drainPeriod));
     Gateway started = new Gateway(settings, new TestCodec(), EventSink.none(), metrics);
     started.start().get(5, TimeUnit.SECONDS);
     return started;
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayInterruptedMovesTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayInterruptedMovesTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -46,16 +47,20 @@
         continueFromCopy(request, out, socket);
       } else if (request.headers().containsKey("after")) {
         resumedAfter.add(request.headers().get("after"));
-        finish(request, out);
+        resume(request, out);
       } else {
         runs.incrementAndGet();
         stream = socket;
-        ScriptedServer.startStream(out, request);
-        ScriptedServer.writeEvents(out, 1, 3);
+        begin(request, out);
         TimeUnit.SECONDS.sleep(5);
       }
     }
 
+    void begin(ScriptedServer.Request request, OutputStream out) throws IOException {
+      ScriptedServer.startStream(out, request);
+      ScriptedServer.writeEvents(out, 1, 3);
+    }
+
     void copyLast(ScriptedServer.Request request, OutputStream out, Socket socket)
         throws IOException, InterruptedException {
       stream.close();
@@ -67,6 +72,11 @@
       finish(request, out);
     }
 
+    void resume(ScriptedServer.Request request, OutputStream out)
+        throws IOException, InterruptedException {
+      finish(request, out);
+    }
+
     final void finish(ScriptedServer.Request request, OutputStream out) throws IOException {
       ScriptedServer.startStream(out, request);
       ScriptedServer.writeEvents(out, 4, LAST_EVENT);
@@ -157,6 +167,45 @@
     }
   }
 
+  /** Streams whose only end is that of their connection. */
+  @Nested
+  class StreamsWithoutAVisibleEnd {
+    private final Engine source =
+        new Engine() {
+          @Override
+          void begin(ScriptedServer.Request request, OutputStream out) throws IOException {
+            ScriptedServer.write(
+                out, "HTTP/1.1 200 S\r\nid: " + request.id() + "\r\nseal: s\r\n\r\n");
+            for (int i = 1; i <= 3; i++) {
+              ScriptedServer.write(out, "id: " + i + "\ndata: t" + i + "\n\n");
+            }
+          }
+
+          @Override
+          void copyLast(ScriptedServer.Request request, OutputStream out, Socket socket)
+              throws IOException, InterruptedException {
+            socket.close();
+            TimeUnit.MILLISECONDS.sleep(50);
+            stream.close();
+          }
+        };
+
+    /** Guards against a stopped stream that looks complete because the stop was not answered. */
+    @Test
+    void areNotCompleteIfTheyMayHaveBeenStopped() throws Exception {
+      String response = streamFromALeavingEngine("/stream/x", source, new Engine());
+
+      assertThat(response).doesNotContain("\r\n0\r\n");
+      assertThat(runs.get()).isEqualTo(1);
+    }
+
+    /** Guards against the same end of a stream that another engine may resume. */
+    @Test
+    void goOnAfterTheLastEventIfTheyMayHaveBeenStopped() throws Exception {
+      assertComplete(streamFromALeavingEngine("/resume/x", source, new Engine()));
+    }
+  }
+
   @Nested
   class StreamsThatAreNotResumable {
     /** Guards against a second run, or a lost stream, if the target has no room any more. */
@@ -240,6 +289,42 @@
       assertThat(resumedAfter).containsExactly("3");
     }
 
+    /** Guards against events of an engine that was given up, among those of the next one. */
+    @Test
+    void areReadFromOneEngineAtATime() throws Exception {
+      gateway.stop().get(5, TimeUnit.SECONDS);
+      gateway = startGateway("gateway-1", frontend, peerAddress, metrics, Duration.ofMillis(300));
+      Engine source =
+          new Engine() {
+            @Override
+            void copyLast(ScriptedServer.Request request, OutputStream out, Socket socket)
+                throws IOException, InterruptedException {
+              TimeUnit.MILLISECONDS.sleep(300);
+              ScriptedServer.sendResponse(out, request, 503, "handle-1");
+              TimeUnit.MILLISECONDS.sleep(30);
+              ScriptedServer.writeEvents(stream.getOutputStream(), 4, 4);
+              TimeUnit.MILLISECONDS.sleep(100);
+              stream.close();
+            }
+          };
+      Engine slow =
+          new Engine() {
+            @Override
+            void resume(ScriptedServer.Request request, OutputStream out)
+                throws IOException, InterruptedException {
+              TimeUnit.MILLISECONDS.sleep(200);
+              ScriptedServer.startStream(out, request);
+              int next = Integer.parseInt(request.headers().get("after")) + 1;
+              ScriptedServer.writeEvents(out, next, LAST_EVENT);
+              ScriptedServer.endStream(out);
+            }
+          };
+      String response = streamFromALeavingEngine("/resume/x", source, slow);
+
+      assertThat(resumedAfter).hasSize(1);
+      assertComplete(response);
+    }
+
     /** Guards against giving up a stream that another engine may resume after its last event. */
     @Test
     void goOnAfterTheLastEventIfNoEngineUsesTheCopy() throws Exception {
