Take an answer for that of one attempt, not only of one request

Callers saw: 503, "not run, try again", for a request that its server was running (REFUSED), when a faulty server wrote an earlier refusal once more on a kept connection and the caller had sent the request again under its id. A generation was continued with the handle of its first copy, since a second answer to that copy was taken for the answer to the last one. Cause: an answer was matched by the id of its request. Two attempts of one request have the same id, and answers to requests to move a generation have none. Besides, what arrived on the connection of an attempt that was given up reached the exchange, which applied it to the attempt that followed. Change: a connection on which a request failed is not used again for that request; one that had an answer without an id carries no other request whose answer has none. AttemptListener passes on events of the current attempt only, and an attempt that is given up is abandoned at its server. A move opens at most one connection more.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
@@ -67,6 +67,8 @@
   private int discardedResponses;
   private int discardedBytes;
   private final ResponseOverheadLimit overheadLimit = new ResponseOverheadLimit(this);
+  private final RecentRequestIds failedRequests = new RecentRequestIds();
+  private boolean unidentifiedAnswer;
   private boolean reused;
   private boolean delimitedByClose;
   private boolean reusable;
@@ -96,6 +98,7 @@
   /** Sends a request; the listener receives the response. */
   public void send(FullHttpRequest request, String id, ResponseListener responseListener) {
     listener = responseListener;
+    unidentifiedAnswer |= !responseListener.identified();
     requestId = id;
     requestWritten = false;
     headReceived = false;
@@ -124,6 +127,13 @@
     close();
   }
 
+  /** Abandons the current request, if there is one. */
+  public void abandonRequest() {
+    if (listener != null) {
+      abandon();
+    }
+  }
+
   public void close() {
     if (channel != null) {
       channel.close();
@@ -151,6 +161,19 @@
     return usable(System.nanoTime());
   }
 
+  /**
+   * Whether a late second answer cannot be taken for the answer to a request with this id: the
+   * connection has not carried a request with the id that failed.
+   */
+  boolean distinguishes(String id) {
+    return !failedRequests.contains(id);
+  }
+
+  /** Whether the connection has carried a request whose answer has no id. */
+  boolean hadUnidentifiedAnswer() {
+    return unidentifiedAnswer;
+  }
+
   /** Whether an idle connection can be reused. */
   boolean usable(long nowNanos) {
     return !closed && channel.isActive() && nowNanos - idleSinceNanos < idleTimeoutNanos;
@@ -198,11 +221,15 @@
       }
       return;
     }
-    if (echoed.isEmpty() && listener.requiresRequestId(response, reused)) {
+    if (echoed.isEmpty() && requiresRequestId(response)) {
       fail("answer without a request id");
       return;
     }
     headReceived = true;
+    unidentifiedAnswer |= echoed.isEmpty();
+    if (!response.successful()) {
+      failedRequests.add(requestId);
+    }
     delimitedByClose =
         !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head);
     reusable = HttpUtil.isKeepAlive(head) && !delimitedByClose && !response.closesConnection();
@@ -215,6 +242,13 @@
     listener.onHead(response, head);
   }
 
+  /**
+   * On a reused connection, an answer without an id may be a late second one to another request.
+   */
+  private boolean requiresRequestId(ServerResponse response) {
+    return listener.identified() && (reused || (response.successful() && response.signed()));
+  }
+
   private void readContent(HttpContent content) {
     boolean last = content instanceof LastHttpContent;
     overheadLimit.onContent(content.content().readableBytes());
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ConnectionPool.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ConnectionPool.java
@@ -7,7 +7,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.ArrayDeque;
+import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.basilport.gateway.message.MessageCodec;
 
 /**
@@ -40,22 +42,39 @@
   }
 
   /**
-   * Acquires an idle connection or opens a new one. Exactly one of the callbacks is called.
+   * Acquires an idle connection, on which no earlier answer can be taken for the one to this
+   * request, or opens a new one. Exactly one of the callbacks is called.
    *
+   * @param requestId id of the request, which its answer carries
    * @param onConnected receives a connection that carries no request
    * @param onFailed receives the reason if no connection could be opened; nothing was sent
    */
-  public void acquire(Consumer<BackendConnection> onConnected, Consumer<String> onFailed) {
-    long now = System.nanoTime();
-    while (!idle.isEmpty()) {
-      BackendConnection connection = idle.pop();
-      if (connection.usable(now)) {
-        onConnected.accept(connection);
-        return;
-      }
-      connection.close();
+  public void acquire(
+      String requestId, Consumer<BackendConnection> onConnected, Consumer<String> onFailed) {
+    acquire(connection -> connection.distinguishes(requestId), onConnected, onFailed);
+  }
+
+  /**
+   * Acquires a connection for a request whose answer carries no id. Such answers cannot be told
+   * from each other, so each connection carries at most one of these requests.
+   */
+  public void acquireForUnidentifiedAnswer(
+      Consumer<BackendConnection> onConnected, Consumer<String> onFailed) {
+    acquire(connection -> !connection.hadUnidentifiedAnswer(), onConnected, onFailed);
+  }
+
+  private void acquire(
+      Predicate<BackendConnection> suitable,
+      Consumer<BackendConnection> onConnected,
+      Consumer<String> onFailed) {
+    closeExpired();
+    Optional<BackendConnection> reusable = idle.stream().filter(suitable).findFirst();
+    if (reusable.isPresent()) {
+      idle.remove(reusable.get());
+      onConnected.accept(reusable.get());
+    } else {
+      connect(onConnected, onFailed);
     }
-    connect(onConnected, onFailed);
   }
 
   /** Tests whether the server accepts connections; adds the opened connection to the pool. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ResponseListener.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ResponseListener.java
@@ -7,14 +7,9 @@
 /** Receives the response to one request; called on the event loop thread. */
 public interface ResponseListener {
 
-  /**
-   * Whether a response without a request id must not be taken for the response to this request. On
-   * a reused connection it may be a late second response to an earlier request.
-   *
-   * @param reusedConnection whether the connection has carried an earlier request
-   */
-  default boolean requiresRequestId(ServerResponse response, boolean reusedConnection) {
-    return reusedConnection || (response.successful() && response.signed());
+  /** Whether the response carries the id of the request, by which it is told from a late one. */
+  default boolean identified() {
+    return true;
   }
 
   /** Called when the head of the response was received. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -193,6 +193,7 @@
     target
         .connections()
         .acquire(
+            request.id(),
             opened -> {
               if (finished || server != target) {
                 opened.close();
@@ -228,7 +229,7 @@
     beforeSend();
     FullHttpRequest message =
         context.codec().encodeRequest(request, details(resumePoint), server.entry().address());
-    opened.send(message, request.id(), this);
+    opened.send(message, request.id(), new AttemptListener(this, opened));
   }
 
   /** Time until the deadline. */
@@ -268,8 +269,14 @@
     }
   }
 
-  /** Releases the assigned server and removes the request from its load. */
+  /**
+   * Releases the assigned server and removes the request from its load. An attempt that is still in
+   * progress there is abandoned.
+   */
   final void releaseServer() {
+    if (connection != null) {
+      connection.abandonRequest();
+    }
     if (server != null) {
       server.load().removeOwnWork(reservedWork);
       reservedWork = OutstandingWork.NONE;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
@@ -254,6 +254,7 @@
     connecting
         .connections()
         .acquire(
+            exchange.request.id(),
             opened -> {
               if (requestedEpoch != epoch || state != State.CONNECTING) {
                 opened.release();
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/MoveRequest.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/MoveRequest.java
@@ -51,7 +51,7 @@
       Consumer<MoveResult> onResult) {
     source
         .connections()
-        .acquire(
+        .acquireForUnidentifiedAnswer(
             connection ->
                 connection.send(
                     context
@@ -74,7 +74,7 @@
 
   /** Engines do not echo the id of a generation in the response to a request to move it. */
   @Override
-  public boolean requiresRequestId(ServerResponse response, boolean reusedConnection) {
+  public boolean identified() {
     return false;
   }
 
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayInterruptedMovesTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayInterruptedMovesTest.java
@@ -6,13 +6,16 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.basilport.gateway.backend.ServerEntry;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -29,6 +32,15 @@
   /** Number of requests for a last copy, by the address of the target. */
   private final Map<String, Integer> lastCopies = new ConcurrentHashMap<>();
 
+  /** Whether the source stays in the directory, so that its connections are kept. */
+  private boolean listedWhileLeaving;
+
+  /** Connections on which a first copy was answered. */
+  private final Set<Socket> firstCopyConnections = ConcurrentHashMap.newKeySet();
+
+  /** Handles with which continuations were sent. */
+  private final List<String> usedHandles = new CopyOnWriteArrayList<>();
+
   /** Engine that generates until it is stopped; a test overrides the step that fails. */
   private class Engine implements ScriptedServer.Script {
     volatile Socket stream;
@@ -42,8 +54,10 @@
           copyLast(request, out, socket);
         } else {
           ScriptedServer.sendResponse(out, request, 200, "handle-0");
+          firstCopyConnections.add(socket);
         }
       } else if (request.headers().containsKey("memory")) {
+        usedHandles.add(request.headers().get("memory"));
         continueFromCopy(request, out, socket);
       } else if (request.headers().containsKey("after")) {
         resumedAfter.add(request.headers().get("after"));
@@ -111,7 +125,11 @@
     for (Engine target : targets) {
       serve("model", target);
     }
-    gateway.updateServers(entries.subList(1, entries.size()), "test");
+    List<ServerEntry> listed = new ArrayList<>(entries.subList(1, entries.size()));
+    if (listedWhileLeaving) {
+      listed.add(leaving(entries.get(0)));
+    }
+    gateway.updateServers(listed, "test");
     return response.get(10, TimeUnit.SECONDS);
   }
 
@@ -165,6 +183,27 @@
       assertThat(runs.get()).isEqualTo(1);
       assertComplete(response);
     }
+
+    /** Guards against a late second answer to the first copy in place of the one to the last. */
+    @Test
+    void areNotTakenForAnsweredByASecondAnswerToTheFirst() throws Exception {
+      listedWhileLeaving = true;
+      Engine source =
+          new Engine() {
+            @Override
+            void copyLast(ScriptedServer.Request request, OutputStream out, Socket socket)
+                throws IOException, InterruptedException {
+              if (firstCopyConnections.contains(socket)) {
+                ScriptedServer.sendResponse(out, request, 200, "handle-0");
+              }
+              super.copyLast(request, out, socket);
+            }
+          };
+      String response = streamFromALeavingEngine("/stream/x", source, new Engine());
+
+      assertThat(usedHandles).containsExactly("handle-1");
+      assertComplete(response);
+    }
   }
 
   /** Streams whose only end is that of their connection. */
