Believe a refusal of a service only with the id of its request

Callers saw: (router, found by the search for the cause before) a repeatable call could be reported as not run on the word of a refusal that its replica had written for an earlier call on the same connection. Cause: HttpServiceReplica compared the id of successful answers only; a failure was taken for the answer to whatever call was waiting. Change: a failure without the id of the call says that it may have run. The stand-in of services repeats the id in failures, too. Calls that must run once use connections of their own and were not concerned.

--- a/basilport-clients/src/main/java/org/basilport/service/http/HttpServiceReplica.java
+++ b/basilport-clients/src/main/java/org/basilport/service/http/HttpServiceReplica.java
@@ -1,6 +1,7 @@
 package org.basilport.service.http;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.basilport.error.BackendException;
 import org.basilport.error.FailureCode;
@@ -63,7 +64,8 @@
         .exchange(request.repeatable() ? call : call.onNewConnection())
         .handle(
             (response, failure) -> {
-              HttpResponse received = requireResponse(response, failure);
+              HttpResponse received =
+                  requireResponse(response, failure, Optional.of(request.requestId()));
               return new ServiceResponse(
                   received.header(REQUEST_ID).orElse(""), received.status(), received.text());
             });
@@ -75,14 +77,18 @@
         .exchange(HttpCall.of("GET", address, REPORT_PATH))
         .handle(
             (response, failure) ->
-                Json.read(requireResponse(response, failure).text(), ServiceReport.class));
+                Json.read(
+                    requireResponse(response, failure, Optional.empty()).text(),
+                    ServiceReport.class));
   }
 
   /**
    * Returns the response of the service; throws the failure of the connection or that the replica
-   * reports.
+   * reports. A failure without the id of the request may be a late second one to an earlier request
+   * on the connection, and does not tell whether this one ran.
    */
-  private HttpResponse requireResponse(HttpResponse response, Throwable failure) {
+  private HttpResponse requireResponse(
+      HttpResponse response, Throwable failure, Optional<String> requestId) {
     if (failure != null) {
       Outcome outcome = HttpTransport.outcomeOf(failure);
       Step step = outcome == Outcome.NOT_RUN ? Step.CONNECT : Step.SEND;
@@ -91,7 +97,9 @@
           FailureCode.BACKEND_LOST, outcome, step, address, message, failure);
     }
     if (response.status() >= 500 && FailureBody.parse(response.text()).isPresent()) {
-      throw FailureBody.backendFailure(address, response.status(), response.text());
+      boolean own = requestId.isEmpty() || response.header(REQUEST_ID).equals(requestId);
+      String body = own ? response.text() : "";
+      throw FailureBody.backendFailure(address, response.status(), body);
     }
     return response;
   }
--- a/basilport-clients/src/test/java/org/basilport/service/http/ConnectionReuseTest.java
+++ b/basilport-clients/src/test/java/org/basilport/service/http/ConnectionReuseTest.java
@@ -1,11 +1,15 @@
 package org.basilport.service.http;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.net.InetAddress;
 import java.util.Set;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.basilport.error.BasilportException;
+import org.basilport.error.Outcome;
 import org.basilport.http.HttpTimeouts;
 import org.basilport.http.HttpTransport;
 import org.basilport.service.ServiceReplica;
@@ -59,6 +63,28 @@
     assertThat(ports).hasSize(connections);
   }
 
+  /** Guards against a promise that was made for an earlier request on the same connection. */
+  @ParameterizedTest
+  @CsvSource({"r2, NOT_RUN", "r1, MAY_HAVE_RUN", ", MAY_HAVE_RUN"})
+  void aRefusalCountsOnlyWithTheIdOfItsRequest(String echoedId, Outcome outcome) throws Exception {
+    String refusal =
+        "{\"code\":\"OVER_LIMIT\",\"outcome\":\"NOT_RUN\",\"step\":\"SEND\",\"message\":\"full\"}";
+    ServiceReplica replica =
+        open(
+            context -> {
+              if (echoedId != null) {
+                context.getResponse().getHeaders().set(HttpServiceReplica.REQUEST_ID, echoedId);
+              }
+              context.getResponse().status(503).send(refusal);
+            });
+    CompletionException failure =
+        assertThrows(
+            CompletionException.class,
+            () -> replica.call(new ServiceRequest("r2", "k", "ws", "p", true, "b")).join());
+
+    assertThat(((BasilportException) failure.getCause()).outcome()).isEqualTo(outcome);
+  }
+
   /** Guards against a redirect that makes the client send a request twice. */
   @Test
   void redirectsAreNotFollowed() throws Exception {
--- a/basilport-standin/src/main/java/org/basilport/standin/http/ServiceHttpServer.java
+++ b/basilport-standin/src/main/java/org/basilport/standin/http/ServiceHttpServer.java
@@ -40,6 +40,10 @@
   private void call(Context context) {
     Headers headers = context.getRequest().getHeaders();
     String path = context.getPathBinding().getPastBinding();
+    context
+        .getResponse()
+        .getHeaders()
+        .set(HttpServiceReplica.REQUEST_ID, value(headers, HttpServiceReplica.REQUEST_ID));
     context
         .getRequest()
         .getBody()
