Suspect requests that crash a server before its first byte

Cause: if a server had begun to answer some requests when it crashed, only these were suspects. A stream within its first half second is nearly always there, so a request that crashes its server before the first byte was cleared at each crash. Parts of prompts were cleared in the same way. Change: requests that waited are counted for the crashes that neither an answer nor a quarantined part explains. The one that was at most of them is held back after 3 crashes; if several were at the same ones, after a fourth. Parts that no server has answered are blamed in the same second step, after the longer time in which other instances report what they know to be sound. CrashingPromptPartTest passes unchanged.

--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/CrashAttribution.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/CrashAttribution.java
@@ -4,11 +4,13 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.LongFunction;
 import java.util.stream.Collectors;
 
@@ -17,11 +19,13 @@
  *
  * <p>The load it answers: requests of which no two are alike share one part of their prompts, and
  * each server that begins to answer one of them crashes. Sound requests share the caller and the
- * other parts, and run on the same servers. Four observations separate them:
+ * other parts, and run on the same servers. A single request that is sent again after each crash
+ * does the same. Four observations separate them:
  *
  * <ul>
- *   <li>If a request had begun its answer when the server crashed, those that waited are no
- *       suspects.
+ *   <li>If a request had begun its answer when the server crashed, those that waited are suspected
+ *       only of crashes that no answer explains: a request may also crash its server before the
+ *       first byte, while sound ones begin beside it.
  *   <li>A part of an answered request is sound, so only crashes since then count against it.
  *   <li>A crash that a quarantined part explains counts against nothing else.
  *   <li>Servers that crash at the same moment may have another common cause. Their crashes count
@@ -32,6 +36,12 @@
   /** Crashes after which a request is quarantined. */
   private static final int CRASHES_TO_QUARANTINE = 3;
 
+  /**
+   * Crashes after which requests are quarantined that were at the same crashes, so that nothing
+   * separates them.
+   */
+  private static final int INDISTINCT_CRASHES_TO_QUARANTINE = 4;
+
   /** Crashes of a part that was never answered that explain those of the parts beside it. */
   private static final int CRASHES_TO_EXPLAIN = 2;
 
@@ -69,7 +79,11 @@
     this.crashes = crashes(observations);
     blameKnownCulprits();
     blameRequests();
-    blameParts();
+    blameParts(ServerCrash::suspects, SETTLING_NANOS);
+    blameWaitingRequests();
+    if (!undecided) {
+      blameParts(ServerCrash::requests, AMBIGUOUS_SETTLING_NANOS);
+    }
   }
 
   /** Contents to be quarantined, with the number of crashes that are attributed to each. */
@@ -100,7 +114,7 @@
   /** A content that was quarantined before is quarantined again after one further crash. */
   private void blameKnownCulprits() {
     for (ServerCrash crash : crashes) {
-      for (CrashObservation suspect : crash.suspects()) {
+      for (CrashObservation suspect : crash.requests()) {
         for (long content : contents(suspect.evidence().content())) {
           boolean repeated =
               knownQuarantine
@@ -124,7 +138,7 @@
   private void blameRequests() {
     Map<Long, Integer> counts = new HashMap<>();
     for (ServerCrash crash : crashes) {
-      if (explained(crash)) {
+      if (explained(crash, ServerCrash::suspects)) {
         continue;
       }
       for (CrashObservation suspect : crash.suspects()) {
@@ -142,9 +156,66 @@
         });
   }
 
-  private void blameParts() {
+  /**
+   * Blames the requests that were at most of the crashes that nothing else explains, whether their
+   * servers had begun to answer them or not.
+   */
+  private void blameWaitingRequests() {
+    Set<ServerCrash> unexplained =
+        crashes.stream()
+            .filter(crash -> !explained(crash, ServerCrash::requests))
+            .filter(crash -> !explainedByRequest(crash))
+            .collect(Collectors.toCollection(LinkedHashSet::new));
     while (true) {
-      List<PartSuspicion> suspicions = suspicions();
+      Map<Long, List<ServerCrash>> byRequest = new HashMap<>();
+      for (ServerCrash crash : unexplained) {
+        unansweredSince(crash)
+            .forEach(
+                request -> byRequest.computeIfAbsent(request, key -> new ArrayList<>()).add(crash));
+      }
+      int most = byRequest.values().stream().mapToInt(List::size).max().orElse(0);
+      List<Long> candidates =
+          byRequest.keySet().stream().filter(key -> byRequest.get(key).size() == most).toList();
+      int required =
+          candidates.size() == 1 ? CRASHES_TO_QUARANTINE : INDISTINCT_CRASHES_TO_QUARANTINE;
+      if (most < required) {
+        return;
+      }
+      for (long candidate : candidates) {
+        culprits.put(candidate, most);
+        unexplained.removeAll(byRequest.get(candidate));
+      }
+    }
+  }
+
+  private boolean explainedByRequest(ServerCrash crash) {
+    return crash.requests().stream()
+        .map(request -> request.evidence().content().fingerprint())
+        .anyMatch(
+            request -> culprits.containsKey(request) || knownQuarantine.apply(request).isPresent());
+  }
+
+  /** The requests at a crash that no server has answered since then. */
+  private Set<Long> unansweredSince(ServerCrash crash) {
+    return crash.requests().stream()
+        .filter(
+            request ->
+                !soundContents.soundAfter(
+                    request.evidence().content().fingerprint(), request.lostAtNanos()))
+        .map(request -> request.evidence().content().fingerprint())
+        .collect(Collectors.toSet());
+  }
+
+  /**
+   * Blames the parts of prompts that occur in several crashes.
+   *
+   * @param suspects the requests at a crash that are considered
+   * @param settlingNanos time within which other instances report the parts that are sound
+   */
+  private void blameParts(
+      Function<ServerCrash, List<CrashObservation>> suspects, long settlingNanos) {
+    while (true) {
+      List<PartSuspicion> suspicions = suspicions(suspects);
       List<PartSuspicion> candidates =
           suspicions.stream()
               .filter(suspicion -> !suspicion.answered() && suspicion.decisiveAtNanos().isPresent())
@@ -159,7 +230,7 @@
       boolean ambiguous = chosen.answered() || candidates.size() > 1;
       long decisionNanos =
           chosen.decisiveAtNanos().orElseThrow()
-              + (ambiguous ? AMBIGUOUS_SETTLING_NANOS : SETTLING_NANOS);
+              + (ambiguous ? AMBIGUOUS_SETTLING_NANOS : settlingNanos);
       if (decisionNanos - nowNanos > 0) {
         nextDecisionNanos = decisionNanos;
         undecided = true;
@@ -185,20 +256,21 @@
         .orElseThrow();
   }
 
-  private boolean explained(ServerCrash crash) {
-    return crash.suspects().stream()
+  private boolean explained(
+      ServerCrash crash, Function<ServerCrash, List<CrashObservation>> suspects) {
+    return suspects.apply(crash).stream()
         .flatMap(suspect -> suspect.evidence().content().promptParts().stream())
         .anyMatch(part -> culprits.containsKey(part) || knownQuarantine.apply(part).isPresent());
   }
 
   /** The parts in crashes that are not explained and later than the last answer to the part. */
-  private List<PartSuspicion> suspicions() {
+  private List<PartSuspicion> suspicions(Function<ServerCrash, List<CrashObservation>> suspects) {
     Map<Long, PartSuspicion> byPart = new HashMap<>();
     for (ServerCrash crash : crashes) {
-      if (explained(crash)) {
+      if (explained(crash, suspects)) {
         continue;
       }
-      for (CrashObservation suspect : crash.suspects()) {
+      for (CrashObservation suspect : suspects.apply(crash)) {
         List<Long> parts = suspect.evidence().content().promptParts();
         for (int i = 0; i < parts.size(); i++) {
           long part = parts.get(i);
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServerCrash.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServerCrash.java
@@ -4,6 +4,7 @@
 
 /** Crash of one incarnation of a server, with the requests that may have caused it. */
 final class ServerCrash {
+  private final List<CrashObservation> requests;
   private final List<CrashObservation> suspects;
   private final long lostAtNanos;
   private final long knownAtNanos;
@@ -11,17 +12,26 @@
   /**
    * Creates a crash.
    *
-   * @param atServer all requests that were at the server; if it had begun to answer some of them,
-   *     only these are suspects
+   * @param atServer all requests that were at the server
    */
   ServerCrash(List<CrashObservation> atServer) {
     List<CrashObservation> answering =
         atServer.stream().filter(observation -> observation.evidence().answering()).toList();
+    requests = List.copyOf(atServer);
     suspects = answering.isEmpty() ? List.copyOf(atServer) : answering;
     lostAtNanos = suspects.stream().mapToLong(CrashObservation::lostAtNanos).min().orElseThrow();
     knownAtNanos = suspects.stream().mapToLong(CrashObservation::knownAtNanos).min().orElseThrow();
   }
 
+  /** All requests that were at the server. */
+  List<CrashObservation> requests() {
+    return requests;
+  }
+
+  /**
+   * The requests that are suspected first: those that the server had begun to answer; all if there
+   * are none.
+   */
   List<CrashObservation> suspects() {
     return suspects;
   }
@@ -36,7 +46,7 @@
     return knownAtNanos;
   }
 
-  /** Whether the server had begun to answer the suspects. */
+  /** Whether the server had begun to answer the requests that are suspected first. */
   boolean underAnswer() {
     return suspects.get(0).evidence().answering();
   }
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/CrashingPartFleet.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/CrashingPartFleet.java
@@ -11,31 +11,53 @@
 import java.util.stream.IntStream;
 
 /**
- * Fleet of the size of the largest deployment on a virtual clock: each instance decides with a
- * detector of its own, and reports are delayed and lost. Engines crash as they begin to answer a
- * prompt with the crashing part, and return after some seconds under another id.
+ * Fleet on a virtual clock: each instance decides with a detector of its own, and reports are
+ * delayed and lost. Engines crash as they begin to answer a prompt with the crashing part, or a
+ * crashing request, and return after some seconds under another id.
  */
 final class CrashingPartFleet {
   static final long CONTACT_NANOS = TimeUnit.SECONDS.toNanos(4);
 
-  private static final int INSTANCES = 95;
-  private static final int ENGINES = 28;
   private static final int KNOWN_CRASHES = 5;
   private static final int MAX_ATTEMPTS = 4;
   private static final long MILLI_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
   private static final long FIRST_PART_OF_FIRST_ROUTE = 1_000;
   private static final long FIRST_CALLER_PART = 2_000;
   private static final int CALLER_PARTS = 20;
-  private static final double SOUND_PER_SECOND = 44;
   private static final double CRASHING_PER_SECOND = 4;
   private static final long CRASHING_PART = 77;
+  private static final long CRASHING_REQUEST = 78;
+
+  /**
+   * Size of a fleet and its load.
+   *
+   * @param soundPerSecond sound requests per second
+   * @param shortAnswerMillis duration of every second answer
+   * @param longAnswerMillis duration of the other answers
+   * @param beforeFirstByte whether an engine crashes before the first byte of the crashing answer
+   */
+  record Size(
+      int instances,
+      int engines,
+      double soundPerSecond,
+      long shortAnswerMillis,
+      long longAnswerMillis,
+      boolean beforeFirstByte) {
+    /** The largest deployment. */
+    static final Size LARGEST = new Size(95, 28, 44, 100, 8_000, false);
+
+    Size crashingBeforeTheFirstByte() {
+      return new Size(
+          instances, engines, soundPerSecond, shortAnswerMillis, longAnswerMillis, true);
+    }
+  }
 
+  private final Size size;
   private final SplittableRandom random;
   private final int crashingPosition;
   private final double reportLoss;
-  private final List<String> names =
-      IntStream.range(0, INSTANCES).mapToObj(i -> "instance-" + i).toList();
-  private final CellPartition cells = new CellPartition(names, List.of());
+  private final List<String> names;
+  private final CellPartition cells;
   private final List<CrashingRequestDetector> instances = new ArrayList<>();
   private final List<Engine> engines = new ArrayList<>();
   private final PriorityQueue<Event> events =
@@ -49,12 +71,19 @@
   private int soundRejected;
 
   CrashingPartFleet(long seed, int crashingPosition, double reportLoss) {
+    this(Size.LARGEST, seed, crashingPosition, reportLoss);
+  }
+
+  CrashingPartFleet(Size size, long seed, int crashingPosition, double reportLoss) {
+    this.size = size;
+    this.names = IntStream.range(0, size.instances()).mapToObj(i -> "instance-" + i).toList();
+    this.cells = new CellPartition(names, List.of());
     this.random = new SplittableRandom(seed);
     this.crashingPosition = crashingPosition;
     this.reportLoss = reportLoss;
     names.forEach(name -> instances.add(new CrashingRequestDetector()));
-    IntStream.range(0, ENGINES).forEach(i -> engines.add(new Engine(i)));
-    for (int i = 0; i < INSTANCES; i++) {
+    IntStream.range(0, size.engines()).forEach(i -> engines.add(new Engine(i)));
+    for (int i = 0; i < size.instances(); i++) {
       heartbeat(i, 0);
     }
   }
@@ -91,7 +120,22 @@
 
   /** Sends sound requests of two routes for a time. */
   void sendSound(long durationNanos) {
-    arrivals(durationNanos, SOUND_PER_SECOND, () -> startRequest(false));
+    arrivals(durationNanos, size.soundPerSecond(), () -> startRequest(false));
+  }
+
+  /** Sends the same request, which crashes its engines, at an interval; it is not retried. */
+  void sendCrashingRequest(int times, long intervalNanos) {
+    RequestContent content =
+        new RequestContent(CRASHING_REQUEST, List.of(FIRST_PART_OF_FIRST_ROUTE));
+    for (int i = 0; i < times; i++) {
+      at(
+          i * intervalNanos,
+          () -> {
+            Request request = new Request(random.nextInt(size.instances()), content, true, 0);
+            request.attempts = MAX_ATTEMPTS;
+            send(request);
+          });
+    }
   }
 
   /** Sends requests with the crashing part for a time. */
@@ -108,7 +152,7 @@
 
   /** Crashes a third of the engines at once, for a reason that no request has. */
   void crashDomain() {
-    for (int i = 0; i < ENGINES; i += 3) {
+    for (int i = 0; i < size.engines(); i += 3) {
       crash(engines.get(i), false);
     }
   }
@@ -122,8 +166,10 @@
       parts.add(crashingPosition, CRASHING_PART);
     }
     RequestContent content = new RequestContent(nextFingerprint++, parts);
-    long answerNanos = route == 0 ? 100 * MILLI_NANOS : 8_000 * MILLI_NANOS;
-    Request request = new Request(random.nextInt(INSTANCES), content, crashing, answerNanos);
+    long answerMillis = route == 0 ? size.shortAnswerMillis() : size.longAnswerMillis();
+    Request request =
+        new Request(
+            random.nextInt(size.instances()), content, crashing, answerMillis * MILLI_NANOS);
     soundRequests += crashing ? 0 : 1;
     send(request);
   }
@@ -150,6 +196,10 @@
     if (engine.boot != boot || !engine.live) {
       return;
     }
+    if (request.crashing && size.beforeFirstByte()) {
+      crash(engine, true);
+      return;
+    }
     request.answering = true;
     if (request.crashing) {
       at(30 * MILLI_NANOS, () -> crashAt(engine, boot));
@@ -272,7 +322,7 @@
 
   /** Replaces all instances by new ones, to which an action may pass what was stored. */
   void restartInstances(Consumer<CrashingRequestDetector> afterStart) {
-    for (int i = 0; i < INSTANCES; i++) {
+    for (int i = 0; i < size.instances(); i++) {
       CrashingRequestDetector started = new CrashingRequestDetector();
       afterStart.accept(started);
       instances.set(i, started);
