Forward only what is an event stream within a stream

Callers saw: the text of an error, or its whole head, in the middle of a stream that had begun, or a stream that ended as if it were complete, when the next server answered with something else under a successful status. Cause: any signed answer with a status 2xx was taken for the rest of the stream. Lines that are no fields of an event were forwarded like comments, and an answer without any event counted as the end of a stream that had events from the server before. Change: a stream needs status 200 and, if the head names a type, that of an event stream. Each line has to be a comment or a field whose name is in lower case; after a resumption a field needs a value. A resumed stream that ends without an event is complete only if its head names the type.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/EventStreamReader.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/EventStreamReader.java
@@ -18,6 +18,9 @@
 final class EventStreamReader {
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
+  /** Field that may stand without a colon, for an empty line of data. */
+  private static final byte[] DATA_FIELD = "data".getBytes(StandardCharsets.US_ASCII);
+
   /**
    * Size limit of one event. A body without an event boundary within this limit is not an event
    * stream.
@@ -41,6 +44,8 @@
   private Optional<String> lastId = Optional.empty();
   private Optional<String> pendingId = Optional.empty();
   private int eventCount;
+  private int eventsSinceResume;
+  private boolean resumed;
   private int bytesWithoutProgress;
   private Optional<String> problem = Optional.empty();
 
@@ -130,6 +135,7 @@
       lastId = pendingId;
       pendingId = Optional.empty();
       eventCount++;
+      eventsSinceResume++;
       bytesWithoutProgress = 0;
     } else {
       bytesWithoutProgress += end - completeLength;
@@ -151,6 +157,10 @@
   }
 
   private void readField(int start, int end) {
+    if (!isField(start, end)) {
+      problem = Optional.of("line that is no field of an event");
+      return;
+    }
     if (end - start < ID_FIELD.length
         || !Arrays.equals(pending, start, start + ID_FIELD.length, ID_FIELD, 0, ID_FIELD.length)) {
       return;
@@ -161,6 +171,24 @@
             new String(pending, valueStart, end - valueStart, StandardCharsets.US_ASCII).trim());
   }
 
+  /**
+   * Whether a line is a comment or a field, whose name is in lower case. The text of an error, or
+   * the head of another answer, is neither. A field without a value may be such a text, too, where
+   * another server was to go on with the stream.
+   */
+  private boolean isField(int start, int end) {
+    for (int i = start; i < end; i++) {
+      byte character = pending[i];
+      if (character == ':') {
+        return true;
+      }
+      if (!(character >= 'a' && character <= 'z') && character != '-') {
+        return false;
+      }
+    }
+    return !resumed || Arrays.equals(pending, start, end, DATA_FIELD, 0, DATA_FIELD.length);
+  }
+
   /** Why the rest of the stream must not be forwarded; empty while it may be. */
   Optional<String> problem() {
     return problem;
@@ -172,6 +200,8 @@
    */
   void dropPartialEvent() {
     problem = Optional.empty();
+    eventsSinceResume = 0;
+    resumed = eventCount > 0;
     bytesWithoutProgress = 0;
     length = 0;
     lineStart = 0;
@@ -189,6 +219,11 @@
     return lastId;
   }
 
+  /** Number of complete events with a new id since the stream began or was resumed. */
+  int eventsSinceResume() {
+    return eventsSinceResume;
+  }
+
   /** Number of complete events with a new id. */
   int eventCount() {
     return eventCount;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -43,6 +43,7 @@
   private final DepartureListener departureListener = new GenerationDeparture(this);
   private final GenerationMove move;
   private ServerResponse response;
+  private StreamContentType contentType = StreamContentType.UNDECLARED;
 
   /** Whether the end of the answer differs from the end of its connection. */
   private boolean endsVisibly;
@@ -122,6 +123,7 @@
   public void onHead(ServerResponse serverResponse, HttpResponse httpResponse) {
     onAnswerStarted(serverResponse);
     response = serverResponse;
+    contentType = StreamContentType.of(httpResponse.headers());
     endsVisibly =
         HttpUtil.isTransferEncodingChunked(httpResponse)
             || HttpUtil.isContentLengthSet(httpResponse);
@@ -224,7 +226,10 @@
   }
 
   private boolean streaming() {
-    return response.successful() && response.signed() && !response.contentEncoded();
+    return response.status() == 200
+        && response.signed()
+        && !response.contentEncoded()
+        && contentType != StreamContentType.OTHER;
   }
 
   /** Whether the server has said that it did not execute the request. */
@@ -278,8 +283,10 @@
   public void onComplete() {
     if (!streaming()) {
       onErrorResponse();
-    } else if (reader.hasPartialEvent() || reader.eventCount() == 0) {
-      onFailure("stream ended within an event");
+    } else if (reader.hasPartialEvent()
+        || reader.eventCount() == 0
+        || !contentType.mayEnd(reader.eventsSinceResume())) {
+      onFailure("stream ended within an event or without one");
     } else {
       move.onStreamEnded(endsVisibly ? StreamEnd.COMPLETE : StreamEnd.POSSIBLY_COMPLETE);
     }
