Let an odd object of the store cost only itself

Callers saw: after another writer had left one odd entry, instances went on with the servers, instances or configuration that they had last read, or refused all requests of a route. Cause: (1) The parser stops at a value that is nested too deeply or at a number that is too long, so the whole list was unreadable and listed again for ever; quarantines waited behind their list. (2) A listener that threw ended the watcher, since nothing caught it in a future. (3) A time beyond 292 years threw on the event loop: in an entry of a server, where the servers after it were not added, and in a route, at each request. (4) An entry without a name at the end of a page sent the list back to its start. (5) A port or count beyond its type, or a host name, which is looked up on the thread that reads. (6) A stored time of a quarantine far ahead held requests back for good. (7) A periodic task that throws is not run again.

--- a/basilport-common/src/main/java/org/basilport/event/EventType.java
+++ b/basilport-common/src/main/java/org/basilport/event/EventType.java
@@ -97,6 +97,7 @@
       7004, Level.WARN, "store returned from an older copy, incarnation {} follows {}"),
   PLATFORM_REVISION_LOWER(7005, Level.WARN, "list of {} at revision {} follows revision {}"),
   PLATFORM_COMPLETE(7006, Level.INFO, "store incarnation {} is complete, source: {}"),
+  PLATFORM_OBJECT_UNREADABLE(7007, Level.WARN, "object of kind {} cannot be read: {}"),
   JOB_ACCEPTED(8001, Level.DEBUG, "job {} accepted"),
   JOB_FINISHED(8002, Level.DEBUG, "job {} finished with {} tokens"),
   JOB_RETRIED(8003, Level.INFO, "job {} restarted: {}"),
--- /dev/null
+++ b/basilport-common/src/main/java/org/basilport/json/package-info.java
@@ -0,0 +1,2 @@
+/** Reading of JSON of which a part may be unreadable. */
+package org.basilport.json;
--- a/basilport-common/src/main/java/org/basilport/misc/ThreadScheduler.java
+++ b/basilport-common/src/main/java/org/basilport/misc/ThreadScheduler.java
@@ -48,7 +48,7 @@
   public Cancellable schedule(Duration delay, Runnable task) {
     try {
       ScheduledFuture<?> future =
-          executor.schedule(() -> runLogged(task), delay.toNanos(), TimeUnit.NANOSECONDS);
+          executor.schedule(new LoggedTask(task), delay.toNanos(), TimeUnit.NANOSECONDS);
       return () -> future.cancel(false);
     } catch (RejectedExecutionException e) {
       // After shutdown no caller waits for the result of a task.
@@ -61,12 +61,4 @@
   public void close() {
     executor.shutdown();
   }
-
-  private static void runLogged(Runnable task) {
-    try {
-      task.run();
-    } catch (RuntimeException e) {
-      LOG.error("scheduled task failed", e);
-    }
-  }
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -28,6 +28,7 @@
 import org.basilport.gateway.peer.FleetClaims;
 import org.basilport.gateway.peer.InstanceEntry;
 import org.basilport.gateway.peer.LoadExchange;
+import org.basilport.misc.LoggedTask;
 import org.basilport.misc.Service;
 import org.basilport.policy.dispatch.StoreCompleteness;
 import org.basilport.policy.dispatch.StoreRead;
@@ -120,7 +121,7 @@
         .thenRun(
             () ->
                 eventLoop.scheduleWithFixedDelay(
-                    this::housekeeping,
+                    new LoggedTask(this::housekeeping),
                     HOUSEKEEPING_INTERVAL_MILLIS,
                     HOUSEKEEPING_INTERVAL_MILLIS,
                     TimeUnit.MILLISECONDS));
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/CrashMonitor.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/CrashMonitor.java
@@ -1,6 +1,7 @@
 package org.basilport.gateway.backend;
 
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.List;
@@ -57,13 +58,13 @@
   /** Adds the quarantines that the archive held at the start. */
   public void addStored(List<StoredQuarantine> stored) {
     long now = System.nanoTime();
+    Instant today = Instant.now();
+    Instant latest = today.plus(CrashingRequestDetector.QUARANTINE);
     for (StoredQuarantine quarantine : stored) {
-      long remainingNanos =
-          TimeUnit.MILLISECONDS.toNanos(
-              quarantine.until().toEpochMilli() - System.currentTimeMillis());
-      if (remainingNanos > 0) {
-        detector.addQuarantine(
-            new Quarantine(quarantine.content(), now, now + remainingNanos), now);
+      Instant until = quarantine.until().isAfter(latest) ? latest : quarantine.until();
+      if (until.isAfter(today)) {
+        long untilNanos = now + Duration.between(today, until).toNanos();
+        detector.addQuarantine(new Quarantine(quarantine.content(), now, untilNanos), now);
       }
     }
   }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Counter;
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -42,6 +43,9 @@
    */
   private static final long TOLD_DEPARTURE_RETENTION_NANOS = TimeUnit.MINUTES.toNanos(10);
 
+  /** Longest time for which a server is taken to be slow after its start. */
+  private static final Duration MAX_WARM_UP = Duration.ofHours(1);
+
   private final EventLoop eventLoop;
   private final MessageCodec codec;
   private final EventSink events;
@@ -139,7 +143,7 @@
     if (server.engine().isPresent()) {
       load.onChange(() -> engineWorkListener.accept(server));
     }
-    load.setWarmUpEnd(System.nanoTime() + entry.warmUpRemaining().toNanos());
+    load.setWarmUpEnd(System.nanoTime() + nanos(entry.warmUpRemaining()));
     byId.put(entry.id(), server);
     revision++;
     applyPeerWork(entry.id());
@@ -156,6 +160,10 @@
     }
   }
 
+  private static long nanos(Duration warmUp) {
+    return (warmUp.compareTo(MAX_WARM_UP) < 0 ? warmUp : MAX_WARM_UP).toNanos();
+  }
+
   private void refresh(BackendServer known, ServerEntry entry, String source) {
     if (entry.leaving() && !known.load().leaving()) {
       events.record(EventType.BACKEND_LEAVING, EventSubject.server(entry.id()), entry.id(), source);
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -17,6 +17,7 @@
 import org.basilport.event.EventType;
 import org.basilport.gateway.backend.BackendServer;
 import org.basilport.gateway.forward.ForwardingState;
+import org.basilport.misc.LoggedTask;
 import org.basilport.misc.Service;
 import org.basilport.policy.dispatch.CellPartition;
 import org.basilport.policy.dispatch.FreedCapacityDelay;
@@ -130,7 +131,7 @@
         .thenRun(
             () ->
                 eventLoop.scheduleWithFixedDelay(
-                    this::heartbeat,
+                    new LoggedTask(this::heartbeat),
                     HEARTBEAT_INTERVAL_MILLIS,
                     HEARTBEAT_INTERVAL_MILLIS,
                     TimeUnit.MILLISECONDS));
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/CrashingRequestDetector.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/CrashingRequestDetector.java
@@ -1,5 +1,6 @@
 package org.basilport.policy.dispatch;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -30,7 +31,9 @@
   private static final long RETENTION_NANOS = TimeUnit.MINUTES.toNanos(5);
 
   /** Duration of a quarantine after the last crash. */
-  private static final long QUARANTINE_NANOS = TimeUnit.MINUTES.toNanos(5);
+  public static final Duration QUARANTINE = Duration.ofMinutes(5);
+
+  private static final long QUARANTINE_NANOS = QUARANTINE.toNanos();
 
   /** Maximum number of requests in crashes that are kept; the oldest are dropped first. */
   private static final int MAX_OBSERVATIONS = 256;
