Let an odd entry cost only itself in the router

Cause: (1) The list of instances was decoded as a whole, so one entry with an unknown state, a number too large or a deep value made it unreadable, and the servers were dropped when the list had aged. (3) A stored quarantine could name any time. (3) was read only. Change: entries are decoded one by one and checked, odd objects are skipped by the sweeper and logged, and stored quarantines end within the duration of a new one. The configuration of the router is one object that operators apply through the router, which checks it; it has no entries of other writers.

--- a/basilport-clients/src/main/java/org/basilport/platform/http/HttpInstanceDirectory.java
+++ b/basilport-clients/src/main/java/org/basilport/platform/http/HttpInstanceDirectory.java
@@ -1,18 +1,14 @@
 package org.basilport.platform.http;
 
-import com.fasterxml.jackson.core.type.TypeReference;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.basilport.http.HttpCall;
 import org.basilport.http.HttpTransport;
-import org.basilport.http.Json;
 import org.basilport.platform.InstanceDirectory;
 import org.basilport.platform.ListedInstance;
 
 /** HTTP client of the instance directory. */
 public final class HttpInstanceDirectory implements InstanceDirectory {
-  private static final TypeReference<List<ListedInstance>> INSTANCES = new TypeReference<>() {};
-
   private final PlatformHttpClient http;
 
   /** Creates a client of the platform at an IP address and port. */
@@ -23,6 +19,6 @@
   @Override
   public CompletableFuture<List<ListedInstance>> list() {
     HttpCall call = http.call("GET", "/instances");
-    return http.send(call, response -> Json.read(response.text(), INSTANCES));
+    return http.send(call, response -> ListedInstanceDecoder.decodeAll(response.body()));
   }
 }
--- /dev/null
+++ b/basilport-clients/src/test/java/org/basilport/platform/http/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the HTTP clients of the platform. */
+package org.basilport.platform.http;
--- a/basilport-router/src/main/java/org/basilport/claim/ClaimObject.java
+++ b/basilport-router/src/main/java/org/basilport/claim/ClaimObject.java
@@ -83,7 +83,7 @@
     try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(value))) {
       int format = in.readByte();
       if (format != FORMAT) {
-        throw new IllegalStateException("claim object has unknown format " + format);
+        throw new MalformedObjectException("claim object has unknown format " + format, null);
       }
       object.closed = in.readBoolean();
       int count = in.readInt();
@@ -93,8 +93,8 @@
         Claim.State state = Claim.State.values()[in.readByte()];
         object.put(hash, new Claim(attemptId, state, in.readUnsignedShort(), in.readLong()));
       }
-    } catch (IOException e) {
-      throw new UncheckedIOException("claim object is truncated", e);
+    } catch (IOException | IndexOutOfBoundsException e) {
+      throw new MalformedObjectException("claim object is truncated or corrupted", e);
     }
     return object;
   }
--- a/basilport-router/src/main/java/org/basilport/claim/TimeSlotSweeper.java
+++ b/basilport-router/src/main/java/org/basilport/claim/TimeSlotSweeper.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import java.util.function.LongFunction;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.basilport.membership.MembershipView;
 import org.basilport.misc.Cancellable;
 import org.basilport.misc.Scheduler;
@@ -18,6 +20,7 @@
  * owner. All state is confined to the control scheduler.
  */
 public final class TimeSlotSweeper {
+  private static final Logger LOG = LogManager.getLogger(TimeSlotSweeper.class);
   private static final Duration SWEEP_INTERVAL = Duration.ofMinutes(1);
   // Sweeping starts this far back, to cover an outage during which no instance swept.
   private static final Duration CATCH_UP_PERIOD = Duration.ofHours(6);
@@ -40,7 +43,7 @@
    * @param ownershipKey key whose owner sweeps
    * @param age age of a slot at which the action is applied
    * @param prefixes returns the name prefixes of a slot's objects
-   * @param action action to apply to an object; retried if it fails
+   * @param action action to apply to an object; retried if its result is a failure
    */
   public TimeSlotSweeper(
       ObjectStore store,
@@ -111,7 +114,18 @@
   private CompletableFuture<Void> sweepObject(String name) {
     return store
         .read(name)
-        .thenCompose(found -> found.map(action).orElse(CompletableFuture.completedFuture(null)));
+        .thenCompose(
+            found -> found.map(this::apply).orElse(CompletableFuture.completedFuture(null)));
+  }
+
+  /** Applies the action; an object that cannot be read is left and does not hold up the others. */
+  private CompletableFuture<Void> apply(StoredObject object) {
+    try {
+      return action.apply(object);
+    } catch (MalformedObjectException e) {
+      LOG.error("object {} is skipped", object.name(), e);
+      return CompletableFuture.completedFuture(null);
+    }
   }
 
   private static CompletableFuture<Void> allOf(List<CompletableFuture<Void>> futures) {
--- a/basilport-router/src/main/java/org/basilport/quarantine/QuarantineStore.java
+++ b/basilport-router/src/main/java/org/basilport/quarantine/QuarantineStore.java
@@ -92,15 +92,25 @@
     return message.build().toByteArray();
   }
 
-  private static List<SuspicionEntry> decode(Optional<StoredObject> stored) {
+  private List<SuspicionEntry> decode(Optional<StoredObject> stored) {
     if (stored.isEmpty()) {
       return List.of();
     }
     try {
-      return GossipMessage.parseFrom(stored.get().value()).getSuspicionsList();
+      long latest = control.now().plus(CrashTracker.QUARANTINE_DURATION).toEpochMilli();
+      return GossipMessage.parseFrom(stored.get().value()).getSuspicionsList().stream()
+          .map(entry -> endingBy(entry, latest))
+          .toList();
     } catch (InvalidProtocolBufferException e) {
       // An unreadable object is replaced by the next save.
       return List.of();
     }
   }
+
+  /** An entry that ends no later than one that begins now. */
+  private static SuspicionEntry endingBy(SuspicionEntry entry, long latestMillis) {
+    return entry.getExpiresAtMillis() <= latestMillis
+        ? entry
+        : entry.toBuilder().setExpiresAtMillis(latestMillis).build();
+  }
 }
