Search also for continuations that overtake the events of the source

Callers saw: nothing. Cause: GenerationHandoverTest did not notice a handover that goes on from the copy while events of the source may still arrive. Evidence: with that change made to GenerationHandover by hand all properties passed; two other changes (the end of a stream that may have been stopped counts, a complete end within a stop is not delivered) were found. Change: the property of single runs also asks whether the stream had ended. Result: the change is found, the code as it is passes.

--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/GenerationHandoverTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/GenerationHandoverTest.java
@@ -49,6 +49,7 @@
       fleet.play();
       assertWithMessage(fleet.trace()).that(fleet.executions).isAtMost(1);
       assertWithMessage(fleet.trace()).that(fleet.continuedWithoutStop).isFalse();
+      assertWithMessage(fleet.trace()).that(fleet.continuedBeforeEnd).isFalse();
     }
 
     /** Guards against a stream for which nothing happens any more. */
@@ -117,6 +118,10 @@
     private boolean wholeStreamArrived;
     private boolean answerUnknown;
     private boolean continuedWithoutStop;
+
+    /** Whether events of the source could still arrive when another engine went on. */
+    private boolean continuedBeforeEnd;
+
     private int executions;
 
     Fleet(Iterator<Integer> choices, boolean visibleEnd) {
@@ -244,6 +249,7 @@
 
     private void sendContinuation() {
       continuedWithoutStop |= run != Run.STOPPED;
+      continuedBeforeEnd |= connected;
       if (choose(2) == 1) {
         act("not executed", handover.onContinuationNotExecuted(anyAvailability()));
       } else {
