Name what a reader of the change would stumble over

Callers saw: nothing. Cause: the fleet of the crash tests plays crashing requests, too; two names in GenerationMove did not say what they do; the periodic check of event gaps was not guarded like the other periodic tasks. Change: CrashingFleet, carryOut, availability; checkEventGap runs as a LoggedTask. What the tests assert is unchanged. Result: the tests of moves, streams and crash attribution pass.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
@@ -176,8 +176,8 @@
       return;
     }
     handle = result.handle();
-    act(
-        handover.onLastCopy(lastCopy(result), movedGeneration()),
+    carryOut(
+        handover.onLastCopy(lastCopy(result), availability()),
         "last copy answered " + result.status());
   }
 
@@ -193,7 +193,7 @@
         : GenerationHandover.LastCopy.UNKNOWN;
   }
 
-  private GenerationHandover.Availability movedGeneration() {
+  private GenerationHandover.Availability availability() {
     return availability(target, source);
   }
 
@@ -212,7 +212,7 @@
     };
   }
 
-  private void act(GenerationHandover.Decision decision, String reason) {
+  private void carryOut(GenerationHandover.Decision decision, String reason) {
     switch (decision) {
       case STAY:
         releaseTarget();
@@ -292,7 +292,7 @@
    * it is complete.
    */
   void onStreamEnded(GenerationHandover.StreamEnd end) {
-    act(handover.onStreamEnd(end, movedGeneration()), "stream ended");
+    carryOut(handover.onStreamEnd(end, availability()), "stream ended");
   }
 
   /** Waits a limited time for the end of the stream, which a hanging source does not send. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -21,6 +21,7 @@
 import org.basilport.gateway.message.GenerationSize;
 import org.basilport.gateway.message.KvCacheReference;
 import org.basilport.gateway.message.ServerResponse;
+import org.basilport.misc.LoggedTask;
 import org.basilport.policy.dispatch.EventGapLimit;
 import org.basilport.policy.dispatch.GenerationHandover.StreamEnd;
 import org.basilport.policy.dispatch.OutstandingWork;
@@ -97,7 +98,10 @@
           context
               .eventLoop()
               .scheduleWithFixedDelay(
-                  this::checkEventGap, maxGapNanos / 4, maxGapNanos / 4, TimeUnit.NANOSECONDS);
+                  new LoggedTask(this::checkEventGap),
+                  maxGapNanos / 4,
+                  maxGapNanos / 4,
+                  TimeUnit.NANOSECONDS);
     }
   }
 
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/CrashingPartFleet.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/CrashingFleet.java
@@ -15,7 +15,7 @@
  * delayed and lost. Engines crash as they begin to answer a prompt with the crashing part, or a
  * crashing request, and return after some seconds under another id.
  */
-final class CrashingPartFleet {
+final class CrashingFleet {
   static final long CONTACT_NANOS = TimeUnit.SECONDS.toNanos(4);
 
   private static final int KNOWN_CRASHES = 5;
@@ -64,17 +64,17 @@
       new PriorityQueue<>((a, b) -> Long.compare(a.order(), b.order()));
   private long now;
   private long nextFingerprint = 1_000_000;
-  private int crashesOfPart;
+  private int attributableCrashes;
   private long knownAt = Long.MAX_VALUE;
   private int lateSends;
   private int soundRequests;
   private int soundRejected;
 
-  CrashingPartFleet(long seed, int crashingPosition, double reportLoss) {
+  CrashingFleet(long seed, int crashingPosition, double reportLoss) {
     this(Size.LARGEST, seed, crashingPosition, reportLoss);
   }
 
-  CrashingPartFleet(Size size, long seed, int crashingPosition, double reportLoss) {
+  CrashingFleet(Size size, long seed, int crashingPosition, double reportLoss) {
     this.size = size;
     this.names = IntStream.range(0, size.instances()).mapToObj(i -> "instance-" + i).toList();
     this.cells = new CellPartition(names, List.of());
@@ -92,8 +92,8 @@
     return lateSends;
   }
 
-  int crashesOfPart() {
-    return crashesOfPart;
+  int attributableCrashes() {
+    return attributableCrashes;
   }
 
   int soundRequests() {
@@ -223,9 +223,9 @@
     }
   }
 
-  private void crash(Engine engine, boolean byPart) {
+  private void crash(Engine engine, boolean attributable) {
     engine.live = false;
-    if (byPart && ++crashesOfPart == KNOWN_CRASHES) {
+    if (attributable && ++attributableCrashes == KNOWN_CRASHES) {
       knownAt = now;
     }
     List<Request> lost = List.copyOf(engine.running);
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/CrashingPromptPartTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/CrashingPromptPartTest.java
@@ -159,8 +159,8 @@
     private static final double USUAL_LOSS = 0.02;
     private static final double HEAVY_LOSS = 0.3;
 
-    private void check(CrashingPartFleet fleet, String description) {
-      assertWithMessage(description).that(fleet.crashesOfPart()).isGreaterThan(0);
+    private void check(CrashingFleet fleet, String description) {
+      assertWithMessage(description).that(fleet.attributableCrashes()).isGreaterThan(0);
       assertWithMessage(description).that(fleet.lateSends()).isAtMost(MAX_LATE_SENDS);
       assertWithMessage(description)
           .that(fleet.soundRejected())
@@ -172,7 +172,7 @@
     @ValueSource(ints = {0, 1, 2})
     void stopAPartWhereverItStandsInThePrompt(int position) {
       for (int seed = 1; seed <= SEEDS; seed++) {
-        CrashingPartFleet fleet = new CrashingPartFleet(seed, position, USUAL_LOSS);
+        CrashingFleet fleet = new CrashingFleet(seed, position, USUAL_LOSS);
         fleet.sendSound(40 * SECOND);
         fleet.run(10 * SECOND);
         fleet.sendCrashing(30 * SECOND);
@@ -185,7 +185,7 @@
     @Test
     void stopAPartWhileReportsAreLost() {
       for (int seed = 1; seed <= SEEDS; seed++) {
-        CrashingPartFleet fleet = new CrashingPartFleet(seed, 1, HEAVY_LOSS);
+        CrashingFleet fleet = new CrashingFleet(seed, 1, HEAVY_LOSS);
         fleet.sendSound(40 * SECOND);
         fleet.run(10 * SECOND);
         fleet.sendCrashing(30 * SECOND);
@@ -198,7 +198,7 @@
     @Test
     void stopAPartFromTheFirstSecond() {
       for (int seed = 1; seed <= SEEDS; seed++) {
-        CrashingPartFleet fleet = new CrashingPartFleet(seed, 1, USUAL_LOSS);
+        CrashingFleet fleet = new CrashingFleet(seed, 1, USUAL_LOSS);
         fleet.sendSound(30 * SECOND);
         fleet.sendCrashing(30 * SECOND);
         fleet.run(30 * SECOND);
@@ -210,7 +210,7 @@
     @Test
     void stopAPartAcrossARestartOfAllInstances() {
       for (int seed = 1; seed <= SEEDS; seed++) {
-        CrashingPartFleet fleet = new CrashingPartFleet(seed, 1, USUAL_LOSS);
+        CrashingFleet fleet = new CrashingFleet(seed, 1, USUAL_LOSS);
         fleet.sendSound(30 * SECOND);
         fleet.run(5 * SECOND);
         fleet.sendCrashing(25 * SECOND);
@@ -227,7 +227,7 @@
     @Test
     void quarantineNothingWhenWholeDomainsCrash() {
       for (int seed = 1; seed <= SEEDS; seed++) {
-        CrashingPartFleet fleet = new CrashingPartFleet(seed, 1, USUAL_LOSS);
+        CrashingFleet fleet = new CrashingFleet(seed, 1, USUAL_LOSS);
         fleet.sendSound(40 * SECOND);
         for (int i = 0; i < 6; i++) {
           fleet.run(5 * SECOND);
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/WaitingCrashingRequestTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/WaitingCrashingRequestTest.java
@@ -164,8 +164,8 @@
     @EnumSource(Load.class)
     void holdBackTheRequestAndNoOther(Load load) {
       for (int seed = 1; seed <= SEEDS; seed++) {
-        CrashingPartFleet fleet =
-            new CrashingPartFleet(load.size.crashingBeforeTheFirstByte(), seed, 1, USUAL_LOSS);
+        CrashingFleet fleet =
+            new CrashingFleet(load.size.crashingBeforeTheFirstByte(), seed, 1, USUAL_LOSS);
         fleet.sendSound((5 + 2 * TIMES) * SECOND);
         fleet.run(5 * SECOND);
         fleet.sendCrashingRequest(TIMES, 2 * SECOND);
@@ -173,9 +173,13 @@
         String figures =
             String.format(
                 "%s, seed %d: %d crashes, %d of %d sound requests rejected",
-                load, seed, fleet.crashesOfPart(), fleet.soundRejected(), fleet.soundRequests());
+                load,
+                seed,
+                fleet.attributableCrashes(),
+                fleet.soundRejected(),
+                fleet.soundRequests());
         assertWithMessage(figures)
-            .that(fleet.crashesOfPart())
+            .that(fleet.attributableCrashes())
             .isAtMost(CRASHES_TO_QUARANTINE + MAX_LATE_CRASHES);
         assertWithMessage(figures).that(fleet.soundRejected()).isEqualTo(0);
       }
@@ -184,15 +188,15 @@
 
   private enum Load {
     /** Two instances, four engines, 24 streams a second of a second each. */
-    SMALL(new CrashingPartFleet.Size(2, 4, 24, 1_000, 1_000, true)),
+    SMALL(new CrashingFleet.Size(2, 4, 24, 1_000, 1_000, true)),
     /** The largest deployment. */
-    LARGEST(CrashingPartFleet.Size.LARGEST),
+    LARGEST(CrashingFleet.Size.LARGEST),
     /** The largest deployment with its engines half full. */
-    LARGEST_BUSY(new CrashingPartFleet.Size(95, 28, 300, 1_000, 2_000, true));
+    LARGEST_BUSY(new CrashingFleet.Size(95, 28, 300, 1_000, 2_000, true));
 
-    private final CrashingPartFleet.Size size;
+    private final CrashingFleet.Size size;
 
-    Load(CrashingPartFleet.Size size) {
+    Load(CrashingFleet.Size size) {
       this.size = size;
     }
   }
