End the source of a test before its last answer arrives

Callers saw: nothing. Cause: GatewayMovedStreamsTest.doNotRunAgainIfTargetAndSourceHaveEnded closed the source only after it had answered the last copy. If the thread of the scripted server was held up in between, the gateway resumed the generation at the source, which still accepted it, and the stream was complete with one run: what the gateway has to do then, but not what the test asks for. Change: the source refuses connections before it answers. What the test asserts is unchanged.

--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayMovedStreamsTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayMovedStreamsTest.java
@@ -65,6 +65,10 @@
           fault.onCopy(server, finalCopy);
         }
       }
+      if (finalCopy && sourceEnded) {
+        // The answer must not arrive while the source still accepts the continuation.
+        servers.get(0).stopAccepting();
+      }
       ScriptedServer.sendResponse(out, request, 200, finalCopy ? "handle-1" : "handle-0");
       if (finalCopy) {
         stopped.countDown();
