Report the bytes of a backend server that are no valid answer

Change: event 6020 for each connection that is closed because of the bytes received on it, with the request, whether it waited, the status of the answer (0 before the end of its head), the bytes since the request was sent, and the number of requests on the connection. The counter forward.invalid_answers counts them. No decision changes.

Result: BackendConnectionTest has two new tests, on bytes without a request and on a head that stops; they cannot compile on the former code, which has no such report.

--- a/basilport-common/src/main/java/org/basilport/event/EventType.java
+++ b/basilport-common/src/main/java/org/basilport/event/EventType.java
@@ -90,6 +90,10 @@
       6018, Level.INFO, "request={} server={} incarnation={} says in its answer that it leaves"),
   BACKEND_PAUSED(
       6019, Level.INFO, "request={} server={} incarnation={} wants no requests, left_ms={}"),
+  ANSWER_INVALID(
+      6020,
+      Level.WARN,
+      "request={} server={} waiting={} status={} bytes={} requests={} invalid answer: {}"),
   PLATFORM_UNAVAILABLE(7001, Level.WARN, "platform call {} failed: {}"),
   PLATFORM_AVAILABLE(7002, Level.INFO, "platform answers again after {} ms"),
   PLATFORM_BUDGET_SPENT(7003, Level.WARN, "platform call {} delayed, request budget exhausted"),
--- a/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -93,6 +93,7 @@
             state,
             events);
     metrics.counter("forward.leaving_notices", servers::leavingNotices);
+    metrics.counter("forward.invalid_answers", servers::answerProblems);
     metrics.counter("forward.pause_notices", () -> servers.pauses().notices());
     metrics.gauge("forward.open", () -> forwarder::openRequests);
     metrics.gauge("forward.waiting", () -> state::queueLength);
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
@@ -55,7 +55,7 @@
 
   private final MessageCodec codec;
   private final Consumer<BackendConnection> onIdle;
-  private final ServerNoticeListener noticeListener;
+  private final ServerAnswerListener answerListener;
   private Channel channel;
   private ResponseListener listener;
   private String requestId = "";
@@ -66,6 +66,8 @@
   private int interimResponses;
   private int discardedResponses;
   private int discardedBytes;
+  private int requests;
+  private int status;
   private final ResponseOverheadLimit overheadLimit = new ResponseOverheadLimit(this);
   private final RecentRequestIds failedRequests = new RecentRequestIds();
   private boolean unidentifiedAnswer;
@@ -77,10 +79,10 @@
   private long idleSinceNanos;
 
   BackendConnection(
-      MessageCodec codec, Consumer<BackendConnection> onIdle, ServerNoticeListener noticeListener) {
+      MessageCodec codec, Consumer<BackendConnection> onIdle, ServerAnswerListener answerListener) {
     this.codec = codec;
     this.onIdle = onIdle;
-    this.noticeListener = noticeListener;
+    this.answerListener = answerListener;
   }
 
   /** Handlers of the channel, in order. */
@@ -100,6 +102,8 @@
     listener = responseListener;
     unidentifiedAnswer |= !responseListener.identified();
     requestId = id;
+    requests++;
+    status = 0;
     requestWritten = false;
     headReceived = false;
     discarding = false;
@@ -135,6 +139,7 @@
   }
 
   public void close() {
+    closed = true;
     if (channel != null) {
       channel.close();
     }
@@ -186,7 +191,7 @@
       return;
     }
     if (listener == null && !discarding) {
-      close();
+      fail("answer without a request");
       return;
     }
     if (message instanceof HttpResponse) {
@@ -205,7 +210,7 @@
     discarding = !interimResponse && echoed.isPresent() && !echoed.get().equals(requestId);
     // An answer to another request may be old: that it announces nothing means nothing.
     if (response.status() != MISDIRECTED && (announces || !(interimResponse || discarding))) {
-      noticeListener.onNotice(echoed.orElse(requestId), response.notice());
+      answerListener.onNotice(echoed.orElse(requestId), response.notice());
     }
     if (interimResponse) {
       interimResponses++;
@@ -226,6 +231,7 @@
       return;
     }
     headReceived = true;
+    status = response.status();
     unidentifiedAnswer |= echoed.isEmpty();
     if (!response.successful()) {
       failedRequests.add(requestId);
@@ -291,6 +297,11 @@
   void fail(String reason) {
     ResponseListener failed = listener;
     listener = null;
+    if (overheadLimit.receivedBytes() > 0 && !closed) {
+      answerListener.onProblem(
+          new AnswerProblem(
+              requestId, failed != null, status, overheadLimit.receivedBytes(), requests, reason));
+    }
     close();
     if (failed != null) {
       failed.onFailure(reason);
@@ -299,10 +310,11 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
-    closed = true;
-
     if (listener != null && headReceived && delimitedByClose) {
+      closed = true;
       finish();
+    } else if (listener == null) {
+      closed = true;
     } else {
       fail(
           headReceived
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ConnectionPool.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ConnectionPool.java
@@ -25,7 +25,7 @@
   private final ServerEntry server;
   private final EventLoop eventLoop;
   private final MessageCodec codec;
-  private final ServerNoticeListener noticeListener;
+  private final ServerAnswerListener answerListener;
   private final ArrayDeque<BackendConnection> idle = new ArrayDeque<>();
   private boolean closing;
 
@@ -34,11 +34,11 @@
       ServerEntry server,
       EventLoop eventLoop,
       MessageCodec codec,
-      ServerNoticeListener noticeListener) {
+      ServerAnswerListener answerListener) {
     this.server = server;
     this.eventLoop = eventLoop;
     this.codec = codec;
-    this.noticeListener = noticeListener;
+    this.answerListener = answerListener;
   }
 
   /**
@@ -88,7 +88,7 @@
   }
 
   private void connect(Consumer<BackendConnection> onConnected, Consumer<String> onFailed) {
-    BackendConnection connection = new BackendConnection(codec, this::release, noticeListener);
+    BackendConnection connection = new BackendConnection(codec, this::release, answerListener);
     new Bootstrap()
         .group(eventLoop)
         .channel(NioSocketChannel.class)
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ResponseOverheadLimit.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ResponseOverheadLimit.java
@@ -40,6 +40,11 @@
     contentBytes += bytes;
   }
 
+  /** Bytes received since the last request was sent. */
+  long receivedBytes() {
+    return receivedBytes;
+  }
+
   /** Called before each request. */
   void reset() {
     receivedBytes = 0;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerNoticeListener.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerAnswerListener.java
@@ -2,9 +2,8 @@
 
 import org.basilport.gateway.message.ServerNotice;
 
-/** Receives what a backend server says of itself in its answers. */
-@FunctionalInterface
-interface ServerNoticeListener {
+/** Receives what the answers of a backend server tell beside the answers themselves. */
+interface ServerAnswerListener {
 
   /**
    * Called for the head of each final answer, before the listener of the request. For interim
@@ -13,4 +12,7 @@
    * @param requestId id of the request that the server answers
    */
   void onNotice(String requestId, ServerNotice notice);
+
+  /** Called when a connection is closed because of the bytes that were received on it. */
+  void onProblem(AnswerProblem problem);
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -61,6 +61,7 @@
   private final Map<String, BackendServer> byId = new HashMap<>();
   private final Map<String, Departure> departures = new HashMap<>();
   private final Counter leavingNotices = new Counter();
+  private final Counter answerProblems = new Counter();
   private final Map<String, List<BackendServer>> byService = new HashMap<>();
   private long revision;
 
@@ -135,11 +136,7 @@
             entry,
             service,
             load,
-            new ConnectionPool(
-                entry,
-                eventLoop,
-                codec,
-                (requestId, notice) -> onNotice(entry, requestId, notice)));
+            new ConnectionPool(entry, eventLoop, codec, new AnswerObserver(entry)));
     if (server.engine().isPresent()) {
       load.onChange(() -> engineWorkListener.accept(server));
     }
@@ -271,6 +268,11 @@
     return leavingNotices;
   }
 
+  /** Counts the connections that were closed because of the bytes received on them. */
+  public Counter answerProblems() {
+    return answerProblems;
+  }
+
   private boolean toldDeparture(ServerEntry entry) {
     return hasDeparted(entry) && departures.get(entry.id()).told();
   }
@@ -306,6 +308,35 @@
     return departure != null && departure.incarnation() == entry.incarnation();
   }
 
+  /** Observes the answers of one start of a server. */
+  private final class AnswerObserver implements ServerAnswerListener {
+    private final ServerEntry entry;
+
+    private AnswerObserver(ServerEntry entry) {
+      this.entry = entry;
+    }
+
+    @Override
+    public void onNotice(String requestId, ServerNotice notice) {
+      ServerTable.this.onNotice(entry, requestId, notice);
+    }
+
+    @Override
+    public void onProblem(AnswerProblem problem) {
+      answerProblems.inc();
+      events.record(
+          EventType.ANSWER_INVALID,
+          EventSubject.request(problem.requestId(), "").withServer(entry.id()),
+          problem.requestId(),
+          entry.id(),
+          problem.waiting(),
+          problem.status(),
+          problem.receivedBytes(),
+          problem.requests(),
+          problem.reason());
+    }
+  }
+
   /**
    * Departure of one incarnation of a server.
    *
--- a/basilport-gateway/src/test/java/org/basilport/gateway/backend/BackendConnectionTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/backend/BackendConnectionTest.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.basilport.gateway.TestCodec;
+import org.basilport.gateway.message.ServerNotice;
 import org.basilport.gateway.message.ServerResponse;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -26,14 +27,23 @@
 class BackendConnectionTest {
   private final List<BackendConnection> idle = new ArrayList<>();
   private final List<String> leavingToldBy = new ArrayList<>();
+  private final List<AnswerProblem> problems = new ArrayList<>();
   private final Recorder recorder = new Recorder();
   private final BackendConnection connection =
       new BackendConnection(
           new TestCodec(),
           idle::add,
-          (requestId, notice) -> {
-            if (notice.leaving()) {
-              leavingToldBy.add(requestId);
+          new ServerAnswerListener() {
+            @Override
+            public void onNotice(String requestId, ServerNotice notice) {
+              if (notice.leaving()) {
+                leavingToldBy.add(requestId);
+              }
+            }
+
+            @Override
+            public void onProblem(AnswerProblem problem) {
+              problems.add(problem);
             }
           });
   private final EmbeddedChannel channel = new EmbeddedChannel(connection.handlers());
@@ -118,6 +128,28 @@
     assertThat(channel.isOpen()).isFalse();
   }
 
+  /** Guards against bytes that belong to no request and leave no trace. */
+  @Test
+  void reportsBytesWithoutARequest() {
+    receive("HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\nContent-Length: 3\r\n\r\nnew");
+    receive("HTTP/1.1 500 S\r\nid: r1\r\nContent-Length: 0\r\n\r\n");
+
+    assertThat(problems)
+        .containsExactly(new AnswerProblem("r1", false, 200, 103, 1, "answer without a request"));
+  }
+
+  /** Guards against an answer that stops in its head and leaves no trace. */
+  @Test
+  void reportsAHeadThatStops() {
+    receive("HTTP/1.1 200 OK\r\nid: r");
+    channel.close();
+
+    assertThat(problems).hasSize(1);
+    assertThat(problems.get(0).waiting()).isTrue();
+    assertThat(problems.get(0).status()).isEqualTo(0);
+    assertThat(problems.get(0).receivedBytes()).isEqualTo(22);
+  }
+
   /** Guards against reusing a connection that the server closes. */
   @Test
   void doesNotReuseAConnectionThatTheServerCloses() {
