Take two answers on one connection for none

Cause: the bytes of a connection were taken for one answer because the HTTP decoder accepted them. A decoder proves syntax, not that one answer wrote the bytes: after a head that stops within its reason or a value, the status line of the next answer is the rest of a line, and the fields and the body that follow are the next answer's own, with its seal and id. After a body that stops, the next answer fills it up.

Change: SingleResponseDecoder is the one place that proves that bytes are one answer. It tracks, beside Netty's decoder, which bytes belong to the head and the body. A head with a second status line, or one that does not begin with it, fails. A body may hold the text of a head; it fails if that head names a request, if that response ends where the body ends, or if further bytes follow the end. The end of a body that holds or ends within such a head is held back for 20 ms for this. Backend connections use it.

Whole answers with such texts and whole answers that other bytes follow pass.

--- /dev/null
+++ b/basilport-common/src/main/java/org/basilport/answer/MixedResponseException.java
@@ -0,0 +1,12 @@
+package org.basilport.answer;
+
+import io.netty.handler.codec.DecoderException;
+
+/** Thrown when the bytes of one response hold the beginning of another one. */
+public final class MixedResponseException extends DecoderException {
+  private static final long serialVersionUID = 1L;
+
+  MixedResponseException(String message) {
+    super(message);
+  }
+}
--- /dev/null
+++ b/basilport-common/src/main/java/org/basilport/answer/SingleResponseDecoder.java
@@ -0,0 +1,179 @@
+package org.basilport.answer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Decodes responses, and reports a failure where the bytes of one response hold the beginning of
+ * another one.
+ *
+ * <p>A faulty server may stop anywhere in a response and then send another one. The framing of the
+ * first response then takes bytes of the second one for its own: a header field ends with its
+ * status line, or the body holds its head. A head that holds two status lines is never valid. A
+ * body may hold the text of a head; it is taken for another response if that head names a request,
+ * if that response ends where the body ends, or if further bytes follow the end of the body. For
+ * this the end of such a body is held back for a short time.
+ *
+ * <p>As with other decoders, a failure is the {@link DecoderResult} of a message. No message
+ * follows it.
+ */
+public final class SingleResponseDecoder extends HttpResponseDecoder {
+  /** Time for which the end of a body is held back that may be followed by further bytes. */
+  private static final long HOLD_MILLIS = 20;
+
+  private final TextMatcher headMatcher = TextMatcher.statusLine();
+  private final EmbeddedResponseDetector bodyDetector;
+  private boolean headRead;
+  private int headBytes;
+  private boolean statusLineRead;
+  private boolean failed;
+  private Optional<Object> heldEnd = Optional.empty();
+  private ScheduledFuture<?> holdTimer;
+
+  /**
+   * Creates a decoder for one connection.
+   *
+   * @param requestIdHeader header in which each response names its request; empty if there is none
+   */
+  public SingleResponseDecoder(Optional<AsciiString> requestIdHeader) {
+    this.bodyDetector = new EmbeddedResponseDetector(requestIdHeader);
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> output)
+      throws Exception {
+    if (failed) {
+      input.skipBytes(input.readableBytes());
+      return;
+    }
+    if (heldEnd.isPresent()) {
+      fail(output, "further bytes follow a body that holds the head of another response");
+      return;
+    }
+    int start = input.readerIndex();
+    super.decode(context, input, output);
+    Optional<String> problem = inspect(input, start);
+    if (problem.isPresent()) {
+      fail(output, problem.get());
+      return;
+    }
+    if (!output.isEmpty()) {
+      trackResponse(context, input, output);
+    }
+  }
+
+  /** Inspects the bytes that were decoded. */
+  private Optional<String> inspect(ByteBuf input, int start) {
+    int end = input.readerIndex();
+    if (headRead) {
+      return bodyDetector.accept(input, start, end)
+          ? Optional.of("the body holds the head of another response")
+          : Optional.empty();
+    }
+    return input.forEachByte(start, end - start, this::acceptHeadByte) >= 0
+        ? Optional.of("the head holds another status line or begins with none")
+        : Optional.empty();
+  }
+
+  private boolean acceptHeadByte(byte value) {
+    if (headBytes == 0 && (value == '\r' || value == '\n')) {
+      return true;
+    }
+    headBytes++;
+    if (headMatcher.accept(value)) {
+      statusLineRead = headBytes == headMatcher.length();
+      return statusLineRead;
+    }
+    return statusLineRead || headBytes < headMatcher.length();
+  }
+
+  private void trackResponse(ChannelHandlerContext context, ByteBuf input, List<Object> output) {
+    headRead |= output.get(0) instanceof HttpResponse;
+    Object last = output.get(output.size() - 1);
+    failed = ((HttpObject) last).decoderResult().isFailure();
+    if (failed || !(last instanceof LastHttpContent)) {
+      return;
+    }
+    if (bodyDetector.endsWithResponse()) {
+      fail(output, "the body ends with another response");
+    } else if (bodyDetector.suspected() && input.isReadable()) {
+      fail(output, "further bytes follow a body that holds the head of another response");
+    } else if (bodyDetector.suspected()) {
+      output.remove(last);
+      hold(context, last);
+    }
+    headRead = false;
+    headBytes = 0;
+    statusLineRead = false;
+    headMatcher.reset();
+    bodyDetector.reset();
+  }
+
+  private void hold(ChannelHandlerContext context, Object end) {
+    heldEnd = Optional.of(end);
+    holdTimer =
+        context.executor().schedule(() -> releaseEnd(context), HOLD_MILLIS, TimeUnit.MILLISECONDS);
+    context.read();
+  }
+
+  private void releaseEnd(ChannelHandlerContext context) {
+    heldEnd.ifPresent(
+        end -> {
+          heldEnd = Optional.empty();
+          context.fireChannelRead(end);
+          context.fireChannelReadComplete();
+        });
+  }
+
+  private void fail(List<Object> output, String reason) {
+    failed = true;
+    output.forEach(ReferenceCountUtil::release);
+    output.clear();
+    heldEnd.ifPresent(ReferenceCountUtil::release);
+    heldEnd = Optional.empty();
+    HttpMessage invalid = createInvalidMessage();
+    invalid.setDecoderResult(DecoderResult.failure(new MixedResponseException(reason)));
+    output.add(invalid);
+  }
+
+  @Override
+  protected void decodeLast(ChannelHandlerContext context, ByteBuf input, List<Object> output)
+      throws Exception {
+    super.decodeLast(context, input, output);
+    if (failed || output.isEmpty()) {
+      return;
+    }
+    // The end of the connection is the end of a body without a length.
+    if (headRead && bodyDetector.endsWithResponse()) {
+      fail(output, "the body ends with another response");
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) throws Exception {
+    releaseEnd(context);
+    super.channelInactive(context);
+  }
+
+  @Override
+  protected void handlerRemoved0(ChannelHandlerContext context) throws Exception {
+    if (holdTimer != null) {
+      holdTimer.cancel(false);
+    }
+    heldEnd.ifPresent(ReferenceCountUtil::release);
+    heldEnd = Optional.empty();
+    super.handlerRemoved0(context);
+  }
+}
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
@@ -9,12 +9,12 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.basilport.answer.SingleResponseDecoder;
 import org.basilport.gateway.message.MessageCodec;
 import org.basilport.gateway.message.ServerNotice;
 import org.basilport.gateway.message.ServerResponse;
@@ -88,7 +88,10 @@
   /** Handlers of the channel, in order. */
   ChannelHandler[] handlers() {
     return new ChannelHandler[] {
-      new HttpRequestEncoder(), overheadLimit, new HttpResponseDecoder(), this
+      new HttpRequestEncoder(),
+      overheadLimit,
+      new SingleResponseDecoder(Optional.of(codec.requestIdHeader())),
+      this
     };
   }
 
--- a/basilport-gateway/src/main/java/org/basilport/gateway/message/MessageCodec.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/message/MessageCodec.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.AsciiString;
 
 /** Translates between typed messages and the HTTP messages of a deployment. */
 public interface MessageCodec {
@@ -22,6 +23,9 @@
   FullHttpRequest encodeRequest(
       CallerRequest request, ForwardingDetails details, String serverAddress);
 
+  /** Name of the header in which a backend server's response names the request that it answers. */
+  AsciiString requestIdHeader();
+
   /** Decodes the head of a backend server's response. */
   ServerResponse decodeResponse(HttpResponse head);
 
--- a/basilport-gateway/src/test/java/org/basilport/gateway/TestCodec.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/TestCodec.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.AsciiString;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -66,6 +67,11 @@
     return message;
   }
 
+  @Override
+  public AsciiString requestIdHeader() {
+    return AsciiString.of("id");
+  }
+
   @Override
   public ServerResponse decodeResponse(HttpResponse head) {
     HttpHeaders headers = head.headers();
--- a/basilport-gateway/src/test/java/org/basilport/gateway/backend/MixedAnswersTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/backend/MixedAnswersTest.java
@@ -20,6 +20,8 @@
 import org.basilport.gateway.message.ServerNotice;
 import org.basilport.gateway.message.ServerResponse;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Cuts an answer at each byte, lets another one follow, and splits the bytes into reads. */
 class MixedAnswersTest {
@@ -49,7 +51,8 @@
           Answer.withLength(503, "Service Unavailable", OWN + "not-run: 1\r\n", ""),
           Answer.withLength(200, "OK", OTHER, "second answer to the request before"),
           Answer.untilClose(500, "Internal Server Error", OWN, "second answer"),
-          Answer.withLength(500, "", "", "an answer without an id"));
+          Answer.withLength(500, "", "", "an answer without an id"),
+          Answer.chunked(500, "", "", "an answer without an id"));
 
   /** Guards against an answer to the caller that is made of two, or of a part of one. */
   @Test
@@ -76,6 +79,45 @@
         .isEmpty();
   }
 
+  /** Guards against taking the text of a head within a body for another answer. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "ends with H",
+        "ends with HTTP/1.1 500",
+        "ends with HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n",
+        "a head: HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nhi, and more",
+        "a head: HTTP/1.1 500 S\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n, and more",
+        "HTTP/1.1 200 OK, the request has succeeded\r\n\r\nHTTP/1.1 500, it has not\r\n"
+      })
+  void areNotSeenInWholeAnswers(String body) {
+    for (Answer answer :
+        List.of(
+            Answer.withLength(200, "OK", OWN, body),
+            Answer.chunked(200, "OK", OWN, body + "."),
+            Answer.untilClose(200, "OK", OWN, body))) {
+      for (List<String> reads : splits(answer.bytes(), 0)) {
+        Received received = receive(reads);
+        assertWithMessage("%s", reads).that(received.complete).isTrue();
+        assertWithMessage("%s", reads).that(received.equalTo(answer)).isTrue();
+      }
+    }
+  }
+
+  /** Guards against failing a whole answer because of bytes that follow it. */
+  @Test
+  void areNotSeenInFollowingBytes() {
+    Answer first = Answer.withLength(200, "OK", OWN, "whole");
+    for (Answer next : NEXT) {
+      for (List<String> reads : splits(first.bytes() + next.bytes(), first.bytes().length())) {
+        Received received = receive(reads);
+        assertWithMessage("%s", reads).that(received.complete).isTrue();
+        assertWithMessage("%s", reads).that(received.equalTo(first)).isTrue();
+      }
+    }
+  }
+
   private static List<List<String>> splits(String bytes, int cut) {
     List<List<String>> splits = new ArrayList<>();
     splits.add(List.of(bytes));
