Close a connection at the first byte that belongs to no answer

With the decoder's proof it would be a failure of the instance (502): a late second answer begins to arrive on a kept connection, the connection carries the next request, and the answer to it goes on where the late one has stopped.

Cause: a connection without a request counted as unused until a whole message was decoded. The beginning of a status line, received while it was idle or right after the end of an answer, stayed in the decoder and preceded the next answer.

Evidence: two tests of BackendConnectionTest, which failed on the former code: one byte received by an idle connection left it open; bytes after the end of an answer, in the same read, returned it to the pool.

Change: a connection closes at the first byte that it receives while it awaits no answer, and is not reused if bytes follow its answer. Event 6020 tells of both. reportsBytesWithoutARequest expects the new reason; its other values are unchanged.

--- a/basilport-common/src/main/java/org/basilport/answer/SingleResponseDecoder.java
+++ b/basilport-common/src/main/java/org/basilport/answer/SingleResponseDecoder.java
@@ -51,6 +51,11 @@
     this.bodyDetector = new EmbeddedResponseDetector(requestIdHeader);
   }
 
+  /** Whether bytes were received that belong to no decoded message. */
+  public boolean hasUndecodedBytes() {
+    return actualReadableBytes() > 0;
+  }
+
   @Override
   protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> output)
       throws Exception {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
@@ -69,6 +69,7 @@
   private int requests;
   private int status;
   private final ResponseOverheadLimit overheadLimit = new ResponseOverheadLimit(this);
+  private final SingleResponseDecoder decoder;
   private final RecentRequestIds failedRequests = new RecentRequestIds();
   private boolean unidentifiedAnswer;
   private boolean reused;
@@ -81,18 +82,14 @@
   BackendConnection(
       MessageCodec codec, Consumer<BackendConnection> onIdle, ServerAnswerListener answerListener) {
     this.codec = codec;
+    this.decoder = new SingleResponseDecoder(Optional.of(codec.requestIdHeader()));
     this.onIdle = onIdle;
     this.answerListener = answerListener;
   }
 
   /** Handlers of the channel, in order. */
   ChannelHandler[] handlers() {
-    return new ChannelHandler[] {
-      new HttpRequestEncoder(),
-      overheadLimit,
-      new SingleResponseDecoder(Optional.of(codec.requestIdHeader())),
-      this
-    };
+    return new ChannelHandler[] {new HttpRequestEncoder(), overheadLimit, decoder, this};
   }
 
   @Override
@@ -177,6 +174,11 @@
     return !failedRequests.contains(id);
   }
 
+  /** Whether bytes that are received belong to an answer that is read or discarded. */
+  boolean awaitsAnswer() {
+    return listener != null || discarding;
+  }
+
   /** Whether the connection has carried a request whose answer has no id. */
   boolean hadUnidentifiedAnswer() {
     return unidentifiedAnswer;
@@ -193,7 +195,7 @@
       fail("invalid answer: " + message.decoderResult().cause());
       return;
     }
-    if (listener == null && !discarding) {
+    if (!awaitsAnswer()) {
       fail("answer without a request");
       return;
     }
@@ -283,7 +285,11 @@
   private void finish() {
     ResponseListener finished = listener;
     listener = null;
-    if (reusable && requestWritten && channel.isActive()) {
+    boolean furtherBytes = decoder.hasUndecodedBytes();
+    if (furtherBytes) {
+      report(false, "bytes after the answer");
+    }
+    if (!furtherBytes && reusable && requestWritten && channel.isActive()) {
       idleSinceNanos = System.nanoTime();
       reused = true;
       // An idle connection must read, to detect that the server closes it.
@@ -301,9 +307,7 @@
     ResponseListener failed = listener;
     listener = null;
     if (overheadLimit.receivedBytes() > 0 && !closed) {
-      answerListener.onProblem(
-          new AnswerProblem(
-              requestId, failed != null, status, overheadLimit.receivedBytes(), requests, reason));
+      report(failed != null, reason);
     }
     close();
     if (failed != null) {
@@ -311,6 +315,12 @@
     }
   }
 
+  private void report(boolean waiting, String reason) {
+    answerListener.onProblem(
+        new AnswerProblem(
+            requestId, waiting, status, overheadLimit.receivedBytes(), requests, reason));
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     if (listener != null && headReceived && delimitedByClose) {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ResponseOverheadLimit.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ResponseOverheadLimit.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ReferenceCountUtil;
 
 /**
  * Limits the bytes that a server sends beside the content of its response.
@@ -29,6 +30,11 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     receivedBytes += ((ByteBuf) message).readableBytes();
+    if (!connection.awaitsAnswer()) {
+      ReferenceCountUtil.release(message);
+      connection.fail("bytes without a request");
+      return;
+    }
     context.fireChannelRead(message);
     if (receivedBytes - contentBytes > MAX_OVERHEAD_BYTES + OVERHEAD_RATIO * contentBytes) {
       connection.fail("more than " + MAX_OVERHEAD_BYTES + " bytes beside the content");
--- a/basilport-gateway/src/test/java/org/basilport/gateway/backend/BackendConnectionTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/backend/BackendConnectionTest.java
@@ -135,7 +135,28 @@
     receive("HTTP/1.1 500 S\r\nid: r1\r\nContent-Length: 0\r\n\r\n");
 
     assertThat(problems)
-        .containsExactly(new AnswerProblem("r1", false, 200, 103, 1, "answer without a request"));
+        .containsExactly(new AnswerProblem("r1", false, 200, 103, 1, "bytes without a request"));
+  }
+
+  /** Guards against the beginning of a late second answer that the next answer continues. */
+  @Test
+  void closesAnIdleConnectionAtTheFirstByte() {
+    receive("HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\nContent-Length: 3\r\n\r\nnew");
+    receive("H");
+
+    assertThat(channel.isOpen()).isFalse();
+    assertThat(problems).hasSize(1);
+  }
+
+  /** Guards against reusing a connection on which another answer has begun. */
+  @Test
+  void doesNotReuseAConnectionWithBytesAfterTheAnswer() {
+    receive("HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\nContent-Length: 3\r\n\r\nnewHTTP/1.1 2");
+
+    assertThat(recorder.log).containsExactly("head 200", "new", "complete").inOrder();
+    assertThat(idle).isEmpty();
+    assertThat(channel.isOpen()).isFalse();
+    assertThat(problems).hasSize(1);
   }
 
   /** Guards against an answer that stops in its head and leaves no trace. */
