Refuse bytes after the JSON of a response of the store

A list that ends with its connection, and the head of a second response behind it, was read as that list.

Cause: ObjectMapper.readTree and the splitter of TolerantJsonReader stop at the end of the first value.

TolerantJsonReaderTest has the cases with and without an unreadable value.

--- a/basilport-common/src/main/java/org/basilport/json/JsonValueSplitter.java
+++ b/basilport-common/src/main/java/org/basilport/json/JsonValueSplitter.java
@@ -47,6 +47,8 @@
   boolean next() throws IOException {
     skipSpace();
     if (peek() == (inObject ? '}' : ']')) {
+      position++;
+      expectEnd();
       return false;
     }
     if (!first) {
@@ -120,6 +122,13 @@
     }
   }
 
+  private void expectEnd() throws IOException {
+    skipSpace();
+    if (position < end) {
+      throw new IOException("bytes after the value at byte " + position);
+    }
+  }
+
   private void expect(char character) throws IOException {
     if (peek() != character) {
       throw new IOException("no '" + character + "' at byte " + position);
--- a/basilport-common/src/main/java/org/basilport/json/TolerantJsonReader.java
+++ b/basilport-common/src/main/java/org/basilport/json/TolerantJsonReader.java
@@ -1,9 +1,12 @@
 package org.basilport.json;
 
 import com.fasterxml.jackson.core.exc.StreamConstraintsException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.NullNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
@@ -18,7 +21,7 @@
  * or elements, which are read one by one.
  */
 public final class TolerantJsonReader {
-  private final ObjectMapper mapper;
+  private final ObjectReader reader;
   private final int levels;
   private final Set<String> indivisible;
 
@@ -30,7 +33,8 @@
    * @param indivisible names of members that are unreadable as a whole if a part of them is
    */
   public TolerantJsonReader(ObjectMapper mapper, int levels, Set<String> indivisible) {
-    this.mapper = mapper;
+    this.reader =
+        mapper.readerFor(JsonNode.class).with(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
     this.levels = levels;
     this.indivisible = Set.copyOf(indivisible);
   }
@@ -46,7 +50,7 @@
 
   private JsonNode read(byte[] text, int from, int to, int levelsToSplit) throws IOException {
     try {
-      return mapper.readTree(text, from, to - from);
+      return reader.readTree(text, from, to - from);
     } catch (StreamConstraintsException e) {
       JsonValueSplitter splitter = new JsonValueSplitter(text, from, to);
       if (levelsToSplit == 0 || !splitter.divisible()) {
@@ -60,7 +64,7 @@
 
   private ObjectNode readMembers(byte[] text, JsonValueSplitter splitter, int levelsToSplit)
       throws IOException {
-    ObjectNode object = mapper.createObjectNode();
+    ObjectNode object = JsonNodeFactory.instance.objectNode();
     while (splitter.next()) {
       String name = readName(text, splitter);
       int childLevels = indivisible.contains(name) ? 0 : levelsToSplit;
@@ -73,7 +77,7 @@
   private String readName(byte[] text, JsonValueSplitter splitter) throws IOException {
     int start = splitter.nameStart();
     try {
-      return mapper.readValue(text, start, splitter.nameEnd() - start, String.class);
+      return reader.forType(String.class).readValue(text, start, splitter.nameEnd() - start);
     } catch (StreamConstraintsException e) {
       return "";
     }
@@ -81,7 +85,7 @@
 
   private ArrayNode readElements(byte[] text, JsonValueSplitter splitter, int levelsToSplit)
       throws IOException {
-    ArrayNode array = mapper.createArrayNode();
+    ArrayNode array = JsonNodeFactory.instance.arrayNode();
     while (splitter.next()) {
       array.add(read(text, splitter.valueStart(), splitter.valueEnd(), levelsToSplit));
     }
--- a/basilport-common/src/test/java/org/basilport/json/TolerantJsonReaderTest.java
+++ b/basilport-common/src/test/java/org/basilport/json/TolerantJsonReaderTest.java
@@ -88,13 +88,21 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"{\"a\": ", "[1, 2", "{\"a\" 1}", "no JSON"})
+    @ValueSource(strings = {"{\"a\": ", "[1, 2", "{\"a\" 1}", "no JSON", "{\"a\": 1}{}", "[1] x"})
     void areRefusedIfTheyAreNoJson(String text) {
       assertThrows(IOException.class, () -> read(text));
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"{\"a\": %s", "[%s, 2", "{\"a\" 1, \"b\": %s}", "[1 2, %s]"})
+    @ValueSource(
+        strings = {
+          "{\"a\": %s",
+          "[%s, 2",
+          "{\"a\" 1, \"b\": %s}",
+          "[1 2, %s]",
+          "{\"a\": %s}{}",
+          "[1, %s] x"
+        })
     void areRefusedIfTheyAreNoJsonBesideAnUnreadableValue(String text) {
       assertThrows(IOException.class, () -> read(String.format(text, deep())));
     }
