Receive whole datagrams between instances

Cause: the channel read into buffers of 2,048 bytes, the default, and cut longer datagrams. The rest of such a report is no message, so all reports of an instance that reports much (limits of many servers, crashes, work on a large fleet) were dropped, with a line at DEBUG.

Evidence: PeerChannelTest.receivesAReportOnAllServers failed (600 servers, nothing received).

Change: the buffers hold the largest datagram, at most four in one read.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/PeerChannel.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/PeerChannel.java
@@ -6,7 +6,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -27,6 +29,12 @@
     implements Service {
   private static final Logger LOG = LogManager.getLogger(PeerChannel.class);
 
+  /** Largest datagram; the channel cuts those that its buffer cannot hold. */
+  private static final int MAX_DATAGRAM_BYTES = 65_507;
+
+  /** Datagrams in one read, which hold a buffer each. */
+  private static final int MAX_DATAGRAMS_PER_READ = 4;
+
   private final InetSocketAddress address;
   private final EventLoop eventLoop;
   private final BiConsumer<PeerDatagram, InetSocketAddress> receiver;
@@ -48,6 +56,10 @@
     new Bootstrap()
         .group(eventLoop)
         .channel(NioDatagramChannel.class)
+        .option(
+            ChannelOption.RCVBUF_ALLOCATOR,
+            new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES)
+                .maxMessagesPerRead(MAX_DATAGRAMS_PER_READ))
         .handler(this)
         .bind(address)
         .addListener(
