End an answer whose status rules out a body with its head

What callers saw: a 504 after the time limit of their route, where the server had answered with 204 or 304 at once.

Cause: such an answer has no length, so the connection took the close for its end, and a server that keeps the connection does not close it.

Evidence: GatewayBrokenAnswersTest.Calls.mayBeAnsweredWithoutABody failed before with both statuses (504 after 1.5 s).

--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
@@ -10,9 +10,11 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.basilport.gateway.message.MessageCodec;
@@ -44,6 +46,10 @@
   /** Status with which another server answers that has taken over the address. */
   private static final int MISDIRECTED = 421;
 
+  /** Statuses whose answers end with their heads, whatever these say of a body. */
+  private static final Set<HttpResponseStatus> STATUSES_WITHOUT_BODY =
+      Set.of(HttpResponseStatus.NO_CONTENT, HttpResponseStatus.NOT_MODIFIED);
+
   /** Interim responses to one request above which the server is considered faulty. */
   private static final int MAX_INTERIM_RESPONSES = 16;
 
@@ -237,7 +243,9 @@
       failedRequests.add(requestId);
     }
     delimitedByClose =
-        !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head);
+        !HttpUtil.isContentLengthSet(head)
+            && !HttpUtil.isTransferEncodingChunked(head)
+            && !STATUSES_WITHOUT_BODY.contains(head.status());
     reusable = HttpUtil.isKeepAlive(head) && !delimitedByClose && !response.closesConnection();
     idleTimeoutNanos =
         response.idleTimeoutSeconds().isPresent()
--- a/basilport-gateway/src/test/java/org/basilport/gateway/ScriptedServer.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/ScriptedServer.java
@@ -42,6 +42,11 @@
     return requests;
   }
 
+  /** Number of connections that were accepted. */
+  int connections() {
+    return sockets.size();
+  }
+
   private void accept() {
     while (!listener.isClosed()) {
       try {
