Refuse the head of another answer within an event

Cause: a line was taken for a field of an event if its name was in lower case, at any place of an event. A line of data that stopped took the status line, and the header fields that followed were taken for fields.

Change: names other than data, id, event and retry are only accepted as the first lines of an event, and an event has at least one line of the format. A line that contains the protocol of a status line and ends differently from the first line of its answer is refused. After an id that is a number comes a larger number; before, any other text could follow.

Not told apart: a head without any header field in a stream whose lines end with CR LF. Known cost: a server that sends a field of its own in the middle of an event is refused; the servers send such fields first.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/EventStreamReader.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/EventStreamReader.java
@@ -18,9 +18,6 @@
 final class EventStreamReader {
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
-  /** Field that may stand without a colon, for an empty line of data. */
-  private static final byte[] DATA_FIELD = "data".getBytes(StandardCharsets.US_ASCII);
-
   /**
    * Size limit of one event. A body without an event boundary within this limit is not an event
    * stream.
@@ -45,7 +42,7 @@
   private Optional<String> pendingId = Optional.empty();
   private int eventCount;
   private int eventsSinceResume;
-  private boolean resumed;
+  private final EventLineCheck lineCheck = new EventLineCheck();
   private int bytesWithoutProgress;
   private Optional<String> problem = Optional.empty();
 
@@ -120,13 +117,17 @@
       if (end == lineStart) {
         endEvent(i + 1);
       } else {
-        readField(lineStart, end);
+        readField(lineStart, end, i + 1);
       }
       lineStart = i + 1;
     }
   }
 
   private void endEvent(int end) {
+    problem = lineCheck.checkEventEnd();
+    if (problem.isPresent()) {
+      return;
+    }
     if (pendingId.isPresent()) {
       if (!follows(pendingId.get())) {
         problem = Optional.of("event " + pendingId.get() + " after event " + lastId.get());
@@ -146,22 +147,26 @@
     completeLength = end;
   }
 
-  /** Whether an id may follow the last one: ids increase, and other texts differ. */
+  /**
+   * Whether an id may follow the last one: numbers increase, and nothing else follows a number.
+   * Other texts differ.
+   */
   private boolean follows(String id) {
     if (lastId.isEmpty()) {
       return true;
     }
     Long number = Longs.tryParse(id);
     Long lastNumber = Longs.tryParse(lastId.get());
-    return number == null || lastNumber == null ? !id.equals(lastId.get()) : number > lastNumber;
+    if (lastNumber == null) {
+      return !id.equals(lastId.get());
+    }
+    return number != null && number > lastNumber;
   }
 
-  private void readField(int start, int end) {
-    if (!isField(start, end)) {
-      problem = Optional.of("line that is no field of an event");
-      return;
-    }
-    if (end - start < ID_FIELD.length
+  private void readField(int start, int end, int lineEnd) {
+    problem = lineCheck.checkLine(pending, start, end, lineEnd);
+    if (problem.isPresent()
+        || end - start < ID_FIELD.length
         || !Arrays.equals(pending, start, start + ID_FIELD.length, ID_FIELD, 0, ID_FIELD.length)) {
       return;
     }
@@ -171,24 +176,6 @@
             new String(pending, valueStart, end - valueStart, StandardCharsets.US_ASCII).trim());
   }
 
-  /**
-   * Whether a line is a comment or a field, whose name is in lower case. The text of an error, or
-   * the head of another answer, is neither. A field without a value may be such a text, too, where
-   * another server was to go on with the stream.
-   */
-  private boolean isField(int start, int end) {
-    for (int i = start; i < end; i++) {
-      byte character = pending[i];
-      if (character == ':') {
-        return true;
-      }
-      if (!(character >= 'a' && character <= 'z') && character != '-') {
-        return false;
-      }
-    }
-    return !resumed || Arrays.equals(pending, start, end, DATA_FIELD, 0, DATA_FIELD.length);
-  }
-
   /** Why the rest of the stream must not be forwarded; empty while it may be. */
   Optional<String> problem() {
     return problem;
@@ -201,7 +188,7 @@
   void dropPartialEvent() {
     problem = Optional.empty();
     eventsSinceResume = 0;
-    resumed = eventCount > 0;
+    lineCheck.begin(eventCount > 0);
     bytesWithoutProgress = 0;
     length = 0;
     lineStart = 0;
