--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
@@ -1,6 +1,7 @@
 package org.basilport.gateway;
 
 import com.codahale.metrics.MetricRegistry;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -165,17 +166,23 @@
 
   /** Entry of the next start of a server under the same id and address. */
   static ServerEntry restarted(ServerEntry entry) {
-    return changed(entry, entry.incarnation() + 1, false);
+    return changed(entry, entry.id(), entry.incarnation() + 1, false);
   }
 
   /** Entry of a server that has begun to leave. */
   static ServerEntry leaving(ServerEntry entry) {
-    return changed(entry, entry.incarnation(), true);
+    return changed(entry, entry.id(), entry.incarnation(), true);
   }
 
-  private static ServerEntry changed(ServerEntry entry, long incarnation, boolean leaving) {
+  /** Entry of another server at the same address. */
+  static ServerEntry renamed(ServerEntry entry, String id) {
+    return changed(entry, id, entry.incarnation(), entry.leaving());
+  }
+
+  private static ServerEntry changed(
+      ServerEntry entry, String id, long incarnation, boolean leaving) {
     return new ServerEntry(
-        entry.id(),
+        id,
         incarnation,
         entry.service(),
         entry.version(),
@@ -197,20 +204,7 @@
   }
 
   String callAs(String id, String method, String target, String headers) throws IOException {
-    try (Socket socket = new Socket(frontend.getAddress(), frontend.getPort())) {
-      socket.setSoTimeout(5_000);
-      socket
-          .getOutputStream()
-          .write(
-              (method
-                      + " "
-                      + target
-                      + " HTTP/1.1\r\nhost: h\r\nid: "
-                      + id
-                      + "\r\nConnection: close\r\n"
-                      + headers
-                      + "\r\n")
-                  .getBytes(StandardCharsets.ISO_8859_1));
+    try (Socket socket = sendRequest(id, method, target, headers)) {
       return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
     } catch (ConnectException e) {
       throw e;
@@ -218,4 +212,39 @@
       return "reset";
     }
   }
+
+  /** What a caller received until the end of its connection, which may be a reset. */
+  String receivedBy(String id, String method, String target, String headers) throws IOException {
+    ByteArrayOutputStream received = new ByteArrayOutputStream();
+    try (Socket socket = sendRequest(id, method, target, headers)) {
+      byte[] buffer = new byte[4_096];
+      for (int count = 0; count >= 0; count = socket.getInputStream().read(buffer)) {
+        received.write(buffer, 0, count);
+      }
+    } catch (ConnectException e) {
+      throw e;
+    } catch (SocketException e) {
+      return received.toString(StandardCharsets.ISO_8859_1);
+    }
+    return received.toString(StandardCharsets.ISO_8859_1);
+  }
+
+  private Socket sendRequest(String id, String method, String target, String headers)
+      throws IOException {
+    Socket socket = new Socket(frontend.getAddress(), frontend.getPort());
+    socket.setSoTimeout(5_000);
+    socket
+        .getOutputStream()
+        .write(
+            (method
+                    + " "
+                    + target
+                    + " HTTP/1.1\r\nhost: h\r\nid: "
+                    + id
+                    + "\r\nConnection: close\r\n"
+                    + headers
+                    + "\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1));
+    return socket;
+  }
 }
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayMixedAnswersTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayMixedAnswersTest.java
@@ -14,9 +14,9 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.basilport.gateway.AnswerBytes.Framing;
-import org.basilport.gateway.MixedAnswersLane.Ending;
 import org.basilport.gateway.MixedAnswersLane.Outcome;
 import org.basilport.gateway.MixedAnswersLane.Play;
+import org.basilport.gateway.StoppedAnswer.Ending;
 import org.junit.jupiter.api.Test;
 
 /** Answers that stop at any byte, before another one on the same connection, or before its end. */
@@ -27,7 +27,7 @@
   private static final int PLAYS = Integer.getInteger("mixed.plays", 1_000);
 
   private static final int LANES = Integer.getInteger("mixed.lanes", 8);
-  private static final String ID = MixedAnswersLane.ID_PLACEHOLDER;
+  private static final String ID = StoppedAnswer.ID_PLACEHOLDER;
   private static final String OTHER_ID = "w" + ID;
   private static final int REPORTED_PROBLEMS = 5;
 
@@ -101,15 +101,15 @@
     int length = cut + next.map(answer -> answer.text().length()).orElse(0);
     int split = length == 0 || random.nextInt(3) == 0 ? 0 : random.nextInt(length);
     int[] endMillis = {0, 2, 20};
-    return new Play(
-        route,
-        first,
-        cut,
-        next,
-        ending,
-        random.nextInt(4) == 0 ? cut : split,
-        endMillis[random.nextInt(endMillis.length)],
-        random.nextInt(3) == 0);
+    StoppedAnswer answer =
+        new StoppedAnswer(
+            first,
+            cut,
+            next,
+            ending,
+            random.nextInt(4) == 0 ? cut : split,
+            endMillis[random.nextInt(endMillis.length)]);
+    return new Play(route, answer, random.nextInt(3) == 0);
   }
 
   private static void play(List<Play> plays) throws Exception {
@@ -147,7 +147,8 @@
       MixedAnswersLane lane = MixedAnswersLane.open();
       for (Integer i = waiting.poll(); i != null; i = waiting.poll()) {
         String id = String.format("p%05d", i);
-        Play play = plays.get(i).forRequest(id);
+        Play drawn = plays.get(i);
+        Play play = new Play(drawn.route(), drawn.answer().forRequest(id), drawn.kept());
         Outcome outcome = lane.play(id, play);
         outcome.problem().ifPresent(problem -> problems.add(problem + " in " + play));
         reused.addAndGet(outcome.reused() ? 1 : 0);
