--- a/basilport-gateway/src/test/java/org/basilport/gateway/StoppedAnswer.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/StoppedAnswer.java
@@ -71,7 +71,13 @@
 
   /** Writes the answers and ends the connection. */
   void write(OutputStream out, Socket socket) throws IOException, InterruptedException {
-    String text = first.text().substring(0, cut) + next.map(AnswerBytes::text).orElse("");
+    writeFrom(0, out, socket);
+  }
+
+  /** Writes what follows the bytes that were written before, and ends the connection. */
+  void writeFrom(int start, OutputStream out, Socket socket)
+      throws IOException, InterruptedException {
+    String text = first.text().substring(start, cut) + next.map(AnswerBytes::text).orElse("");
     int position = Math.min(split, text.length());
     if (position > 0) {
       ScriptedServer.write(out, text.substring(0, position));
