--- a/basilport-gateway/src/test/java/org/basilport/gateway/CallerReply.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/CallerReply.java
@@ -16,6 +16,10 @@
 record CallerReply(
     int status, Map<String, String> fields, String body, boolean whole, String excess) {
 
+  /** Reply that did not end within the time limit of the caller. */
+  static final CallerReply TIMED_OUT =
+      new CallerReply(0, new TreeMap<>(), "", false, "not ended in time");
+
   static CallerReply parse(String text) {
     TreeMap<String, String> fields = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
     int headEnd = text.indexOf("\r\n\r\n");
