Emit no message after the failure of a response

Found in a second reading of the decoder, by no test of its own: when a connection ended after its response had failed, Netty's decoder still ended the body, so a client got a last content after the failure. The backend connection ignored it; other clients need not.

Change: nothing follows a failure.

--- a/basilport-common/src/main/java/org/basilport/answer/SingleResponseDecoder.java
+++ b/basilport-common/src/main/java/org/basilport/answer/SingleResponseDecoder.java
@@ -156,8 +156,14 @@
   @Override
   protected void decodeLast(ChannelHandlerContext context, ByteBuf input, List<Object> output)
       throws Exception {
+    boolean failedBefore = failed;
     super.decodeLast(context, input, output);
-    if (failed || output.isEmpty()) {
+    if (failed) {
+      // The end of the connection ends a body that has failed, too.
+      output.removeIf(message -> failedBefore || message == LastHttpContent.EMPTY_LAST_CONTENT);
+      return;
+    }
+    if (output.isEmpty()) {
       return;
     }
     // The end of the connection is the end of a body without a length.
