Report an answer without its members as one that may have run

A submitted job whose answer stopped or was another one ended with exit code 3 (refused, not run), 1 or 0; a stream whose events lack their members ended with 3, 1 or 0.

Cause: a body that does not parse counted as MALFORMED, which is the refusal of a request. Missing members were null or 0; a status from 300 to 399 was a success; an end event was believed whatever had been received before.

Change: Json.readResponse names the instance, and what does not match the type may have run. Records check the members without which they say nothing. Only 2xx is a success, and a success of a service names its request. A stream ends as complete only if no token is missing before its end; what is wrong after the first token is a loss part way. Commands decode the body before they print it.

Not covered: two answers of one instance on a connection, which the parser of java.net.http would join; instances write one answer for each request.

--- a/basilport-cli/src/main/java/org/basilport/cli/BaseCommand.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/BaseCommand.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.PrintWriter;
 import java.util.concurrent.Callable;
-import org.basilport.daemon.http.Json;
+import org.basilport.cli.client.InstanceAnswer;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Spec;
@@ -32,12 +32,12 @@
   }
 
   /** Prints a JSON response as one line, or formatted by {@link TextTable}. */
-  void print(String response, boolean json) {
+  void print(InstanceAnswer answer, boolean json) {
+    JsonNode tree = answer.as(JsonNode.class);
     if (json) {
-      out().println(response);
+      out().println(answer.body());
       return;
     }
-    JsonNode tree = Json.tree(response);
     out().print(TextTable.format(tree));
   }
 }
--- a/basilport-cli/src/main/java/org/basilport/cli/ConfigApplyCommand.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/ConfigApplyCommand.java
@@ -1,6 +1,7 @@
 package org.basilport.cli;
 
 import java.util.UUID;
+import org.basilport.cli.client.InstanceAnswer;
 import org.basilport.cli.client.OperatorClient;
 import org.basilport.config.ConfigurationChange;
 import org.basilport.config.Deployment;
@@ -54,9 +55,9 @@
               .orElse(NO_CONFIGURATION);
     }
     ConfigurationChange change = new ConfigurationChange(applyId, author, expected, deployment);
-    String response = client.post(ConfigurationInForce.PATH, Json.write(change));
-    ConfigurationInForce accepted = Json.readResponse(response, ConfigurationInForce.class);
-    out().println(json ? response : "configuration " + accepted.number() + " accepted");
+    InstanceAnswer answer = client.post(ConfigurationInForce.PATH, Json.write(change));
+    ConfigurationInForce accepted = answer.as(ConfigurationInForce.class);
+    out().println(json ? answer.body() : "configuration " + accepted.number() + " accepted");
     return ExitCode.DONE;
   }
 }
--- a/basilport-cli/src/main/java/org/basilport/cli/ConfigStatusCommand.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/ConfigStatusCommand.java
@@ -1,7 +1,9 @@
 package org.basilport.cli;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import org.basilport.daemon.http.Json;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import java.util.Objects;
+import org.basilport.cli.client.InstanceAnswer;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
@@ -21,27 +23,38 @@
 
   @Override
   ExitCode execute() {
-    String response = operator.client().get(ConfigurationInForce.PATH + "/status");
-    JsonNode status = Json.tree(response);
+    InstanceAnswer answer = operator.client().get(ConfigurationInForce.PATH + "/status");
+    Status status = answer.as(Status.class);
     if (json) {
-      out().println(response);
+      out().println(answer.body());
     } else {
-      out().println("configuration " + status.path("number").asLong());
-      out().print(TextTable.format(status.path("instances")));
+      out().println("configuration " + status.number());
+      out().print(TextTable.format(status.instances()));
     }
     return allCurrent(status) ? ExitCode.DONE : ExitCode.CHECK_FAILED;
   }
 
-  private static boolean allCurrent(JsonNode status) {
-    long number = status.path("number").asLong();
-    for (JsonNode instance : status.path("instances")) {
+  private static boolean allCurrent(Status status) {
+    for (JsonNode instance : status.instances()) {
       boolean serving =
           instance.path("status").asText().equals("SERVING")
               && instance.path("health").asText().equals("ALIVE");
-      if (serving && instance.path("configurationNumber").asLong() != number) {
+      if (serving && instance.path("configurationNumber").asLong() != status.number()) {
         return false;
       }
     }
     return true;
   }
+
+  /**
+   * Numbers of the configurations in force.
+   *
+   * @param number number at the queried instance
+   * @param instances all instances with their numbers
+   */
+  private record Status(long number, ArrayNode instances) {
+    private Status {
+      Objects.requireNonNull(instances, "instances");
+    }
+  }
 }
--- a/basilport-cli/src/main/java/org/basilport/cli/ConfigurationInForce.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/ConfigurationInForce.java
@@ -4,7 +4,6 @@
 import org.basilport.cli.client.OperatorClient;
 import org.basilport.cli.client.RemoteFailureException;
 import org.basilport.config.Deployment;
-import org.basilport.daemon.http.Json;
 import org.basilport.error.FailureCode;
 
 /**
@@ -22,7 +21,7 @@
 
   static Optional<ConfigurationInForce> read(OperatorClient client) {
     try {
-      return Optional.of(Json.readResponse(client.get(PATH), ConfigurationInForce.class));
+      return Optional.of(client.get(PATH).as(ConfigurationInForce.class));
     } catch (RemoteFailureException e) {
       if (e.code() == FailureCode.NOT_FOUND) {
         return Optional.empty();
--- a/basilport-cli/src/main/java/org/basilport/cli/EnginesCommand.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/EnginesCommand.java
@@ -4,7 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.basilport.daemon.http.Json;
+import org.basilport.cli.client.InstanceAnswer;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
@@ -19,16 +19,17 @@
 
   @Override
   ExitCode execute() {
-    String response = operator.client().get("/v1/operator/engines");
+    InstanceAnswer answer = operator.client().get("/v1/operator/engines");
+    ArrayNode engines = answer.as(ArrayNode.class);
     if (json) {
-      out().println(response);
+      out().println(answer.body());
     } else {
-      out().print(TextTable.format(rows(Json.tree(response))));
+      out().print(TextTable.format(rows(engines)));
     }
     return ExitCode.DONE;
   }
 
-  private static ArrayNode rows(JsonNode response) {
+  private static ArrayNode rows(ArrayNode response) {
     ArrayNode rows = JsonNodeFactory.instance.arrayNode();
     for (JsonNode item : response) {
       ObjectNode row = rows.addObject();
--- a/basilport-cli/src/main/java/org/basilport/cli/TimelineCommand.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/TimelineCommand.java
@@ -5,8 +5,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.basilport.cli.client.InstanceAnswer;
 import org.basilport.daemon.MergedTimeline;
-import org.basilport.daemon.http.Json;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
@@ -51,13 +51,13 @@
 
   @Override
   ExitCode execute() throws IOException {
-    String response = operator.client().get("/v1/operator/timeline" + query());
-    MergedTimeline timeline = Json.readResponse(response, MergedTimeline.class);
+    InstanceAnswer answer = operator.client().get("/v1/operator/timeline" + query());
+    MergedTimeline timeline = answer.as(MergedTimeline.class);
     if (html != null) {
       Files.writeString(html, new TimelinePage(timeline).render());
       out().println("wrote " + html);
     } else if (json) {
-      out().println(response);
+      out().println(answer.body());
     } else {
       out().print(TimelineText.format(timeline));
     }
--- a/basilport-cli/src/main/java/org/basilport/cli/client/CallerClient.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/client/CallerClient.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.Function;
 import org.basilport.daemon.http.Json;
@@ -47,9 +48,8 @@
         tryInOrder(
             caller.entries(),
             address ->
-                Json.readResponse(
-                    client.send(address, "GET", path, headers(), "").body(),
-                    LocationResponse.class));
+                new InstanceAnswer(address, client.send(address, "GET", path, headers(), "").body())
+                    .as(LocationResponse.class));
     long expiresAt = System.nanoTime() + location.lifetimeMillis() * NANOS_PER_MILLI;
     locationCache.put(route, new CachedLocation(location, expiresAt));
     return location;
@@ -79,7 +79,7 @@
         address -> {
           String body =
               client.send(address, "POST", "/v1/deferred", headers(), Json.write(request)).body();
-          return Json.tree(body).path("id").asText();
+          return new InstanceAnswer(address, body).as(SubmittedJob.class).id();
         });
   }
 
@@ -151,5 +151,12 @@
     return URLEncoder.encode(text, StandardCharsets.UTF_8);
   }
 
+  /** Response to a submitted job. */
+  private record SubmittedJob(String id) {
+    private SubmittedJob {
+      Objects.requireNonNull(id, "id");
+    }
+  }
+
   private record CachedLocation(LocationResponse location, long expiresAtNanos) {}
 }
--- a/basilport-cli/src/main/java/org/basilport/cli/client/GenerationReader.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/client/GenerationReader.java
@@ -13,6 +13,7 @@
 import org.basilport.error.BasilportException;
 import org.basilport.error.Outcome;
 import org.basilport.error.Step;
+import org.basilport.error.UnavailableException;
 
 /**
  * Reads one generation over several connections.
@@ -29,6 +30,7 @@
   private final TokenConsumer consumer;
   private List<String> addresses;
   private String lastEventId = "";
+  private long nextOffset;
   private int reconnects;
   private GenerationSummary summary;
 
@@ -87,7 +89,7 @@
     try (ServerSentEventReader events = new ServerSentEventReader(connection.response.body())) {
       boolean open = true;
       while (open) {
-        open = events.next().map(event -> handle(event)).orElse(false);
+        open = events.next().map(event -> handle(event, connection.address)).orElse(false);
       }
     } catch (IOException e) {
       moveToLastPlace(connection.address, e);
@@ -104,33 +106,55 @@
   }
 
   /** Returns whether more events follow on this connection. */
-  private boolean handle(ReceivedEvent event) {
+  private boolean handle(ReceivedEvent event, String address) {
     switch (event.event()) {
       case "token":
-        StreamEventData.Tokens tokens =
-            Json.readResponse(event.data(), StreamEventData.Tokens.class);
+        StreamEventData.Tokens tokens = decode(event, StreamEventData.Tokens.class, address);
         lastEventId = event.id();
+        checkOffset(tokens.offset(), address);
+        nextOffset += tokens.tokens().size();
         consumer.onTokens(tokens.offset(), tokens.tokens());
         return true;
       case "end":
-        StreamEventData.End end = Json.readResponse(event.data(), StreamEventData.End.class);
+        StreamEventData.End end = decode(event, StreamEventData.End.class, address);
+        checkOffset(end.totalTokens(), address);
         summary = new GenerationSummary(end.totalTokens(), end.reason(), reconnects);
         return false;
       case "resume":
-        StreamEventData.Resume resume =
-            Json.readResponse(event.data(), StreamEventData.Resume.class);
+        StreamEventData.Resume resume = decode(event, StreamEventData.Resume.class, address);
         lastEventId = resume.resumeToken();
         if (!resume.addresses().isEmpty()) {
           addresses = new ArrayList<>(resume.addresses());
         }
         return false;
       case "error":
-        throw new RemoteFailureException(Json.readResponse(event.data(), FailureBody.class));
+        throw new RemoteFailureException(decode(event, FailureBody.class, address));
       default:
         return true;
     }
   }
 
+  private <T> T decode(ReceivedEvent event, Class<T> type, String address) {
+    try {
+      return Json.readResponse(event.data(), type, address);
+    } catch (UnavailableException e) {
+      throw streamFailure(address, "event " + event.event() + " without its data", e);
+    }
+  }
+
+  /** Checks that no token is missing or repeated before a position of the generation. */
+  private void checkOffset(long offset, String address) {
+    if (offset != nextOffset) {
+      String problem = "token " + offset + " follows " + nextOffset + " received tokens";
+      throw streamFailure(address, problem, null);
+    }
+  }
+
+  private UnavailableException streamFailure(String address, String problem, Exception cause) {
+    Outcome outcome = lastEventId.isEmpty() ? Outcome.MAY_HAVE_RUN : Outcome.LOST_PART_WAY;
+    return InstanceClient.failure(address, outcome, Step.STREAM, problem, cause);
+  }
+
   private void moveToLastPlace(String address, IOException cause) {
     if (lastEventId.isEmpty()) {
       throw InstanceClient.failure(
--- a/basilport-cli/src/main/java/org/basilport/cli/client/InstanceClient.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/client/InstanceClient.java
@@ -26,7 +26,6 @@
 public final class InstanceClient {
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
   private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(60);
-  private static final int FIRST_ERROR_STATUS = 400;
 
   private final HttpClient http =
       HttpClient.newBuilder()
@@ -60,6 +59,8 @@
     HttpResponse<String> response = exchange(address, request, BodyHandlers.ofString());
     if (response.headers().firstValue(serviceHeader).isEmpty()) {
       throwIfError(address, response, response.body());
+      String text = "response without the header " + serviceHeader;
+      throw failure(address, Outcome.MAY_HAVE_RUN, Step.SEND, text, null);
     }
     return response;
   }
@@ -69,7 +70,7 @@
       String address, String method, String path, Map<String, String> headers, String body) {
     HttpRequest request = build(address, method, path, headers, body).build();
     HttpResponse<InputStream> response = exchange(address, request, BodyHandlers.ofInputStream());
-    if (response.statusCode() >= FIRST_ERROR_STATUS) {
+    if (!isSuccess(response)) {
       throwIfError(address, response, readAll(address, response.body()));
     }
     return response;
@@ -98,20 +99,23 @@
   }
 
   private static void throwIfError(String address, HttpResponse<?> response, String body) {
-    int status = response.statusCode();
-    if (status < FIRST_ERROR_STATUS) {
+    if (isSuccess(response)) {
       return;
     }
     try {
-      throw new RemoteFailureException(Json.readResponse(body, FailureBody.class));
+      throw new RemoteFailureException(Json.readResponse(body, FailureBody.class, address));
     } catch (RemoteFailureException e) {
       throw e;
     } catch (BasilportException e) {
-      String text = "status " + status + " without a failure body";
+      String text = "status " + response.statusCode() + " without a failure body";
       throw failure(address, Outcome.MAY_HAVE_RUN, Step.SEND, text, e);
     }
   }
 
+  private static boolean isSuccess(HttpResponse<?> response) {
+    return response.statusCode() / 100 == 2;
+  }
+
   private static String readAll(String address, InputStream body) {
     try (body) {
       return new String(body.readAllBytes(), StandardCharsets.UTF_8);
--- a/basilport-cli/src/main/java/org/basilport/cli/client/OperatorClient.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/client/OperatorClient.java
@@ -18,21 +18,22 @@
     this.client = client;
   }
 
-  /** Sends a GET request to the first reachable instance; returns the JSON of the response. */
-  public String get(String path) {
+  /** Sends a GET request to the first reachable instance. */
+  public InstanceAnswer get(String path) {
     return send("GET", path, "");
   }
 
-  /** Posts JSON to the first reachable instance; returns the JSON of the response. */
-  public String post(String path, String body) {
+  /** Posts JSON to the first reachable instance. */
+  public InstanceAnswer post(String path, String body) {
     return send("POST", path, body);
   }
 
-  private String send(String method, String path, String body) {
+  private InstanceAnswer send(String method, String path, String body) {
     BasilportException last = null;
     for (String address : entries) {
       try {
-        return client.send(address, method, path, headers, body).body();
+        return new InstanceAnswer(
+            address, client.send(address, method, path, headers, body).body());
       } catch (BasilportException e) {
         if (e instanceof RemoteFailureException || e.step() != Step.CONNECT) {
           throw e;
--- a/basilport-daemon/src/main/java/org/basilport/daemon/http/FailureBody.java
+++ b/basilport-daemon/src/main/java/org/basilport/daemon/http/FailureBody.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Objects;
 import org.basilport.error.BasilportException;
 import org.basilport.error.FailureCode;
 import org.basilport.error.Outcome;
@@ -27,6 +28,13 @@
     String message,
     List<String> addresses) {
 
+  /** Checks that the members that decide about a retry are present. */
+  public FailureBody {
+    Objects.requireNonNull(code, "code");
+    Objects.requireNonNull(outcome, "outcome");
+    Objects.requireNonNull(step, "step");
+  }
+
   /** Creates the body of a failure with addresses of other instances that the caller may use. */
   public static FailureBody of(BasilportException failure, List<String> addresses) {
     return new FailureBody(
--- a/basilport-daemon/src/main/java/org/basilport/daemon/http/Json.java
+++ b/basilport-daemon/src/main/java/org/basilport/daemon/http/Json.java
@@ -8,8 +8,10 @@
 import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import org.basilport.error.FailureCode;
+import org.basilport.error.Outcome;
 import org.basilport.error.RejectedException;
 import org.basilport.error.Step;
+import org.basilport.error.UnavailableException;
 
 /**
  * Reads and writes the JSON bodies of the HTTP API; unknown and missing fields in requests are
@@ -27,7 +29,12 @@
           .build();
 
   private static final ObjectMapper LENIENT_MAPPER =
-      JsonMapper.builder().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
+      JsonMapper.builder()
+          .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+          .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .disable(StreamReadFeature.INCLUDE_SOURCE_IN_LOCATION)
+          .build();
 
   private Json() {}
 
@@ -75,15 +82,36 @@
     }
   }
 
-  /** Parses a response of an instance, which may contain fields added by a later version. */
-  public static <T> T readResponse(String text, Class<T> type) {
+  /**
+   * Parses a response of an instance, which may contain fields added by a later version. Throws
+   * {@code UnavailableException} if it does not match the type; the call may have run.
+   *
+   * @param peer address of the instance
+   */
+  public static <T> T readResponse(String text, Class<T> type, String peer) {
     try {
-      return LENIENT_MAPPER.readValue(text, type);
+      T value = LENIENT_MAPPER.readValue(text, type);
+      if (value == null) {
+        throw malformedResponse(peer, "the body is null", null);
+      }
+      return value;
     } catch (JsonProcessingException e) {
-      throw malformed("malformed response: " + e.getOriginalMessage() + locationSuffix(e));
+      throw malformedResponse(peer, e.getOriginalMessage() + locationSuffix(e), e);
     }
   }
 
+  private static UnavailableException malformedResponse(
+      String peer, String problem, JsonProcessingException cause) {
+    return new UnavailableException(
+        FailureCode.PEER_UNAVAILABLE,
+        Outcome.MAY_HAVE_RUN,
+        Step.PARSE,
+        peer,
+        null,
+        "malformed response: " + problem,
+        cause);
+  }
+
   private static String locationSuffix(JsonProcessingException e) {
     return e.getLocation() == null
         ? ""
--- a/basilport-daemon/src/test/java/org/basilport/daemon/http/HttpApiServerTest.java
+++ b/basilport-daemon/src/test/java/org/basilport/daemon/http/HttpApiServerTest.java
@@ -91,7 +91,7 @@
   }
 
   private static FailureBody failure(HttpResponse<String> response) {
-    return Json.readResponse(response.body(), FailureBody.class);
+    return Json.readResponse(response.body(), FailureBody.class, "");
   }
 
   @Nested
