--- a/basilport-gateway/src/test/java/org/basilport/gateway/forward/MixedEventsTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/forward/MixedEventsTest.java
@@ -24,15 +24,16 @@
           ": comment\nid: 3\ndata:\n\n",
           ": comment\n\n");
 
+  /** Fields of heads, each of which has one that is no field of an event. */
   private static final List<String> FIELDS =
       List.of(
           "id: r1\r\nseal: s\r\ncontent-length: 3\r\n",
           "seal: s\r\ncontent-length: 3\r\nid: r1\r\n",
           "content-length: 3\r\n",
           "Content-Length: 3\r\n",
-          "content-length: 3\r\nConnection: close\r\n",
-          "id: r1\r\n",
-          "");
+          "content-length: 3\r\nConnection: close\r\n");
+
+  private static final String ID_ONLY = "id: r1\r\n";
 
   private static final List<String> BODIES = List.of("", "ODD", "ODD\n\n", "id: 4\ndata: c\n\n");
 
@@ -50,19 +51,41 @@
   /** Guards against the head of another answer that is passed on as an event. */
   @Test
   void areNeverPassedOn() {
+    List<String> fields = new ArrayList<>(FIELDS);
+    fields.add(ID_ONLY);
+    fields.add("");
+    playAll(BEFORE, EVENTS, fields);
+  }
+
+  /** Guards against the same where the lines of events end as those of a head do. */
+  @Test
+  void areNeverPassedOnInStreamsWithCarriageReturns() {
+    List<String> fields = new ArrayList<>(FIELDS);
+    fields.add(ID_ONLY);
+    List<String> events = EVENTS.stream().map(event -> event.replace("\n", "\r\n")).toList();
+    playAll(BEFORE.replace("\n", "\r\n"), events, fields);
+  }
+
+  /** Guards against the same before any event has shown how the stream looks. */
+  @Test
+  void areNeverPassedOnAsFirstEvents() {
+    playAll("", EVENTS, FIELDS.subList(2, FIELDS.size()));
+  }
+
+  private static void playAll(String before, List<String> events, List<String> fields) {
     List<String> mixed = new ArrayList<>();
     int plays = 0;
-    for (String event : EVENTS) {
-      for (String fields : FIELDS) {
+    for (String event : events) {
+      for (String head : fields) {
         for (String body : BODIES) {
           for (int cut = 0; cut < event.length(); cut++) {
             String stream =
-                BEFORE + event.substring(0, cut) + "HTTP/1.1 500 S\r\n" + fields + "\r\n" + body;
-            for (int split = BEFORE.length(); split <= stream.length(); split++) {
+                before + event.substring(0, cut) + "HTTP/1.1 500 S\r\n" + head + "\r\n" + body;
+            for (int split = before.length(); split <= stream.length(); split++) {
               plays++;
               String passedOn = readInTwo(stream, split);
-              if (!passedOn.equals(BEFORE)) {
-                mixed.add(passedOn.substring(BEFORE.length()));
+              if (!passedOn.equals(before)) {
+                mixed.add(passedOn.substring(before.length()));
               }
             }
           }
