Take a response without a length for one that ends with its connection

Cause: a response within a body counts as another one if it ends where the body ends. For one without a length the end was unknown, though it ends with the connection, as does a body until the close.

--- a/basilport-common/src/main/java/org/basilport/answer/EmbeddedResponseDetector.java
+++ b/basilport-common/src/main/java/org/basilport/answer/EmbeddedResponseDetector.java
@@ -32,6 +32,7 @@
   private boolean chunked;
   private boolean inChunks;
   private boolean headFound;
+  private boolean withoutLength;
 
   /** Position after the response, as its head tells it; negative if it does not. */
   private long responseEnd = UNKNOWN;
@@ -106,6 +107,7 @@
     String name = field.substring(0, Math.max(0, colon));
     if (field.isEmpty() && fields > 0) {
       headFound = true;
+      withoutLength = !chunked && length.isEmpty();
       inChunks = chunked;
       lastChunk.reset();
       responseEnd =
@@ -152,6 +154,13 @@
     return responseEnd == position;
   }
 
+  /**
+   * Whether the bytes read so far hold a response without a length, which ends with its connection.
+   */
+  boolean endsWithConnection() {
+    return withoutLength;
+  }
+
   void reset() {
     statusLine.reset();
     lastChunk.reset();
@@ -162,6 +171,7 @@
     chunked = false;
     inChunks = false;
     headFound = false;
+    withoutLength = false;
     responseEnd = UNKNOWN;
     position = 0;
   }
