Refuse lines that belong to no event in the stream of an engine

In SingleStreamTest, the tokens of a second answer were passed on as those of the first one.

Cause: the parser of events skips lines that it does not know. After an answer that stops, these are the head of the next one; its events follow. Netty's decoder hides even its status line where the answer stops within the size of a chunk.

The test of the parser failed in all five cases on the former code.

Change: a line whose field is none of an event, and which is no comment, ends the stream with a failure.

--- a/basilport-clients/src/main/java/org/basilport/engine/http/SseParser.java
+++ b/basilport-clients/src/main/java/org/basilport/engine/http/SseParser.java
@@ -7,10 +7,15 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 /** Incremental parser for the data fields of server-sent events; chunks may end at any byte. */
 final class SseParser {
   private static final String DATA_FIELD = "data:";
+
+  /** Names of the fields of an event; a comment has an empty one. */
+  private static final Set<String> FIELD_NAMES = Set.of("", "data", "event", "id", "retry");
+
   private static final byte LINE_FEED = '\n';
 
   /** Size limit of one event; an engine in trouble may send bytes without an event for ever. */
@@ -22,7 +27,8 @@
   /**
    * Consumes a chunk and returns the data of all events that it completes.
    *
-   * @throws UncheckedIOException if an event is too long
+   * @throws UncheckedIOException if an event is too long, or if a line is none of an event, such as
+   *     that of the head of another response
    */
   List<String> add(ByteBuf chunk) {
     List<String> events = new ArrayList<>();
@@ -55,7 +61,13 @@
         events.add(data.toString());
         data.setLength(0);
       }
-    } else if (text.startsWith(DATA_FIELD)) {
+      return;
+    }
+    String name = text.substring(0, text.indexOf(':') < 0 ? text.length() : text.indexOf(':'));
+    if (!FIELD_NAMES.contains(name)) {
+      throw new UncheckedIOException(new IOException("line without a field of an event"));
+    }
+    if (text.startsWith(DATA_FIELD)) {
       if (data.length() > 0) {
         data.append('\n');
       }
--- a/basilport-clients/src/test/java/org/basilport/engine/http/HttpTokenStreamTest.java
+++ b/basilport-clients/src/test/java/org/basilport/engine/http/HttpTokenStreamTest.java
@@ -1,8 +1,10 @@
 package org.basilport.engine.http;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.netty.buffer.Unpooled;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -174,6 +176,27 @@
 
   @Nested
   class Parser {
+    /** Guards against the events of another response whose head follows within a stream. */
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "HTTP/1.1 200 OK",
+          "Content-Type: text/event-stream",
+          "87",
+          "data2: x",
+          " data:"
+        })
+    void linesOfAnotherResponseAreRefused(String line) {
+      SseParser parser = new SseParser();
+
+      assertThrows(
+          UncheckedIOException.class,
+          () ->
+              parser.add(
+                  Unpooled.copiedBuffer(
+                      "data: 1\n\n" + line + "\r\n\r\ndata: 2\n\n", StandardCharsets.UTF_8)));
+    }
+
     /**
      * Guards against events that are lost or merged when a chunk ends within a line or character.
      */
