Take lines of an event stream for no head of another answer

What callers could see: a sound stream that fails because one of its events quotes a status line. In an event of which further lines follow, these looked like the fields of a head; a line "id:" or the end of the connection then made it another answer.

Evidence: MixedAnswersTest.areNotSeenInWholeAnswers with such events failed.

Change: each line of an embedded head ends with a carriage return and a line feed, as Netty's decoder asks of heads. Result: the test passes, and MixedAnswersTest finds no mixed answer.

--- a/basilport-common/src/main/java/org/basilport/answer/EmbeddedResponseDetector.java
+++ b/basilport-common/src/main/java/org/basilport/answer/EmbeddedResponseDetector.java
@@ -27,6 +27,7 @@
   private final TextMatcher lastChunk = new TextMatcher("0\r\n\r\n");
   private final StringBuilder line = new StringBuilder(0);
   private Part part = Part.NONE;
+  private boolean carriageReturn;
   private int fields;
   private Optional<Long> length = Optional.empty();
   private boolean chunked;
@@ -79,18 +80,26 @@
       return false;
     }
     if (value != '\n') {
-      if (line.length() < MAX_LINE_BYTES && value != '\r') {
+      carriageReturn = value == '\r';
+      if (line.length() < MAX_LINE_BYTES && !carriageReturn) {
         line.append((char) value);
       }
       return false;
     }
     String ended = line.toString();
     line.setLength(0);
+    if (!carriageReturn) {
+      // Lines of events and of texts may end so, those of a head do not.
+      part = Part.NONE;
+      return false;
+    }
+    carriageReturn = false;
     return part == Part.STATUS_LINE ? startFields() : readField(ended, valuePosition);
   }
 
   private void startHead() {
     part = Part.STATUS_LINE;
+    carriageReturn = false;
     line.setLength(0);
     fields = 0;
   }
--- a/basilport-gateway/src/test/java/org/basilport/gateway/backend/MixedAnswersTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/backend/MixedAnswersTest.java
@@ -89,6 +89,7 @@
         "ends with HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n",
         "a head: HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nhi, and more",
         "a head: HTTP/1.1 500 S\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n, and more",
+        "data: HTTP/1.1 404 Not Found\nid: 5\n\ndata: is the answer to\nid: 6\n\n",
         "HTTP/1.1 200 OK, the request has succeeded\r\n\r\nHTTP/1.1 500, it has not\r\n"
       })
   void areNotSeenInWholeAnswers(String body) {
