Await no body of an answer to HEAD

What callers saw: a 504 at their deadline for a HEAD request whose answer names the length of the body that GET would have.

Cause: the decoder of answers does not know the method of the request and awaited that body; later bytes would have counted as it.

Change: the connection tells the decoder which response answers a HEAD request.

--- a/basilport-common/src/main/java/org/basilport/answer/SingleResponseDecoder.java
+++ b/basilport-common/src/main/java/org/basilport/answer/SingleResponseDecoder.java
@@ -46,6 +46,8 @@
    * Creates a decoder for one connection.
    *
    * @param requestIdHeader header in which each response names its request; empty if there is none
+  private boolean contentDiscarded;
+  private boolean answersHeadRequest;
    */
   public SingleResponseDecoder(Optional<AsciiString> requestIdHeader) {
     this.bodyDetector = new EmbeddedResponseDetector(requestIdHeader);
@@ -59,6 +61,24 @@
   @Override
   protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> output)
       throws Exception {
+  /** Sets whether the next response answers a HEAD request, and so has no body. */
+  public void expectNoContent(boolean headRequest) {
+    answersHeadRequest = headRequest;
+  }
+
+  /**
+   * Tells that the content of the current response is not used. The end of its body is not held
+   * back; another response within it is still a failure.
+   */
+  public void discardContent() {
+    contentDiscarded = true;
+  }
+
+  @Override
+  protected boolean isContentAlwaysEmpty(HttpMessage message) {
+    return answersHeadRequest || super.isContentAlwaysEmpty(message);
+  }
+
     if (failed) {
       input.skipBytes(input.readableBytes());
       return;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
@@ -117,6 +118,7 @@
     discardedResponses = 0;
     discardedBytes = 0;
     overheadLimit.reset();
+    decoder.expectNoContent(request.method().equals(HttpMethod.HEAD));
     setReading(true);
     channel
         .writeAndFlush(request)
