Do not doubt the end of an answer that is discarded

What callers could see: a failure (502) in place of a sound answer, after a whole late second answer to the request before, if its body ends like a status line or holds the text of a head.

Cause: the decoder also looked for another answer behind a body whose id had shown that it belongs to an earlier request.

Evidence: InterruptedAnswersTest.Sound.areReadAfterADiscardedAnswer and ReusedConnectionAnswersTest.areNotFailedAfterAWholeLateAnswer (35 plays) failed.

Change: the connection tells the decoder that it discards an answer.

--- a/basilport-common/src/main/java/org/basilport/answer/SingleResponseDecoder.java
+++ b/basilport-common/src/main/java/org/basilport/answer/SingleResponseDecoder.java
@@ -133,9 +133,9 @@
     }
     if (bodyDetector.endsWithResponse()) {
       fail(output, "the body ends with another response");
-    } else if (bodyDetector.suspected() && input.isReadable()) {
+    } else if (bodyDetector.suspected() && input.isReadable() && !contentDiscarded) {
       fail(output, "further bytes follow a body that holds the head of another response");
-    } else if (bodyDetector.suspected()) {
+    } else if (bodyDetector.suspected() && !contentDiscarded) {
       output.remove(last);
       hold(context, last);
     }
@@ -149,6 +149,7 @@
   private void hold(ChannelHandlerContext context, Object end) {
     heldEnd = Optional.of(end);
     holdTimer =
+    contentDiscarded = false;
         context.executor().schedule(() -> releaseEnd(context), HOLD_MILLIS, TimeUnit.MILLISECONDS);
     context.read();
   }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
@@ -233,6 +233,7 @@
       return;
     }
     if (discarding) {
+      decoder.discardContent();
       discardedResponses++;
       if (discardedResponses > MAX_DISCARDED_RESPONSES) {
         fail("more than " + MAX_DISCARDED_RESPONSES + " answers to other requests");
