Hold the end of a doubtful body back for longer

Evidence: InterruptedAnswersTest.areNotCompletedByASlowSecondAnswer (30 of 30 numbers of missing bytes) and areNotCompletedByASecondAnswerThatStops (30 of 30).

Change: the end is held back for 250 ms, within which a lost packet is sent again, unless only the last byte is in doubt. If the connection closes meanwhile, a body that ends after the beginning of a status line fails.

--- a/basilport-common/src/main/java/org/basilport/answer/EmbeddedResponseDetector.java
+++ b/basilport-common/src/main/java/org/basilport/answer/EmbeddedResponseDetector.java
@@ -158,6 +158,16 @@
     return part != Part.NONE || statusLine.partial();
   }
 
+  /** Whether the bytes read so far end after the beginning of a status line and within its head. */
+  boolean endsWithinHead() {
+    return part == Part.STATUS_LINE || part == Part.FIELDS;
+  }
+
+  /** Whether only the last byte makes the bytes read so far suspected. */
+  boolean endsInFirstByte() {
+    return !headFound && part == Part.NONE && statusLine.begun();
+  }
+
   /** Whether the bytes read so far end with a complete response. */
   boolean endsWithResponse() {
     return responseEnd == position;
--- a/basilport-common/src/main/java/org/basilport/answer/SingleResponseDecoder.java
+++ b/basilport-common/src/main/java/org/basilport/answer/SingleResponseDecoder.java
@@ -11,6 +11,7 @@
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -30,8 +31,14 @@
  * follows it.
  */
 public final class SingleResponseDecoder extends HttpResponseDecoder {
-  /** Time for which the end of a body is held back that may be followed by further bytes. */
-  private static final long HOLD_MILLIS = 20;
+  /**
+   * Time for which the end of a body is held back whose last byte may begin a status line, as many
+   * last bytes do.
+   */
+  private static final long SHORT_HOLD_MILLIS = 20;
+
+  /** Time for which the end of other bodies is held back; a lost packet is sent again within it. */
+  private static final long LONG_HOLD_MILLIS = 250;
 
   private final TextMatcher headMatcher = TextMatcher.statusLine();
   private final EmbeddedResponseDetector bodyDetector;
@@ -40,6 +47,7 @@
   private boolean statusLineRead;
   private boolean failed;
   private Optional<Object> heldEnd = Optional.empty();
+  private boolean heldWithinHead;
   private ScheduledFuture<?> holdTimer;
 
   /**
@@ -148,9 +156,10 @@
 
   private void hold(ChannelHandlerContext context, Object end) {
     heldEnd = Optional.of(end);
+    heldWithinHead = bodyDetector.endsWithinHead();
+    long holdMillis = bodyDetector.endsInFirstByte() ? SHORT_HOLD_MILLIS : LONG_HOLD_MILLIS;
     holdTimer =
-    contentDiscarded = false;
-        context.executor().schedule(() -> releaseEnd(context), HOLD_MILLIS, TimeUnit.MILLISECONDS);
+        context.executor().schedule(() -> releaseEnd(context), holdMillis, TimeUnit.MILLISECONDS);
     context.read();
   }
 
@@ -195,7 +204,13 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext context) throws Exception {
-    releaseEnd(context);
+    if (heldEnd.isPresent() && heldWithinHead) {
+      List<Object> output = new ArrayList<>();
+      fail(output, "the connection closed within the head of another response");
+      output.forEach(context::fireChannelRead);
+    } else {
+      releaseEnd(context);
+    }
     super.channelInactive(context);
   }
 
--- a/basilport-common/src/main/java/org/basilport/answer/TextMatcher.java
+++ b/basilport-common/src/main/java/org/basilport/answer/TextMatcher.java
@@ -42,6 +42,11 @@
     return matched > 0;
   }
 
+  /** Whether the last byte is the first one of the text, and not more of it precedes. */
+  boolean begun() {
+    return matched == 1;
+  }
+
   /** Number of bytes of the text. */
   int length() {
     return text.length();
