Take chunks for those of an embedded answer only if one follows its head

What callers could see: a sound answer in chunks fails if it quotes the head of an answer in chunks.

Cause: the last chunk of the outer answer counted as that of the embedded one.

Evidence: InterruptedAnswersTest.Sound.mayHoldTheHeadOfAChunkedAnswer failed.

Change: the line after such a head has to be the size of a chunk. Result: the test passes.

--- a/basilport-common/src/main/java/org/basilport/answer/EmbeddedResponseDetector.java
+++ b/basilport-common/src/main/java/org/basilport/answer/EmbeddedResponseDetector.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.util.AsciiString;
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /**
  * Finds another response among the bytes of a body.
@@ -20,6 +21,8 @@
   /** Position that no byte of a body has. */
   private static final long UNKNOWN = -1;
 
+  private static final Pattern CHUNK_SIZE = Pattern.compile("[0-9a-fA-F]+(;.*)?");
+
   private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
 
   private final Optional<AsciiString> requestIdHeader;
@@ -94,7 +97,16 @@
       return false;
     }
     carriageReturn = false;
-    return part == Part.STATUS_LINE ? startFields() : readField(ended, valuePosition);
+    switch (part) {
+      case STATUS_LINE:
+        return startFields();
+      case FIELDS:
+        return readField(ended, valuePosition);
+      default:
+        part = Part.NONE;
+        inChunks &= CHUNK_SIZE.matcher(ended).matches();
+        return false;
+    }
   }
 
   private void startHead() {
@@ -121,6 +133,8 @@
       lastChunk.reset();
       responseEnd =
           chunked ? UNKNOWN : length.map(bytes -> endPosition + 1 + bytes).orElse(UNKNOWN);
+      part = chunked ? Part.CHUNK_SIZE : Part.NONE;
+      return false;
     }
     if (!isToken(name)) {
       part = Part.NONE;
@@ -195,10 +209,11 @@
     position = 0;
   }
 
-  /** Part of a head at the end of the bytes that were read. */
+  /** Part of another response in which the bytes that were read end. */
   private enum Part {
     NONE,
     STATUS_LINE,
-    FIELDS
+    FIELDS,
+    CHUNK_SIZE
   }
 }
