Fail a body until the close that holds a part of another answer

Evidence: InterruptedAnswersTest.withoutALengthDoNotEndWithinAnother failed in two of three cases.

Change: such a response ends with the connection, like a complete one and one without a length. Result: the test passes.

--- a/basilport-common/src/main/java/org/basilport/answer/EmbeddedResponseDetector.java
+++ b/basilport-common/src/main/java/org/basilport/answer/EmbeddedResponseDetector.java
@@ -191,7 +191,7 @@
    * Whether the bytes read so far hold a response without a length, which ends with its connection.
    */
   boolean endsWithConnection() {
-    return withoutLength;
+    return endsWithResponse() || withoutLength || inChunks || responseEnd > position;
   }
 
   void reset() {
--- a/basilport-common/src/main/java/org/basilport/answer/SingleResponseDecoder.java
+++ b/basilport-common/src/main/java/org/basilport/answer/SingleResponseDecoder.java
@@ -197,7 +197,7 @@
       return;
     }
     // The end of the connection is the end of a body without a length.
-    if (headRead && (bodyDetector.endsWithResponse() || bodyDetector.endsWithConnection())) {
+    if (headRead && bodyDetector.endsWithConnection()) {
       fail(output, "the body ends with another response");
     }
   }
