Report the failure of a response once

Found by ReusedConnectionAnswersTest.Decoders.tellAFailureOnceAfterAHeldEnd, which failed: after the message of a failure Netty's decoder also threw, since no byte had been read. A switch of the protocol left bytes that are no message; they count as a failure.

Result: the test passes.

--- a/basilport-common/src/main/java/org/basilport/answer/EmbeddedResponseDetector.java
+++ b/basilport-common/src/main/java/org/basilport/answer/EmbeddedResponseDetector.java
@@ -188,7 +188,8 @@
   }
 
   /**
-   * Whether the bytes read so far hold a response without a length, which ends with its connection.
+   * Whether the end of the connection ends another response: a complete one, one without a length,
+   * or one that stops within its body.
    */
   boolean endsWithConnection() {
     return endsWithResponse() || withoutLength || inChunks || responseEnd > position;
--- a/basilport-common/src/main/java/org/basilport/answer/SingleResponseDecoder.java
+++ b/basilport-common/src/main/java/org/basilport/answer/SingleResponseDecoder.java
@@ -46,6 +46,8 @@
   private int headBytes;
   private boolean statusLineRead;
   private boolean failed;
+  private boolean contentDiscarded;
+  private boolean answersHeadRequest;
   private Optional<Object> heldEnd = Optional.empty();
   private boolean heldWithinHead;
   private ScheduledFuture<?> holdTimer;
@@ -54,21 +56,11 @@
    * Creates a decoder for one connection.
    *
    * @param requestIdHeader header in which each response names its request; empty if there is none
-  private boolean contentDiscarded;
-  private boolean answersHeadRequest;
    */
   public SingleResponseDecoder(Optional<AsciiString> requestIdHeader) {
     this.bodyDetector = new EmbeddedResponseDetector(requestIdHeader);
   }
 
-  /** Whether bytes were received that belong to no decoded message. */
-  public boolean hasUndecodedBytes() {
-    return actualReadableBytes() > 0;
-  }
-
-  @Override
-  protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> output)
-      throws Exception {
   /** Sets whether the next response answers a HEAD request, and so has no body. */
   public void expectNoContent(boolean headRequest) {
     answersHeadRequest = headRequest;
@@ -87,11 +79,20 @@
     return answersHeadRequest || super.isContentAlwaysEmpty(message);
   }
 
+  /** Whether bytes were received that belong to no decoded message. */
+  public boolean hasUndecodedBytes() {
+    return actualReadableBytes() > 0;
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> output)
+      throws Exception {
     if (failed) {
       input.skipBytes(input.readableBytes());
       return;
     }
     if (heldEnd.isPresent()) {
+      input.skipBytes(input.readableBytes());
       fail(output, "further bytes follow a body that holds the head of another response");
       return;
     }
@@ -135,7 +136,7 @@
   private void trackResponse(ChannelHandlerContext context, ByteBuf input, List<Object> output) {
     headRead |= output.get(0) instanceof HttpResponse;
     Object last = output.get(output.size() - 1);
-    failed = ((HttpObject) last).decoderResult().isFailure();
+    failed = !(last instanceof HttpObject) || ((HttpObject) last).decoderResult().isFailure();
     if (failed || !(last instanceof LastHttpContent)) {
       return;
     }
@@ -148,6 +149,7 @@
       hold(context, last);
     }
     headRead = false;
+    contentDiscarded = false;
     headBytes = 0;
     statusLineRead = false;
     headMatcher.reset();
