Take only responses of the call from the platform

Cause: a 404 and each status below 400 went to the reader of a call. Bytes after a JSON text were ignored.

Evidence: three of the four tests of PlatformResponsesTest failed.

Change: each call names the statuses that answer it; a version must be present; what is no response of the call fails as unavailable, a write as one that may have run. Json reads a text to its end.

--- a/basilport-clients/src/main/java/org/basilport/http/Json.java
+++ b/basilport-clients/src/main/java/org/basilport/http/Json.java
@@ -11,7 +11,9 @@
 /** Reads and writes JSON; unknown fields are ignored. */
 public final class Json {
   private static final ObjectMapper MAPPER =
-      new ObjectMapper().configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+      new ObjectMapper()
+          .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false)
+          .configure(DeserializationFeature.FAIL_ON_TRAILING_TOKENS, true);
 
   private Json() {}
 
--- a/basilport-clients/src/main/java/org/basilport/platform/http/HttpObjectStore.java
+++ b/basilport-clients/src/main/java/org/basilport/platform/http/HttpObjectStore.java
@@ -4,7 +4,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.basilport.http.HttpCall;
 import org.basilport.http.HttpResponse;
 import org.basilport.http.HttpTransport;
@@ -18,6 +21,9 @@
   public static final String CLIENT_ID = "Client-Id";
 
   private static final int OK = 200;
+  private static final int NOT_MODIFIED = 304;
+  private static final int NOT_FOUND = 404;
+  private static final Pattern VERSION = Pattern.compile("\"(\\d{1,18})\"");
   private static final TypeReference<List<String>> NAMES = new TypeReference<>() {};
 
   private final PlatformHttpClient http;
@@ -30,25 +36,29 @@
   @Override
   public CompletableFuture<Optional<StoredObject>> read(String name) {
     return http.send(
-        http.call("GET", objectPath(name)), response -> toStoredObject(name, response));
+        http.call("GET", objectPath(name)),
+        response -> toStoredObject(name, response, Set.of(NOT_FOUND)));
   }
 
   @Override
   public CompletableFuture<Long> write(String name, byte[] value, long expectedVersion) {
     HttpCall call = http.call("PUT", objectPath(name)).withBody("application/octet-stream", value);
-    return http.send(withPrecondition(call, expectedVersion), HttpObjectStore::version);
+    return http.send(withPrecondition(call, expectedVersion), HttpObjectStore::writtenVersion);
   }
 
   @Override
   public CompletableFuture<Void> delete(String name, long expectedVersion) {
     HttpCall call = http.call("DELETE", objectPath(name));
-    return http.send(withPrecondition(call, expectedVersion), response -> null);
+    return http.send(
+        withPrecondition(call, expectedVersion),
+        response ->
+            response.status() == NOT_FOUND ? null : PlatformHttpClient.readSuccess(response));
   }
 
   @Override
   public CompletableFuture<List<String>> list(String prefix) {
     HttpCall call = http.call("GET", "/objects?prefix=" + PlatformHttpClient.encode(prefix));
-    return http.send(call, response -> Json.read(response.text(), NAMES));
+    return http.send(call, HttpObjectStore::names);
   }
 
   @Override
@@ -56,7 +66,8 @@
       String name, long afterVersion, Duration wait) {
     String query = "?watch=" + afterVersion + "&waitMillis=" + wait.toMillis();
     HttpCall call = http.call("GET", objectPath(name) + query).withExtraWait(wait);
-    return http.send(call, response -> toStoredObject(name, response));
+    return http.send(
+        call, response -> toStoredObject(name, response, Set.of(NOT_MODIFIED, NOT_FOUND)));
   }
 
   private static HttpCall withPrecondition(HttpCall call, long expectedVersion) {
@@ -65,14 +76,41 @@
         : call.withHeader("If-Match", "\"" + expectedVersion + "\"");
   }
 
-  private static Optional<StoredObject> toStoredObject(String name, HttpResponse response) {
-    return response.status() == OK
-        ? Optional.of(new StoredObject(name, version(response), response.body()))
-        : Optional.empty();
+  /**
+   * Reads an object.
+   *
+   * @param absent statuses of a response without an object
+   */
+  private static Optional<StoredObject> toStoredObject(
+      String name, HttpResponse response, Set<Integer> absent) {
+    if (absent.contains(response.status())) {
+      return Optional.empty();
+    }
+    if (response.status() != OK) {
+      throw PlatformHttpClient.notOfTheCall(response);
+    }
+    return Optional.of(new StoredObject(name, version(response), response.body()));
+  }
+
+  private static long writtenVersion(HttpResponse response) {
+    PlatformHttpClient.readSuccess(response);
+    return version(response);
+  }
+
+  private static List<String> names(HttpResponse response) {
+    List<String> names = response.status() == OK ? Json.read(response.text(), NAMES) : null;
+    if (names == null) {
+      throw PlatformHttpClient.notOfTheCall(response);
+    }
+    return names;
   }
 
   private static long version(HttpResponse response) {
-    return Long.parseLong(response.header("ETag").orElse("\"0\"").replace("\"", ""));
+    Matcher version = VERSION.matcher(response.header("ETag").orElse(""));
+    if (!version.matches()) {
+      throw PlatformHttpClient.notOfTheCall(response);
+    }
+    return Long.parseLong(version.group(1));
   }
 
   private static String objectPath(String name) {
--- a/basilport-clients/src/main/java/org/basilport/platform/http/HttpWeightStore.java
+++ b/basilport-clients/src/main/java/org/basilport/platform/http/HttpWeightStore.java
@@ -19,6 +19,6 @@
     String query = "?model=" + PlatformHttpClient.encode(model);
     HttpCall call =
         http.call("POST", "/weights" + query + "&version=" + PlatformHttpClient.encode(version));
-    return http.send(call, response -> null);
+    return http.send(call, PlatformHttpClient::readSuccess);
   }
 }
--- a/basilport-clients/src/main/java/org/basilport/platform/http/PlatformHttpClient.java
+++ b/basilport-clients/src/main/java/org/basilport/platform/http/PlatformHttpClient.java
@@ -1,5 +1,7 @@
 package org.basilport.platform.http;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
@@ -44,7 +46,8 @@
 
   /**
    * Sends a request; a response with status 404 is passed to the reader, since it means that an
-   * object is absent.
+   * object is absent. The call fails if the reader throws {@link #notOfTheCall} or {@code
+   * UncheckedIOException}.
    */
   <T> CompletableFuture<T> send(HttpCall call, Function<HttpResponse, T> reader) {
     // A write whose response is lost may have run, so writes do not risk a stale pooled connection.
@@ -59,10 +62,33 @@
               if (response.status() >= 400 && response.status() != NOT_FOUND) {
                 throw errorResponse(response, modifies);
               }
-              return reader.apply(response);
+              return read(response, reader, modifies);
             });
   }
 
+  private <T> T read(HttpResponse response, Function<HttpResponse, T> reader, boolean modifies) {
+    try {
+      return reader.apply(response);
+    } catch (UncheckedIOException e) {
+      throw unavailable(
+          modifies ? Outcome.MAY_HAVE_RUN : Outcome.NOT_RUN, e.getCause().getMessage());
+    }
+  }
+
+  /** Failure of a reader whose response does not belong to the call. */
+  static UncheckedIOException notOfTheCall(HttpResponse response) {
+    return new UncheckedIOException(
+        new IOException("status " + response.status() + " without what the call asks for"));
+  }
+
+  /** Reads a response that says no more than its success. */
+  static Void readSuccess(HttpResponse response) {
+    if (!response.isSuccessful()) {
+      throw notOfTheCall(response);
+    }
+    return null;
+  }
+
   private BasilportException errorResponse(HttpResponse response, boolean modifies) {
     FailureBody body = FailureBody.parse(response.text()).orElse(null);
     String message = body == null ? "status " + response.status() : body.message();
