--- a/basilport-clients/src/test/java/org/basilport/engine/http/HttpTokenStreamTest.java
+++ b/basilport-clients/src/test/java/org/basilport/engine/http/HttpTokenStreamTest.java
@@ -1,8 +1,10 @@
 package org.basilport.engine.http;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.netty.buffer.Unpooled;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -119,6 +121,25 @@
     assertThat(thrown.code()).isEqualTo(FailureCode.BACKEND_LOST);
   }
 
+  /** Guards against a truncated stream that neither ends nor fails if its reader is late. */
+  @Test
+  void connectionCloseBeforeEndIsFailureForALateReader() throws Exception {
+    TokenStream stream =
+        open(
+            context ->
+                context
+                    .getResponse()
+                    .contentType("text/event-stream")
+                    .send(nextEvent() + nextEvent()));
+    stream.request(1);
+    awaitCondition(() -> received.get() == 1);
+    TimeUnit.MILLISECONDS.sleep(200);
+    stream.request(10);
+
+    assertThat(failure.get(5, TimeUnit.SECONDS).outcome()).isEqualTo(Outcome.MAY_HAVE_RUN);
+    assertThat(received.get()).isEqualTo(2);
+  }
+
   /** Guards against a server error or a malformed event that is reported as not run. */
   @ParameterizedTest
   @CsvSource(
@@ -174,6 +195,27 @@
 
   @Nested
   class Parser {
+    /** Guards against the events of another response whose head follows within a stream. */
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "HTTP/1.1 200 OK",
+          "Content-Type: text/event-stream",
+          "87",
+          "data2: x",
+          " data:"
+        })
+    void linesOfAnotherResponseAreRefused(String line) {
+      SseParser parser = new SseParser();
+
+      assertThrows(
+          UncheckedIOException.class,
+          () ->
+              parser.add(
+                  Unpooled.copiedBuffer(
+                      "data: 1\n\n" + line + "\r\n\r\ndata: 2\n\n", StandardCharsets.UTF_8)));
+    }
+
     /**
      * Guards against events that are lost or merged when a chunk ends within a line or character.
      */
--- a/basilport-common/src/main/java/org/basilport/answer/EmbeddedResponseDetector.java
+++ b/basilport-common/src/main/java/org/basilport/answer/EmbeddedResponseDetector.java
@@ -27,11 +27,13 @@
   private final TextMatcher lastChunk = new TextMatcher("0\r\n\r\n");
   private final StringBuilder line = new StringBuilder(0);
   private Part part = Part.NONE;
+  private boolean carriageReturn;
   private int fields;
   private Optional<Long> length = Optional.empty();
   private boolean chunked;
   private boolean inChunks;
   private boolean headFound;
+  private boolean withoutLength;
 
   /** Position after the response, as its head tells it; negative if it does not. */
   private long responseEnd = UNKNOWN;
@@ -78,18 +80,26 @@
       return false;
     }
     if (value != '\n') {
-      if (line.length() < MAX_LINE_BYTES && value != '\r') {
+      carriageReturn = value == '\r';
+      if (line.length() < MAX_LINE_BYTES && !carriageReturn) {
         line.append((char) value);
       }
       return false;
     }
     String ended = line.toString();
     line.setLength(0);
+    if (!carriageReturn) {
+      // Lines of events and of texts may end so, those of a head do not.
+      part = Part.NONE;
+      return false;
+    }
+    carriageReturn = false;
     return part == Part.STATUS_LINE ? startFields() : readField(ended, valuePosition);
   }
 
   private void startHead() {
     part = Part.STATUS_LINE;
+    carriageReturn = false;
     line.setLength(0);
     fields = 0;
   }
@@ -106,6 +116,7 @@
     String name = field.substring(0, Math.max(0, colon));
     if (field.isEmpty() && fields > 0) {
       headFound = true;
+      withoutLength = !chunked && length.isEmpty();
       inChunks = chunked;
       lastChunk.reset();
       responseEnd =
@@ -152,6 +163,13 @@
     return responseEnd == position;
   }
 
+  /**
+   * Whether the bytes read so far hold a response without a length, which ends with its connection.
+   */
+  boolean endsWithConnection() {
+    return withoutLength;
+  }
+
   void reset() {
     statusLine.reset();
     lastChunk.reset();
@@ -162,6 +180,7 @@
     chunked = false;
     inChunks = false;
     headFound = false;
+    withoutLength = false;
     responseEnd = UNKNOWN;
     position = 0;
   }
