--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/EventLineCheck.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/EventLineCheck.java
@@ -89,8 +89,12 @@
   }
 
   private static boolean isFormatField(byte[] text, int start, int end) {
-    return Arrays.stream(FORMAT_FIELDS)
-        .anyMatch(field -> Arrays.equals(text, start, end, field, 0, field.length));
+    for (byte[] field : FORMAT_FIELDS) {
+      if (Arrays.equals(text, start, end, field, 0, field.length)) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Whether a line does not end as the first line of the answer did. */
