Do not take a head and the close of the connection for an answer

The caller got a 200 with an empty body and Content-Length: 0, or its resumed stream got its last chunk: framed as whole.

Cause: without a length the end of the connection is the end of the body, also of one of which no byte has come.

Evidence: GatewayBrokenAnswersTest.Calls.areNotAnsweredWithAHeadAlone (POST and GET) and Streams.areNotEndedByAHeadAlone failed before.

Change: a success without a length and without a byte of its body is a failure of the connection: another attempt where the request may be repeated or resumed, else a 502 or a reset. Failures, and successes whose head says that they are empty, are passed on as before.

Open: a body without a length of which some bytes have come cannot be told from a whole one and is still passed on as such.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/BackendConnection.java
@@ -67,6 +67,8 @@
   private String requestId = "";
   private boolean requestWritten;
   private boolean headReceived;
+  private boolean bodyReceived;
+  private boolean successful;
   private boolean discarding;
   private boolean interimResponse;
   private int interimResponses;
@@ -115,6 +117,7 @@
     status = 0;
     requestWritten = false;
     headReceived = false;
+    bodyReceived = false;
     discarding = false;
     interimResponses = 0;
     discardedResponses = 0;
@@ -240,6 +243,7 @@
       return;
     }
     headReceived = true;
+    successful = response.successful();
     status = response.status();
     unidentifiedAnswer |= echoed.isEmpty();
     if (!response.successful()) {
@@ -280,6 +284,7 @@
       }
       return;
     }
+    bodyReceived |= content.content().isReadable();
     if (listener != null && content.content().isReadable()) {
       listener.onContent(content.content());
     }
@@ -319,9 +324,13 @@
     }
   }
 
+  /**
+   * A success without a length and without a byte of its body is not taken for a whole answer: it
+   * cannot be told from that of a server that stopped after its head.
+   */
   @Override
   public void channelInactive(ChannelHandlerContext context) {
-    if (listener != null && headReceived && delimitedByClose) {
+    if (listener != null && headReceived && delimitedByClose && (bodyReceived || !successful)) {
       closed = true;
       finish();
     } else if (listener == null) {
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayBrokenAnswersTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayBrokenAnswersTest.java
@@ -13,6 +13,7 @@
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -174,6 +175,18 @@
       assertThat(receive("POST", "/write/x", "").status()).isEqualTo(502);
     }
 
+    /** Guards against the success of a server that stopped after its head, framed as whole. */
+    @ParameterizedTest
+    @ValueSource(strings = {"POST /write/x", "GET /read/x"})
+    void areNotAnsweredWithAHeadAlone(String request) throws Exception {
+      configure(1, "k1");
+      serve("plain", stopAfter(HEAD + "\r\n", End.CLOSE));
+
+      Received received = receive(request.split(" ")[0], request.split(" ")[1], "");
+      assertWithMessage(received.bytes()).that(received.status()).isAtLeast(502);
+      assertThat(received.bytes()).doesNotContain("seal");
+    }
+
     /** Guards against refusing an empty success whose head says that it is empty. */
     @ParameterizedTest
     @ValueSource(
@@ -205,6 +218,15 @@
       }
       assertThat(servers.get(0).connections()).isEqualTo(1);
     }
+
+    /** Guards against replacing the failure of a server by one of the gateway's own. */
+    @Test
+    void mayBeAnsweredWithAFailureThatIsAHeadAlone() throws Exception {
+      configure(1, "k1");
+      serve("plain", stopAfter(HEAD.replace("200", "500") + "\r\n", End.CLOSE));
+
+      assertThat(receive("POST", "/write/x", "").status()).isEqualTo(500);
+    }
   }
 
   @Nested
@@ -254,6 +276,33 @@
 
       assertThat(receive("POST", "/stream/x", "tokens: 100\r\n").framedAsWhole()).isFalse();
     }
+
+    /**
+     * Guards against the end of a resumed stream that is only the head of a server that stopped.
+     */
+    @Test
+    void areNotEndedByAHeadAlone() throws Exception {
+      AtomicInteger sends = new AtomicInteger();
+      ScriptedServer.Script script =
+          (request, out, socket) -> {
+            if (sends.incrementAndGet() == 1) {
+              ScriptedServer.startStream(out, request);
+              ScriptedServer.writeEvents(out, 1, 3);
+            } else {
+              ScriptedServer.write(out, HEAD + EVENT_TYPE + "\r\n");
+            }
+            End.CLOSE.end(socket);
+          };
+      configure(1, "k1");
+      serve("model", script);
+      serve("model", script);
+      serve("model", script);
+
+      Received received = receive("POST", "/resume/x", "tokens: 100\r\n");
+      assertThat(sends.get()).isAtLeast(2);
+      assertThat(received.bytes()).contains("data: t3");
+      assertWithMessage(received.bytes()).that(received.framedAsWhole()).isFalse();
+    }
   }
 
   @Nested
