Close also the connections that a test server accepts while it closes

A test server that closes went through its connections once; one that its thread had accepted but not yet listed stayed open, and served the continuation. Beside it, a test server was added to the list of a test while another thread went through it (ConcurrentModificationException in the report).

Change: a connection that is listed after the close is closed, and the list is one that may grow meanwhile. No assertion changes.

The order of the race is read from the code and the report, not forced.

--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.basilport.event.EventSink;
 import org.basilport.gateway.backend.ServerEntry;
@@ -37,7 +38,7 @@
 
   static final int NARROW_CONNECTIONS = 3;
 
-  final List<ScriptedServer> servers = new ArrayList<>();
+  final List<ScriptedServer> servers = new CopyOnWriteArrayList<>();
   final List<ServerEntry> entries = new ArrayList<>();
   final MetricRegistry metrics = new MetricRegistry();
   int keyPriority = -1;
--- a/basilport-gateway/src/test/java/org/basilport/gateway/ScriptedServer.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/ScriptedServer.java
@@ -20,6 +20,7 @@
   private final Script script;
   private final List<String> requests = new CopyOnWriteArrayList<>();
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+  private volatile boolean closed;
 
   ScriptedServer(Script script) throws IOException {
     this.script = script;
@@ -52,6 +53,10 @@
       try {
         Socket socket = listener.accept();
         sockets.add(socket);
+        if (closed) {
+          socket.close();
+          return;
+        }
         start(() -> serve(socket));
       } catch (IOException e) {
         return;
@@ -149,6 +154,7 @@
 
   @Override
   public void close() throws IOException {
+    closed = true;
     listener.close();
     for (Socket socket : sockets) {
       socket.close();
