--- a/basilport-gateway/src/test/java/org/basilport/gateway/backend/InterruptedAnswersTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/backend/InterruptedAnswersTest.java
@@ -15,7 +15,6 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.basilport.gateway.TestCodec;
-import org.basilport.gateway.message.ServerNotice;
 import org.basilport.gateway.message.ServerResponse;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -317,12 +316,4 @@
       failure = reason;
     }
   }
-
-  private static final class NoObservation implements ServerAnswerListener {
-    @Override
-    public void onNotice(String requestId, ServerNotice notice) {}
-
-    @Override
-    public void onProblem(AnswerProblem problem) {}
-  }
 }
--- a/basilport-gateway/src/test/java/org/basilport/gateway/backend/MixedAnswersTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/backend/MixedAnswersTest.java
@@ -17,7 +17,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.basilport.gateway.TestCodec;
-import org.basilport.gateway.message.ServerNotice;
 import org.basilport.gateway.message.ServerResponse;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -249,12 +248,4 @@
       return status + " " + fields + " " + body;
     }
   }
-
-  private static final class NoObservation implements ServerAnswerListener {
-    @Override
-    public void onNotice(String requestId, ServerNotice notice) {}
-
-    @Override
-    public void onProblem(AnswerProblem problem) {}
-  }
 }
--- a/basilport-gateway/src/test/java/org/basilport/gateway/backend/ReusedConnectionAnswersTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/backend/ReusedConnectionAnswersTest.java
@@ -18,7 +18,6 @@
 import java.util.concurrent.TimeUnit;
 import org.basilport.answer.SingleResponseDecoder;
 import org.basilport.gateway.TestCodec;
-import org.basilport.gateway.message.ServerNotice;
 import org.basilport.gateway.message.ServerResponse;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -229,12 +228,4 @@
       return text.toString();
     }
   }
-
-  private static final class NoObservation implements ServerAnswerListener {
-    @Override
-    public void onNotice(String requestId, ServerNotice notice) {}
-
-    @Override
-    public void onProblem(AnswerProblem problem) {}
-  }
 }
