Reject responses with an invalid status line

Cause: "HTTP/1.1 000 Error" passed as a complete response with status 0, as did 001, 099, 600, 999, 2000, 0200, HTTP/2.0 and HTTP/9.9, in all clients.

--- a/basilport-common/src/main/java/org/basilport/answer/SingleResponseDecoder.java
+++ b/basilport-common/src/main/java/org/basilport/answer/SingleResponseDecoder.java
@@ -17,8 +17,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Decodes responses, and reports a failure where the bytes of one response hold the beginning of
- * another one.
+ * Decodes responses, and reports a failure where a response does not begin with a valid {@link
+ * StatusLine}, or where its bytes hold the beginning of another one.
  *
  * <p>A faulty server may stop anywhere in a response and then send another one. The framing of the
  * first response then takes bytes of the second one for its own: a header field ends with its
@@ -43,8 +43,8 @@
   private final TextMatcher headMatcher = TextMatcher.statusLine();
   private final EmbeddedResponseDetector bodyDetector;
   private boolean headRead;
+  private final StatusLine statusLine = new StatusLine();
   private int headBytes;
-  private boolean statusLineRead;
   private boolean failed;
   private boolean contentDiscarded;
   private boolean answersHeadRequest;
@@ -117,7 +117,10 @@
           : Optional.empty();
     }
     return input.forEachByte(start, end - start, this::acceptHeadByte) >= 0
-        ? Optional.of("the head holds another status line or begins with none")
+        ? Optional.of(
+            statusLine.valid()
+                ? "the head holds another status line"
+                : "the head does not begin with a valid status line")
         : Optional.empty();
   }
 
@@ -126,11 +129,8 @@
       return true;
     }
     headBytes++;
-    if (headMatcher.accept(value)) {
-      statusLineRead = headBytes == headMatcher.length();
-      return statusLineRead;
-    }
-    return statusLineRead || headBytes < headMatcher.length();
+    boolean repeated = headMatcher.accept(value) && headBytes != headMatcher.length();
+    return statusLine.accept(value) && !repeated;
   }
 
   private void trackResponse(ChannelHandlerContext context, ByteBuf input, List<Object> output) {
@@ -151,7 +151,7 @@
     headRead = false;
     contentDiscarded = false;
     headBytes = 0;
-    statusLineRead = false;
+    statusLine.reset();
     headMatcher.reset();
     bodyDetector.reset();
   }
--- /dev/null
+++ b/basilport-common/src/test/java/org/basilport/answer/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the decoding of responses. */
+package org.basilport.answer;
