--- /dev/null
+++ b/basilport-bench/src/main/java/org/basilport/bench/contention/SimulatedRequest.java
@@ -0,0 +1,52 @@
+package org.basilport.bench.contention;
+
+import java.util.concurrent.TimeUnit;
+import org.basilport.policy.dispatch.ContendingRequest;
+
+/** One attempt of a simulated caller. */
+final class SimulatedRequest {
+  static final long TARGET_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+  /** Time for which a request waits in an instance, as a fraction of the target latency. */
+  static final long MAX_WAIT_NANOS = TARGET_NANOS * 8 / 10;
+
+  private final int workspace;
+  private final int subject;
+  private final int promptTokens;
+  private final int outputTokens;
+  final long giveUpNanos;
+  SimulatedInstance instance;
+  int engine = -1;
+  boolean returned;
+  boolean done;
+
+  SimulatedRequest(
+      int workspace, int subject, int promptTokens, int outputTokens, long giveUpNanos) {
+    this.workspace = workspace;
+    this.subject = subject;
+    this.promptTokens = promptTokens;
+    this.outputTokens = outputTokens;
+    this.giveUpNanos = giveUpNanos;
+  }
+
+  SimulatedRequest nextAttempt() {
+    return new SimulatedRequest(workspace, subject, promptTokens, outputTokens, giveUpNanos);
+  }
+
+  int workspace() {
+    return workspace;
+  }
+
+  ContendingRequest demand() {
+    return new ContendingRequest(0, workspace, subject, tokens());
+  }
+
+  long tokens() {
+    return ContendingRequest.tokens(promptTokens, outputTokens);
+  }
+
+  /** Time for which the request occupies a slot; proportional to its tokens. */
+  long runNanos() {
+    return tokens() * TimeUnit.MILLISECONDS.toNanos(2);
+  }
+}
--- /dev/null
+++ b/basilport-bench/src/main/java/org/basilport/bench/contention/package-info.java
@@ -0,0 +1,2 @@
+/** Simulation of callers that compete for insufficient capacity. */
+package org.basilport.bench.contention;
--- /dev/null
+++ b/basilport-bench/src/main/java/org/basilport/bench/evenness/package-info.java
@@ -0,0 +1,2 @@
+/** Simulation of how evenly selectors with old load data distribute requests. */
+package org.basilport.bench.evenness;
--- /dev/null
+++ b/basilport-bench/src/test/java/org/basilport/bench/contention/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the simulation of competing callers. */
+package org.basilport.bench.contention;
--- /dev/null
+++ b/basilport-bench/src/test/java/org/basilport/bench/evenness/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the simulation of load distribution. */
+package org.basilport.bench.evenness;
--- a/basilport-cli/src/main/java/org/basilport/cli/BenchCommand.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/BenchCommand.java
@@ -1,6 +1,8 @@
 package org.basilport.cli;
 
 import org.basilport.bench.capacity.CapacityCommand;
+import org.basilport.bench.contention.ContentionCommand;
+import org.basilport.bench.evenness.EvennessCommand;
 import org.basilport.bench.load.LoadCommand;
 import org.basilport.bench.load.ProcessFaultCommand;
 import org.basilport.bench.policy.PolicyBenchmarkCommand;
@@ -17,6 +19,8 @@
       PolicyCostCommand.class,
       LoadCommand.class,
       ProcessFaultCommand.class,
-      CapacityCommand.class
+      CapacityCommand.class,
+      EvennessCommand.class,
+      ContentionCommand.class,
     })
 final class BenchCommand {}
--- a/basilport-common/src/main/java/org/basilport/event/EventType.java
+++ b/basilport-common/src/main/java/org/basilport/event/EventType.java
@@ -32,6 +32,8 @@
   MEMBER_DEAD(3003, Level.WARN, "member {} is considered dead"),
   MEMBER_LEAVING(3004, Level.INFO, "member {} is leaving"),
   MEMBER_ENTRY_MISSING(3005, Level.WARN, "entry of instance {} is missing in the store"),
+  MEMBERS_OUTSIDE_HOME(
+      3006, Level.WARN, "host {} has no ready instance in its home regions {}, others are named"),
   GENERATION_ADMITTED(4001, Level.DEBUG, "generation {} admitted to {}"),
   GENERATION_FIRST_TOKEN(4002, Level.DEBUG, "generation {} delivered its first token"),
   GENERATION_FINISHED(4003, Level.DEBUG, "generation {} finished with {} tokens"),
@@ -94,6 +96,12 @@
       6020,
       Level.WARN,
       "request={} server={} waiting={} status={} bytes={} requests={} invalid answer: {}"),
+  DATA_CENTRE_EVACUATED(
+      6021, Level.WARN, "data centre {} is evacuated, store incarnation {}, revision {}"),
+  DATA_CENTRE_RESTORED(
+      6022, Level.INFO, "data centre {} is used again, store incarnation {}, revision {}"),
+  SERVER_COLD(
+      6023, Level.INFO, "server={} incarnation={} is cold, left_ms={} own_permits={} source={}"),
   PLATFORM_UNAVAILABLE(7001, Level.WARN, "platform call {} failed: {}"),
   PLATFORM_AVAILABLE(7002, Level.INFO, "platform answers again after {} ms"),
   PLATFORM_BUDGET_SPENT(7003, Level.WARN, "platform call {} delayed, request budget exhausted"),
--- a/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -13,13 +13,18 @@
 import org.basilport.event.EventSink;
 import org.basilport.event.EventSubject;
 import org.basilport.event.EventType;
+import org.basilport.gateway.backend.ColdStartShares;
+import org.basilport.gateway.backend.EvacuatedDataCentres;
 import org.basilport.gateway.backend.QuarantineArchive;
 import org.basilport.gateway.backend.ServerEntry;
 import org.basilport.gateway.backend.ServerTable;
 import org.basilport.gateway.backend.StoredQuarantine;
 import org.basilport.gateway.config.ForwardingConfiguration;
 import org.basilport.gateway.config.FrontendLimits;
+import org.basilport.gateway.forward.Contention;
 import org.basilport.gateway.forward.ForwardingState;
+import org.basilport.gateway.forward.HomeRegions;
+import org.basilport.gateway.forward.LoadSharing;
 import org.basilport.gateway.forward.RequestForwarder;
 import org.basilport.gateway.forward.StreamArchive;
 import org.basilport.gateway.frontend.FrontendServer;
@@ -31,6 +36,7 @@
 import org.basilport.misc.LoggedTask;
 import org.basilport.misc.Service;
 import org.basilport.policy.dispatch.StoreCompleteness;
+import org.basilport.policy.dispatch.StorePosition;
 import org.basilport.policy.dispatch.StoreRead;
 
 /**
@@ -44,6 +50,12 @@
   /** Interval at which a draining instance checks whether it may stop. */
   private static final long DRAIN_CHECK_INTERVAL_MILLIS = 50;
 
+  /**
+   * Largest age of the entries of the servers that an instance uses: an interval of 2.5 s between
+   * two lists and the age of a list that may be outdated.
+   */
+  private static final long ENTRY_AGE_NANOS = TimeUnit.SECONDS.toNanos(4);
+
   private final GatewaySettings settings;
   private final EventSink events;
   private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(1);
@@ -55,14 +67,18 @@
   private boolean draining;
   private boolean configurationProven;
   private volatile boolean ready;
-  private volatile List<String> readyAddresses = List.of();
+  private final AddressDirectory directory;
 
   /** Creates a gateway that accepts requests after its start. */
   public Gateway(
       GatewaySettings settings, MessageCodec codec, EventSink events, MetricRegistry metrics) {
     this.settings = settings;
     this.events = events;
-    ServerTable servers = new ServerTable(settings.instanceId(), eventLoop, codec, events);
+    ColdStartShares coldStarts =
+        new ColdStartShares(
+            settings.instanceId(), settings.placementRules().coldStartLimits(), events);
+    ServerTable servers =
+        new ServerTable(settings.instanceId(), eventLoop, codec, events, coldStarts);
     this.state =
         new ForwardingState(
             settings.dataCentre(),
@@ -71,8 +87,19 @@
             servers,
             events,
             new SplittableRandom());
+    if (settings.placementRules().evacuationLimit().isPresent()) {
+      followEvacuations(coldStarts, metrics);
+    }
+    HomeRegions homeRegions =
+        new HomeRegions(settings.placementRules().regions(), state::configuration, metrics);
+    state.setLoadSharing(
+        LoadSharing.of(settings.placementRules(), metrics, new SplittableRandom()));
+    if (settings.placementRules().sharesLoad()) {
+      shareQueues(metrics);
+    }
     this.forwarder =
-        new RequestForwarder(eventLoop, codec, state, events, metrics, settings.forwardingLimits());
+        new RequestForwarder(
+            eventLoop, codec, state, events, metrics, settings.forwardingLimits(), homeRegions);
     this.frontend =
         new FrontendServer(
             settings.frontend(),
@@ -92,13 +119,48 @@
             settings.frontendAddress(),
             state,
             events);
+    loadExchange.setRegion(settings.placementRules().region());
+    this.directory =
+        new AddressDirectory(
+            settings.frontendAddress(),
+            settings.placementRules().region(),
+            homeRegions,
+            events,
+            metrics);
+    registerMetrics(servers, coldStarts, metrics);
+  }
+
+  /** The servers of a data centre that is used again may have turned cold meanwhile. */
+  private void followEvacuations(ColdStartShares coldStarts, MetricRegistry metrics) {
+    state.evacuations().activate(metrics);
+    state
+        .evacuations()
+        .onRestored(
+            (dataCentre, now) ->
+                coldStarts.markCold(dataCentre, state.longestColdStartNanos() + ENTRY_AGE_NANOS));
+  }
+
+  private void registerMetrics(
+      ServerTable servers, ColdStartShares coldStarts, MetricRegistry metrics) {
     metrics.counter("forward.leaving_notices", servers::leavingNotices);
     metrics.counter("forward.invalid_answers", servers::answerProblems);
     metrics.counter("forward.pause_notices", () -> servers.pauses().notices());
+    metrics.gauge("cold.servers", () -> coldStarts::coldServers);
+    metrics.counter("cold.sends", coldStarts::sends);
+    metrics.counter("cold.deferred", coldStarts::deferred);
     metrics.gauge("forward.open", () -> forwarder::openRequests);
     metrics.gauge("forward.waiting", () -> state::queueLength);
   }
 
+  private void shareQueues(MetricRegistry metrics) {
+    Contention contention = new Contention(new SplittableRandom());
+    state.shareQueues(contention);
+    metrics.gauge("queue.contended", () -> state::contendedQueueLength);
+    metrics.counter("queue.refused_at_once", contention::refusedAtOnce);
+    metrics.counter("queue.returned_in_time", contention::returnedInTime);
+    metrics.histogram("queue.retry_after_ms", contention::retryAfterMillis);
+  }
+
   /** Sets the subscription to the configuration; to be called before the start. */
   public void setConfigurationSubscription(ConfigurationSubscription subscription) {
     loadExchange.setConfigurationSubscription(subscription);
@@ -147,9 +209,14 @@
           age);
       configurationProven = nowProven;
     }
-    ready = configurationProven && !draining && state.configuration().isPresent();
+    state.evacuations().observeAge(System.nanoTime(), System.currentTimeMillis());
+    ready =
+        configurationProven
+            && !draining
+            && state.configuration().isPresent()
+            && state.evacuations().known();
     loadExchange.setReady(ready);
-    readyAddresses = List.copyOf(loadExchange.readyAddresses());
+    directory.update(ready, loadExchange.readyAddresses());
     state.servers().crashMonitor().evaluate();
     state.endEntryRetention();
     state.closeIdleConnections();
@@ -161,9 +228,9 @@
     return ready;
   }
 
-  /** Addresses of ready instances to which callers may connect. */
-  public List<String> readyAddresses() {
-    return readyAddresses;
+  /** Addresses of ready instances to which callers may connect. Safe to use from any thread. */
+  public AddressDirectory directory() {
+    return directory;
   }
 
   /** Applies a configuration; one whose version is not newer is ignored. */
@@ -179,6 +246,21 @@
     eventLoop.execute(() -> state.recordConfigurationRead(read));
   }
 
+  /**
+   * Applies a linearizable read of the evacuated data centres.
+   *
+   * @param position position of the store at the read
+   */
+  public void updateEvacuations(Set<String> dataCentres, StorePosition position, StoreRead read) {
+    eventLoop.execute(
+        () -> state.evacuations().apply(dataCentres, position, read, System.nanoTime()));
+  }
+
+  /** Adds a listener for the ends of evacuations, which is called on the event loop thread. */
+  public void onDataCentreRestored(EvacuatedDataCentres.RestorationListener listener) {
+    eventLoop.execute(() -> state.evacuations().onRestored(listener));
+  }
+
   /** Records what instances had stored before this one started. */
   public void addFormerClaims(FleetClaims claims) {
     eventLoop.execute(
--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ServerTable.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.basilport.event.EventSink;
 import org.basilport.event.EventSubject;
 import org.basilport.event.EventType;
@@ -21,6 +22,7 @@
 import org.basilport.gateway.message.ServerNotice;
 import org.basilport.policy.dispatch.OutstandingWork;
 import org.basilport.policy.dispatch.PeerWorkTable;
+import org.basilport.policy.dispatch.ServerAdmission;
 import org.basilport.policy.dispatch.ServerLoad;
 
 /** All backend servers that the directory lists. Confined to the event loop thread. */
@@ -52,9 +54,11 @@
   private final CrashMonitor crashMonitor;
   private final ServerLimits limits;
   private final ServerPauses pauses;
+  private final ColdStartShares coldStarts;
   private Runnable refusalListener = () -> {};
   private Runnable pauseEndListener = () -> {};
   private boolean refusalsBegan;
+  private Predicate<String> evacuatedDataCentres = dataCentre -> false;
   private Runnable departureListener = () -> {};
   private Consumer<BackendServer> engineWorkListener = server -> {};
   private final PeerWorkTable peerWork;
@@ -77,6 +81,22 @@
 
   /** Creates an empty table. */
   public ServerTable(String instanceId, EventLoop eventLoop, MessageCodec codec, EventSink events) {
+    this(
+        instanceId,
+        eventLoop,
+        codec,
+        events,
+        new ColdStartShares(instanceId, Optional.empty(), events));
+  }
+
+  /** Creates an empty table whose cold servers are limited. */
+  public ServerTable(
+      String instanceId,
+      EventLoop eventLoop,
+      MessageCodec codec,
+      EventSink events,
+      ColdStartShares coldStarts) {
+    this.coldStarts = coldStarts;
     this.peerWork = new PeerWorkTable(instanceId);
     this.eventLoop = eventLoop;
     this.codec = codec;
@@ -94,6 +114,7 @@
    */
   public void update(
       List<ServerEntry> entries, ForwardingConfiguration configuration, String source) {
+    coldStarts.update(entries, configuration, source, System.nanoTime());
     Set<String> listed = new HashSet<>();
     for (ServerEntry entry : entries) {
       Optional<ForwardingService> service =
@@ -140,6 +161,7 @@
     if (server.engine().isPresent()) {
       load.onChange(() -> engineWorkListener.accept(server));
     }
+    load.admission().setEvacuated(evacuatedDataCentres.test(entry.dataCentre()));
     load.setWarmUpEnd(System.nanoTime() + nanos(entry.warmUpRemaining()));
     byId.put(entry.id(), server);
     revision++;
@@ -258,6 +280,31 @@
     pauseEndListener = listener;
   }
 
+  /**
+   * Replaces the data centres to whose servers nothing is sent. The listeners for refusals and for
+   * the ends of pauses are notified if a server is concerned.
+   */
+  public void setEvacuated(Predicate<String> dataCentres) {
+    evacuatedDataCentres = dataCentres;
+    boolean restored = false;
+    for (BackendServer server : byId.values()) {
+      ServerAdmission admission = server.load().admission();
+      boolean before = admission.evacuated();
+      admission.setEvacuated(dataCentres.test(server.entry().dataCentre()));
+      refusalsBegan |= admission.evacuated() && !before;
+      restored |= before && !admission.evacuated();
+    }
+    reportRefusals();
+    if (restored) {
+      pauseEndListener.run();
+    }
+  }
+
+  /** Limits on the requests to cold servers. */
+  public ColdStartShares coldStarts() {
+    return coldStarts;
+  }
+
   /** Pauses that servers asked for. */
   public ServerPauses pauses() {
     return pauses;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/config/ForwardingConfiguration.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/config/ForwardingConfiguration.java
@@ -1,6 +1,7 @@
 package org.basilport.gateway.config;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -77,6 +78,11 @@
     return Optional.ofNullable(holdersByKey.get(key));
   }
 
+  /** All routes of a host; empty if the host has none. */
+  public Collection<ForwardingRoute> routes(String host) {
+    return routesByHost.getOrDefault(host, Map.of()).values();
+  }
+
   /**
    * The route of the host with the longest prefix of the path; prefixes begin and end with a slash.
    */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/config/ForwardingRoute.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/config/ForwardingRoute.java
@@ -18,6 +18,7 @@
  * @param priority priority; 0 is the highest
  * @param anonymous whether requests require no access key
  * @param services services among which the requests are distributed, at least one
+ * @param allowedRegions regions whose servers may run the requests; empty if all may
  */
 public record ForwardingRoute(
     String name,
@@ -30,7 +31,36 @@
     int maxAttempts,
     int priority,
     boolean anonymous,
-    List<WeightedService> services) {
+    List<WeightedService> services,
+    List<String> allowedRegions) {
+
+  /** Creates a route whose requests may run in all regions. */
+  public ForwardingRoute(
+      String name,
+      String host,
+      String pathPrefix,
+      Repeatability repeatability,
+      Duration timeout,
+      Duration targetLatency,
+      Duration targetEventGap,
+      int maxAttempts,
+      int priority,
+      boolean anonymous,
+      List<WeightedService> services) {
+    this(
+        name,
+        host,
+        pathPrefix,
+        repeatability,
+        timeout,
+        targetLatency,
+        targetEventGap,
+        maxAttempts,
+        priority,
+        anonymous,
+        services,
+        List.of());
+  }
 
   /** Time limit for a request whose caller waits for the given time, if it says so. */
   public Duration timeLimit(Optional<Duration> callerTimeout) {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -7,7 +7,6 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.basilport.error.Step;
 import org.basilport.gateway.backend.BackendConnection;
 import org.basilport.gateway.backend.BackendServer;
@@ -20,9 +19,9 @@
 import org.basilport.gateway.message.ForwardingDetails;
 import org.basilport.gateway.message.ServerResponse;
 import org.basilport.policy.dispatch.AttemptHistory;
+import org.basilport.policy.dispatch.ContendingRequest;
 import org.basilport.policy.dispatch.OutstandingWork;
 import org.basilport.policy.dispatch.PendingRequestQueue;
-import org.basilport.policy.dispatch.Quarantine;
 import org.basilport.policy.dispatch.RequestDemand;
 import org.basilport.policy.dispatch.SendCheck;
 
@@ -57,6 +56,7 @@
   private Runnable endListener = () -> {};
   final ExchangeRecorder recorder;
   final CrashGuard crashGuard;
+  private final RequestRegions regions;
   BackendServer server;
   BackendConnection connection;
 
@@ -73,6 +73,7 @@
     this.caller = caller;
     this.crashGuard = new CrashGuard(context.state().servers().crashMonitor(), request.content());
     this.recorder = new ExchangeRecorder(context, this);
+    this.regions = context.homeRegions().of(request, route, holder);
     this.dispatcher = context.state().dispatcher(route.serviceFor(request.id()));
     Duration timeout = route.timeLimit(request.callerTimeout());
     this.timers = new ExchangeTimers(context.eventLoop(), timeout, this::onDeadline);
@@ -95,33 +96,10 @@
     placeOrQueue();
   }
 
-  /** Rejects the request at once if it would crash the server that runs it. */
-  final boolean rejectIfQuarantined() {
-    Optional<Quarantine> quarantine = crashGuard.quarantine();
-    quarantine.ifPresent(
-        known -> {
-          recorder.quarantined(known);
-          reject(
-              Step.ADMIT,
-              "content " + Long.toHexString(known.content()) + " crashed several backend servers",
-              (known.untilNanos() - System.nanoTime()) / (double) TimeUnit.SECONDS.toNanos(1));
-        });
-    return quarantine.isPresent();
-  }
-
   final void placeOrQueue() {
-    if (rejectIfQuarantined()) {
-      return;
-    }
-    if (requiredVersion().isPresent() && !dispatcher.hasServerFor(this)) {
-      rejectForGood(Step.LOCATE, "no backend server of version " + requiredVersion().get());
-      return;
-    }
-    if (!dispatcher.hasServers()) {
-      reject(Step.LOCATE, "no backend server");
-      return;
+    if (!RequestAdmission.rejectIfUnservable(this)) {
+      dispatcher.submit(this);
     }
-    dispatcher.submit(this);
   }
 
   @Override
@@ -145,12 +123,23 @@
         .orElse(route.priority());
   }
 
+  @Override
+  public final ContendingRequest contendingRequest() {
+    return ExchangeContention.of(this);
+  }
+
   @Override
   public boolean accepts(BackendServer candidate) {
     return !triedServerIds.contains(candidate.entry().id())
+        && regions.permit(candidate)
         && requiredVersion().filter(v -> !v.equals(candidate.entry().version())).isEmpty();
   }
 
+  @Override
+  public final RequestRegions regions() {
+    return regions;
+  }
+
   @Override
   public final void onNotQueued(String reason) {
     queueEntry = Optional.empty();
@@ -405,10 +394,11 @@
    * have executed, since a rejection states that none has.
    */
   final void reject(Step step, String reason) {
-    reject(step, reason, dispatcher.retryAfterSeconds(route.targetLatency(), context.random()));
+    reject(step, reason, ExchangeContention.retryAfterSeconds(this));
   }
 
-  private void reject(Step step, String reason, double retryAfterSeconds) {
+  /** Rejects a request like {@link #reject(Step, String)}, with the given delay. */
+  final void reject(Step step, String reason, double retryAfterSeconds) {
     HttpHeaders headers = new DefaultHttpHeaders();
     context.codec().addRetryAfter(headers, retryAfterSeconds);
     reject(step, reason, headers);
@@ -460,6 +450,7 @@
     queueEntry.ifPresent(dispatcher::removeQueued);
     queueEntry = Optional.empty();
     onFinished();
+    dispatcher.onEnded(this, ExchangeContention.usedTokens(this));
     releaseServer();
     endListener.run();
   }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingContext.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingContext.java
@@ -21,6 +21,7 @@
  * @param random source of jitter; confined to the event loop thread
  * @param responseBuffer memory of the response bodies that are kept until they are complete
  * @param limits limits on proofs and on gaps between events
+ * @param homeRegions regions of requests and servers
  */
 record ForwardingContext(
     EventLoop eventLoop,
@@ -30,7 +31,8 @@
     MetricRegistry metrics,
     SplittableRandom random,
     ResponseBufferBudget responseBuffer,
-    ForwardingLimits limits) {
+    ForwardingLimits limits,
+    HomeRegions homeRegions) {
 
   /**
    * Records a rejection with the version of the applied configuration and the age of its freshness
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
@@ -11,6 +11,7 @@
 import org.basilport.event.EventSubject;
 import org.basilport.event.EventType;
 import org.basilport.gateway.backend.BackendServer;
+import org.basilport.gateway.backend.EvacuatedDataCentres;
 import org.basilport.gateway.backend.ServerEntry;
 import org.basilport.gateway.backend.ServerTable;
 import org.basilport.gateway.config.ForwardingConfiguration;
@@ -59,6 +60,7 @@
   private final String dataCentre;
   private final RetryLimits retryLimits;
   private final ServerTable servers;
+  private final EvacuatedDataCentres evacuations;
   private final EventSink events;
   private final SplittableRandom random;
   private final FreshnessProof freshnessProof = new FreshnessProof();
@@ -73,7 +75,9 @@
   private String entriesSource = "";
   private Predicate<BackendServer> serverFilter = server -> true;
   private int instanceCount = 1;
+  private Optional<Contention> contention = Optional.empty();
   private Runnable sharedCapacityListener = this::placeAllQueued;
+  private Optional<LoadSharing> loadSharing = Optional.empty();
 
   /**
    * Creates a state without configuration and servers.
@@ -91,6 +95,7 @@
     this.storeCompleteness = new StoreCompleteness(firstStart);
     this.retryLimits = retryLimits;
     this.servers = servers;
+    this.evacuations = new EvacuatedDataCentres(servers, events);
     this.events = events;
     this.random = random;
     servers.onRefusals(this::rejectHopeless);
@@ -103,11 +108,31 @@
             storeCompleteness::completeIncarnation);
   }
 
+  /** Sets the knowledge for shared load; to be called before the first request. */
+  public void setLoadSharing(Optional<LoadSharing> sharing) {
+    loadSharing = sharing;
+  }
+
+  /** Knowledge for shared load; empty where the load is not shared. */
+  Optional<LoadSharing> loadSharing() {
+    return loadSharing;
+  }
+
   /** The applied configuration; empty before the first one. Safe to call from any thread. */
   public Optional<ForwardingConfiguration> configuration() {
     return configuration;
   }
 
+  /** Longest time for which a server of any service stays cold after its start; 0 if none does. */
+  public long longestColdStartNanos() {
+    return configuration.stream()
+        .flatMap(current -> current.services().values().stream())
+        .flatMap(service -> service.coldStart().stream())
+        .mapToLong(coldStart -> coldStart.duration().toNanos())
+        .max()
+        .orElse(0);
+  }
+
   /** The workspace that holds an access key; empty if the key is unknown. */
   Optional<String> workspaceOfKey(String accessKey) {
     return configuration.flatMap(current -> current.keyHolder(accessKey)).map(KeyHolder::workspace);
@@ -239,6 +264,11 @@
     }
   }
 
+  /** Records a report of another instance, also if its work has not changed. */
+  public void recordPeerReport(String instanceId) {
+    loadSharing.ifPresent(sharing -> sharing.recordReport(instanceId));
+  }
+
   /** Replaces the work that another instance last reported. */
   public void updatePeerWork(String instanceId, Map<String, OutstandingWork> workByServer) {
     servers.updatePeerWork(instanceId, workByServer);
@@ -288,6 +318,11 @@
     return servers;
   }
 
+  /** Data centres to which nothing is sent. */
+  public EvacuatedDataCentres evacuations() {
+    return evacuations;
+  }
+
   /** The dispatcher of a service; created on first use. */
   ServiceDispatcher dispatcher(String service) {
     return dispatchers.computeIfAbsent(service, this::createDispatcher);
@@ -299,18 +334,45 @@
             .flatMap(current -> Optional.ofNullable(current.services().get(service)))
             .flatMap(ForwardingService::engine)
             .isPresent();
-    ServerSelector selector =
-        isEngine
-            ? new EarliestFirstTokenSelector(dataCentre, FIRST_TOKEN_LIMIT_NANOS, random)
-            : new LeastOccupiedSelector(dataCentre, random);
-    return new ServiceDispatcher(
-        service,
-        isEngine,
-        servers,
-        this::isUsable,
-        this::instanceCount,
-        selector,
-        retryLimits.newBudget());
+    ServiceDispatcher dispatcher =
+        new ServiceDispatcher(
+            service,
+            isEngine,
+            servers,
+            this::isUsable,
+            this::instanceCount,
+            selector(service, isEngine),
+            retryLimits.newBudget());
+    contention.ifPresent(dispatcher::shareQueue);
+    return dispatcher;
+  }
+
+  /** Orders the queues by usage; to be called before the first request. */
+  public void shareQueues(Contention shared) {
+    contention = Optional.of(shared);
+  }
+
+  /** State of the queues that are ordered by usage; empty if they are ordered by arrival. */
+  public Optional<Contention> contention() {
+    return contention;
+  }
+
+  /** Number of queued requests that are ordered by usage. */
+  public int contendedQueueLength() {
+    return dispatchers.values().stream().mapToInt(ServiceDispatcher::contendedQueueLength).sum();
+  }
+
+  /** Creates the selector of a service. */
+  ServerSelector selector(String service, boolean isEngine) {
+    if (isEngine) {
+      EarliestFirstTokenSelector engines =
+          new EarliestFirstTokenSelector(dataCentre, FIRST_TOKEN_LIMIT_NANOS, random);
+      return loadSharing.map(sharing -> sharing.engines(service, engines)).orElse(engines);
+    }
+    LeastOccupiedSelector applicationServers = new LeastOccupiedSelector(dataCentre, random);
+    return loadSharing
+        .map(sharing -> sharing.applicationServers(service, applicationServers))
+        .orElse(applicationServers);
   }
 
   /** Places the queued requests of all services. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationMove.java
@@ -202,7 +202,9 @@
     return new GenerationHandover.Availability() {
       @Override
       public boolean target() {
-        return possibleTarget != null && mayResumeAt(possibleTarget);
+        return possibleTarget != null
+            && mayResumeAt(possibleTarget)
+            && permitsContinuation(possibleTarget);
       }
 
       @Override
@@ -260,7 +262,9 @@
                 opened.release();
                 return;
               }
-              if (connecting.load().admission().refusesAll(System.nanoTime())) {
+              if (connecting.load().admission().refusesAll(System.nanoTime())
+                  || !exchange.regions().permit(connecting)
+                  || !permitsContinuation(connecting)) {
                 opened.release();
                 rejectTarget(Step.CONNECT, "target takes no requests any more");
                 return;
@@ -367,7 +371,14 @@
   }
 
   private boolean mayResumeAt(BackendServer server) {
-    return server.leavingForLessThan(context.limits().drainPeriod().minus(SEND_MARGIN));
+    return !server.load().admission().evacuated()
+        && server.leavingForLessThan(context.limits().drainPeriod().minus(SEND_MARGIN))
+        && exchange.regions().permit(server);
+  }
+
+  /** Whether the target is warm or this instance has a permit for it, which the send takes. */
+  private boolean permitsContinuation(BackendServer server) {
+    return context.state().servers().coldStarts().permitsSend(server.entry(), System.nanoTime());
   }
 
   /** Called when an engine runs the generation or may have used the handle of the copy. */
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/PlacementRequest.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/PlacementRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.basilport.gateway.backend.BackendServer;
+import org.basilport.policy.dispatch.ContendingRequest;
 import org.basilport.policy.dispatch.PendingRequestQueue;
 import org.basilport.policy.dispatch.RequestDemand;
 
@@ -14,6 +15,12 @@
   /** Priority in the queue; 0 is the highest. */
   int priority();
 
+  /** What the place of the request in a contended queue depends on. */
+  default ContendingRequest contendingRequest() {
+    return new ContendingRequest(
+        priority(), 0, 0, ContendingRequest.tokens(demand().promptTokens(), 0));
+  }
+
   /** Whether the request may be sent to a server. */
   boolean accepts(BackendServer server);
 
@@ -22,6 +29,11 @@
     return Optional.empty();
   }
 
+  /** The regions in which the request may run. */
+  default RequestRegions regions() {
+    return RequestRegions.UNRESTRICTED;
+  }
+
   /** Called when the request was queued. */
   void onQueued(PendingRequestQueue.Entry<PlacementRequest> entry);
 
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/RequestForwarder.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/RequestForwarder.java
@@ -64,6 +64,7 @@
    * Creates a forwarder.
    *
    * @param limits limits on proofs and on gaps between events
+   * @param homeRegions regions of requests and servers
    */
   public RequestForwarder(
       EventLoop eventLoop,
@@ -71,7 +72,8 @@
       ForwardingState state,
       EventSink events,
       MetricRegistry metrics,
-      ForwardingLimits limits) {
+      ForwardingLimits limits,
+      HomeRegions homeRegions) {
     ResponseBufferBudget responseBuffer =
         new ResponseBufferBudget(
             Math.round(RESPONSE_BUFFER_SHARE * Runtime.getRuntime().maxMemory()));
@@ -84,7 +86,8 @@
             metrics,
             new SplittableRandom(),
             responseBuffer,
-            limits);
+            limits,
+            homeRegions);
     metrics.gauge("forward.buffered_bytes", () -> responseBuffer::usedBytes);
   }
 
@@ -101,6 +104,10 @@
     if (current.isEmpty()) {
       return reject(request.id(), 503, Step.CONFIGURE, "no configuration yet", caller);
     }
+    if (!context.state().evacuations().known()) {
+      return reject(
+          request.id(), 503, Step.CONFIGURE, "evacuated data centres are not known yet", caller);
+    }
     ForwardingConfiguration configuration = current.get();
     Optional<ForwardingRoute> route = configuration.route(request.host(), request.path());
     if (route.isEmpty()) {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/SendPermission.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/SendPermission.java
@@ -13,8 +13,27 @@
 
   private SendPermission() {}
 
-  /** Checks the conditions for a send to the server that is assigned to the exchange. */
+  /**
+   * Checks the conditions for a send to the server that is assigned to the exchange, and takes the
+   * permit of a cold server if all others are met.
+   */
   static SendCheck.Result check(Exchange exchange, ResumePoint resumePoint) {
+    SendCheck.Result result = checkConditions(exchange, resumePoint);
+    return result != SendCheck.Result.PERMITTED || acquireColdPermit(exchange)
+        ? result
+        : SendCheck.Result.SERVER_COLD;
+  }
+
+  private static boolean acquireColdPermit(Exchange exchange) {
+    return exchange
+        .context
+        .state()
+        .servers()
+        .coldStarts()
+        .tryAcquire(exchange.server.entry(), System.nanoTime());
+  }
+
+  private static SendCheck.Result checkConditions(Exchange exchange, ResumePoint resumePoint) {
     ForwardingContext context = exchange.context;
     ServerAdmission admission = exchange.server.load().admission();
     Optional<String> workspace =
@@ -34,8 +53,9 @@
             resumePoint.kvCache().isEmpty()
                 ? exchange.server.load().leaving()
                 : !exchange.server.leavingForLessThan(context.limits().drainPeriod()),
-            admission.pause().nanosToEnd(System.nanoTime()) > 0
-                && resumePoint.kvCache().isEmpty()));
+            admission.pause().nanosToEnd(System.nanoTime()) > 0 && resumePoint.kvCache().isEmpty(),
+            admission.evacuated(),
+            exchange.regions().permit(exchange.server)));
   }
 
   /** Ends or places again a request that must not be sent to the assigned server. */
@@ -49,15 +69,21 @@
         exchange.onDeadline();
         break;
       case QUARANTINED:
-        if (!exchange.rejectIfQuarantined()) {
+        if (!RequestAdmission.rejectIfQuarantined(exchange)) {
           exchange.placeAgain("quarantine has just ended");
         }
         break;
       case ALREADY_RUN:
         exchange.reject(Step.SEND, "request may have run and must not run again");
         break;
+      case SERVER_EVACUATED:
+        exchange.context.state().evacuations().recordRefusedSend();
+        exchange.onServerUnavailable("data centre of the backend server is evacuated");
+        break;
       case SERVER_LEAVING:
       case SERVER_PAUSED:
+      case SERVER_COLD:
+      case SERVER_OUTSIDE_REGIONS:
         exchange.onServerUnavailable("backend server takes no requests any more: " + result);
         break;
       default:
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -250,7 +250,15 @@
           .histogram("forward.first_event_ms." + route.name())
           .update(firstEventMillis);
     }
-    server.load().observeFirstToken(System.nanoTime() - sentNanos, prefillTokensWhenSent);
+    long sinceSend = System.nanoTime() - sentNanos;
+    server.load().observeFirstToken(sinceSend, prefillTokensWhenSent);
+    context
+        .state()
+        .loadSharing()
+        .ifPresent(
+            sharing ->
+                sharing.recordFirstToken(
+                    dispatcher.service(), server.load(), sinceSend, prefillTokensWhenSent));
     updateReservation(new OutstandingWork(1, 0, reservedWork().memoryTokens()));
     context.state().placeAllQueued();
     if (server.load().leaving()) {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/message/ServerResponse.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/message/ServerResponse.java
@@ -19,6 +19,8 @@
  * @param closesConnection whether the server closes the connection after the response
  * @param idleTimeoutSeconds idle timeout of the connection at the server, if it sends it
  * @param notice what the server says of itself
+ * @param slowdownPercent how long work takes on the machine of the server at this moment, in
+ *     percent of the usual time, if it sends it
  */
 public record ServerResponse(
     Optional<String> requestId,
@@ -30,7 +32,34 @@
     OptionalDouble requestLimit,
     boolean closesConnection,
     OptionalInt idleTimeoutSeconds,
-    ServerNotice notice) {
+    ServerNotice notice,
+    OptionalInt slowdownPercent) {
+
+  /** Creates the head of a response that states no slowdown. */
+  public ServerResponse(
+      Optional<String> requestId,
+      int status,
+      boolean signed,
+      boolean notExecuted,
+      boolean contentEncoded,
+      OptionalInt queueLength,
+      OptionalDouble requestLimit,
+      boolean closesConnection,
+      OptionalInt idleTimeoutSeconds,
+      ServerNotice notice) {
+    this(
+        requestId,
+        status,
+        signed,
+        notExecuted,
+        contentEncoded,
+        queueLength,
+        requestLimit,
+        closesConnection,
+        idleTimeoutSeconds,
+        notice,
+        OptionalInt.empty());
+  }
 
   /** Whether the status is 2xx. */
   public boolean successful() {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/ConfigurationSubscription.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/ConfigurationSubscription.java
@@ -11,6 +11,9 @@
   /** Reads the configuration once if this instance does not watch the store. */
   void refresh();
 
+  /** Reads the evacuated data centres once if this instance does not watch the store. */
+  default void refreshEvacuations() {}
+
   /** Stores what processes that start later need to know. */
   void recordClaims(FleetClaims claims);
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/FreshnessExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/FreshnessExchange.java
@@ -11,7 +11,8 @@
 import org.basilport.protocol.ProofRequest;
 
 /**
- * Obtains proofs that the configuration is the latest from instances that watch the store.
+ * Obtains proofs that the configuration and the evacuated data centres are the latest from
+ * instances that watch the store.
  *
  * <p>The age in a reply was determined after the request was sent. The send time less that age is
  * therefore a lower bound of the proof's time, regardless of the delay of the reply. Confined to
@@ -34,12 +35,16 @@
    */
   private static final long DIRECT_READ_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+  /** Age in a reply that does not prove the configuration; each release ignores it. */
+  private static final long NOT_PROVEN = -1;
+
   /** Number of remembered requests above which all are discarded. */
   private static final int MAX_PENDING_REQUESTS = 16;
 
   private final String instanceId;
   private final PeerChannel channel;
   private final ForwardingState state;
+  private final EvacuationProofs evacuations;
   private final Map<Long, SendTime> pending = new HashMap<>();
   private ConfigurationSubscription configurationSubscription;
   private long nextNonce = System.nanoTime();
@@ -50,6 +55,7 @@
     this.instanceId = instanceId;
     this.channel = channel;
     this.state = state;
+    this.evacuations = new EvacuationProofs(state.evacuations());
   }
 
   void setConfigurationSubscription(ConfigurationSubscription subscription) {
@@ -69,6 +75,9 @@
     if (state.proofAgeMillis() > DIRECT_READ_AGE_MILLIS) {
       readStore();
     }
+    if (configurationSubscription != null) {
+      evacuations.readIfOutdated(configurationSubscription);
+    }
   }
 
   /** Reads the store at most once per interval. */
@@ -94,29 +103,32 @@
         watchers);
   }
 
-  /** Replies to a request if the own configuration is known to be the latest. */
+  /** Replies to a request with what is known to be the latest. */
   void onRequest(ProofRequest request, InetSocketAddress sender) {
     long age = state.proofAgeMillis();
     long version = state.configurationVersion();
-    if (age > DIRECT_READ_AGE_MILLIS || version == 0) {
+    boolean proven = age <= DIRECT_READ_AGE_MILLIS && version != 0;
+    ProofReply.Builder reply =
+        ProofReply.newBuilder()
+            .setNonce(request.getNonce())
+            .setConfigurationVersion(proven ? version : 0)
+            .setAgeMillis(proven ? age : NOT_PROVEN);
+    if (!evacuations.write(reply) && !proven) {
       return;
     }
     channel.send(
-        PeerDatagram.newBuilder()
-            .setSenderId(instanceId)
-            .setProofReply(
-                ProofReply.newBuilder()
-                    .setNonce(request.getNonce())
-                    .setConfigurationVersion(version)
-                    .setAgeMillis(age))
-            .build(),
+        PeerDatagram.newBuilder().setSenderId(instanceId).setProofReply(reply).build(),
         List.of(sender));
   }
 
   /** Records a proof; a proof of a newer configuration triggers a read of the store instead. */
   void onReply(ProofReply reply) {
     SendTime sent = pending.get(reply.getNonce());
-    if (sent == null || reply.getAgeMillis() < 0) {
+    if (sent == null) {
+      return;
+    }
+    evacuations.read(reply, sent.nanos, sent.wallMillis);
+    if (reply.getAgeMillis() < 0) {
       return;
     }
     if (reply.getConfigurationVersion() > state.configurationVersion()) {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -20,7 +21,9 @@
 import org.basilport.misc.LoggedTask;
 import org.basilport.misc.Service;
 import org.basilport.policy.dispatch.CellPartition;
+import org.basilport.policy.dispatch.FleetDiscovery;
 import org.basilport.policy.dispatch.FreedCapacityDelay;
+import org.basilport.policy.dispatch.InstanceAddress;
 import org.basilport.policy.dispatch.PeerLiveness;
 import org.basilport.policy.dispatch.WatcherSelector;
 import org.basilport.protocol.LoadReport;
@@ -54,9 +57,6 @@
    */
   private static final long PEER_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_300);
 
-  /** Time after the first start of a fleet within which its instances discover each other. */
-  private static final long BOOTSTRAP_NANOS = TimeUnit.SECONDS.toNanos(3);
-
   private final EventLoop eventLoop;
   private final String instanceId;
   private final String frontendAddress;
@@ -64,15 +64,15 @@
   private final EventSink events;
   private final PeerChannel channel;
   private final FreshnessExchange freshness;
+  private final RunTimeExchange runTimes;
   private final long incarnation = System.currentTimeMillis();
-  private final long startNanos = System.nanoTime();
-  private final boolean firstStart;
+  private final FleetDiscovery discovery;
   private final Map<String, ReceivedReport> peers = new HashMap<>();
   private final Set<String> silentPeers = new HashSet<>();
   private final FleetMembers members;
-  private boolean instancesKnown;
   private long partitionedRevision = -1;
   private boolean ready;
+  private String region = "";
   private boolean watching;
   private final ClaimRecorder claims;
   private final PendingReport pendingReport = new PendingReport();
@@ -82,6 +82,7 @@
   private boolean flushScheduled;
   private final CrashReports crashReports;
   private final LimitReports limitReports;
+  private final Optional<UsageReports> usageReports;
   private ConfigurationSubscription configurationSubscription;
   private long sequence;
   private long heartbeatCount;
@@ -98,17 +99,20 @@
     this.eventLoop = eventLoop;
     this.instanceId = instanceId;
     this.members = new FleetMembers(instanceId);
-    this.firstStart = firstStart;
+    this.discovery = new FleetDiscovery(firstStart, System.nanoTime());
     this.frontendAddress = frontendAddress;
     this.state = state;
     this.events = events;
     this.channel = new PeerChannel(address, eventLoop, this::receive);
     this.freshness = new FreshnessExchange(instanceId, channel, state);
+    this.runTimes = new RunTimeExchange(instanceId, channel);
     this.claims = new ClaimRecorder(state, firstStart);
     state.servers().onEngineWorkChange(this::onEngineWorkChange);
     this.crashReports = new CrashReports(state.servers().crashMonitor(), state::paused);
     state.servers().onDeparture(this::scheduleFlush);
     this.limitReports = new LimitReports(state.servers(), state::paused);
+    this.usageReports =
+        state.contention().map(shared -> new UsageReports(shared.usage(), state::paused));
     state.servers().limits().onChange(() -> schedule(PendingReport::addEvidenceForAll));
     state.servers().crashMonitor().onEvidence(() -> schedule(PendingReport::addEvidenceForAll));
     state
@@ -124,6 +128,11 @@
     freshness.setConfigurationSubscription(subscription);
   }
 
+  /** Sets the region of this instance; to be called before the start. */
+  public void setRegion(String name) {
+    region = name;
+  }
+
   @Override
   public CompletableFuture<Void> start() {
     return channel
@@ -152,7 +161,11 @@
 
   /** Replaces the registered instances, which receive the reports. */
   public void updateInstances(List<InstanceEntry> entries) {
-    members.update(entries, System.nanoTime());
+    long now = System.nanoTime();
+    members.update(entries, now);
+    List<String> ids = entries.stream().map(InstanceEntry::id).toList();
+    state.servers().coldStarts().updateInstances(ids, now);
+    discovery.recordList(members.size() > 1, now);
     onMembersUpdated();
   }
 
@@ -166,7 +179,6 @@
     state.setInstanceCount(members.size());
     state.servers().limits().setFleetPosition(members.size(), members.rank());
     state.servers().pauses().setRank(members.rank());
-    instancesKnown = true;
     updateCells();
   }
 
@@ -208,22 +220,13 @@
     }
   }
 
-  /**
-   * Addresses of the ready instances that report to this one, including this instance if it is
-   * ready.
-   */
-  public List<String> readyAddresses() {
-    long now = System.nanoTime();
-    List<String> addresses = new ArrayList<>();
-    if (ready) {
-      addresses.add(frontendAddress);
-    }
-    for (ReceivedReport peer : peers.values()) {
-      if (peer.report.getReady() && liveness(peer, now) == PeerLiveness.REPORTING) {
-        addresses.add(peer.report.getFrontendAddress());
-      }
-    }
-    return addresses;
+  /** Addresses of the ready instances that report to this one. */
+  public List<InstanceAddress> readyAddresses() {
+    return peers.values().stream()
+        .map(ReceivedReport::report)
+        .filter(report -> isReady(report.getInstanceId()))
+        .map(runTimes::addressOf)
+        .toList();
   }
 
   private void onEngineWorkChange(BackendServer server) {
@@ -257,12 +260,23 @@
     }
     updateCells();
     updateWatching();
-    if (configurationSubscription != null && instancesKnown) {
+    if (configurationSubscription != null && discovery.listed()) {
       claims.record(watching, configurationSubscription);
     }
     int own = members.ownCell();
     boolean toNeighbours = heartbeatCount++ % NEIGHBOUR_HEARTBEAT_INTERVALS == 0;
-    send(members.addresses(toNeighbours ? affectedCells(own) : Set.of(own)));
+    List<InetSocketAddress> receivers =
+        members.addresses(toNeighbours ? affectedCells(own) : Set.of(own));
+    send(
+        usageReports
+            .map(usage -> usage.withDistant(receivers, members.allAddresses()))
+            .orElse(receivers));
+    // Distant instances report one after the other; to ask each of them would double the datagrams.
+    peers.values().stream()
+        .map(ReceivedReport::report)
+        .filter(report -> reportsRegularly(report) && isReady(report.getInstanceId()))
+        .map(LoadReport::getInstanceId)
+        .forEach(runTimes::ask);
   }
 
   /**
@@ -278,10 +292,10 @@
 
   private PeerLiveness liveness(ReceivedReport peer, long now) {
     long limit =
-        isInOwnCell(peer.report)
+        isInOwnCell(peer.report())
             ? PEER_TIMEOUT_NANOS
             : NEIGHBOUR_HEARTBEAT_INTERVALS * PEER_TIMEOUT_NANOS;
-    return PeerLiveness.of(now - peer.receivedNanos, limit);
+    return PeerLiveness.of(now - peer.receivedNanos(), limit);
   }
 
   /**
@@ -289,8 +303,8 @@
    * not watch requests proofs.
    */
   private void updateWatching() {
-    boolean bootstrapping = firstStart && System.nanoTime() - startNanos < BOOTSTRAP_NANOS;
-    if (configurationSubscription == null || bootstrapping || !instancesKnown) {
+    long now = System.nanoTime();
+    if (configurationSubscription == null || discovery.awaitsOthers(now)) {
       freshness.requestProof(List.of());
       return;
     }
@@ -298,7 +312,7 @@
     // The own address is not used: an instance that is selected sends no requests for proofs.
     watcherCandidates.add(new InstanceEntry(instanceId, null));
     members.ownCellMembers().stream()
-        .filter(entry -> isReady(entry.id()))
+        .filter(entry -> discovery.countsSilentMembers(now) || isReady(entry.id()))
         .forEach(watcherCandidates::add);
     List<InstanceEntry> watchers =
         WatcherSelector.select(watcherCandidates, members.cells().singleCell(), InstanceEntry::id);
@@ -319,7 +333,7 @@
   private boolean isReady(String id) {
     ReceivedReport peer = peers.get(id);
     return peer != null
-        && peer.report.getReady()
+        && peer.report().getReady()
         && liveness(peer, System.nanoTime()) == PeerLiveness.REPORTING;
   }
 
@@ -339,6 +353,7 @@
             .setSequence(++sequence)
             .setReady(ready)
             .setFrontendAddress(frontendAddress)
+            .setRegion(region)
             .setConfigurationVersion(state.configurationVersion())
             .setCompleteStoreIncarnation(state.storeCompleteness().completeIncarnation());
     state
@@ -353,6 +368,9 @@
       limitReports.write(report);
     }
     WorkReports.write(report, state.servers());
+    if (withEvidence) {
+      usageReports.ifPresent(usage -> usage.write(report));
+    }
     channel.send(
         PeerDatagram.newBuilder().setSenderId(instanceId).setLoad(report).build(), receivers);
   }
@@ -363,25 +381,33 @@
     }
     switch (message.getContentCase()) {
       case LOAD:
-        onReport(message.getLoad());
+        onReport(message.getLoad(), sender);
         break;
       case PROOF_REQUEST:
         freshness.onRequest(message.getProofRequest(), sender);
         break;
       case PROOF_REPLY:
         freshness.onReply(message.getProofReply());
+        runTimes.onReply(message, sender);
         break;
       default:
         break;
     }
   }
 
-  private void onReport(LoadReport report) {
+  private void onReport(LoadReport report, InetSocketAddress sender) {
     ReceivedReport known = peers.get(report.getInstanceId());
     if (known != null && !known.isOlderThan(report)) {
       return;
     }
     peers.put(report.getInstanceId(), new ReceivedReport(report, System.nanoTime()));
+    boolean started = runTimes.onReport(report, sender);
+    if (reportsRegularly(report)) {
+      state.recordPeerReport(report.getInstanceId());
+      if (started) {
+        runTimes.ask(report.getInstanceId());
+      }
+    }
     report
         .getDeparturesList()
         .forEach(
@@ -394,11 +420,13 @@
                         report.getInstanceId()));
     state.confirmStoreIncarnation(report.getCompleteStoreIncarnation(), report.getInstanceId());
     limitReports.read(report);
+    usageReports.ifPresent(usage -> usage.read(report));
     if (crashReports.read(report)) {
       schedule(PendingReport::addEvidence);
     }
     boolean silentBefore = silentPeers.remove(report.getInstanceId());
-    if (isInOwnCell(report) && (known == null || silentBefore || restarted(known.report, report))) {
+    if (isInOwnCell(report)
+        && (known == null || silentBefore || restarted(known.report(), report))) {
       events.record(
           EventType.MEMBER_JOINED,
           EventSubject.NONE,
@@ -408,7 +436,7 @@
     if (report.getConfigurationVersion() > state.configurationVersion()) {
       freshness.readStore();
     }
-    if (known == null || !known.report.getWorkList().equals(report.getWorkList())) {
+    if (known == null || !known.report().getWorkList().equals(report.getWorkList())) {
       state.updatePeerWork(report.getInstanceId(), WorkReports.read(report));
     }
   }
@@ -427,6 +455,14 @@
     }
   }
 
+  /** Whether the sender reports each change of the engines that it shares with this instance. */
+  private boolean reportsRegularly(LoadReport report) {
+    return members
+        .cells()
+        .neighbours(members.ownCell())
+        .contains(members.cells().cellOf(report.getInstanceId()));
+  }
+
   private boolean isInOwnCell(LoadReport report) {
     return members.cells().cellOf(report.getInstanceId()) == members.ownCell();
   }
@@ -442,13 +478,14 @@
         case SILENT:
           // An instance of another cell reports only while it shares an engine, so a missing
           // report does not mean that it is dead.
-          if (silentPeers.add(id) && isInOwnCell(peer.getValue().report)) {
+          if (silentPeers.add(id) && isInOwnCell(peer.getValue().report())) {
             events.record(EventType.MEMBER_DEAD, EventSubject.NONE, id);
           }
           break;
         case GONE:
           peers.remove(id);
           silentPeers.remove(id);
+          runTimes.remove(id);
           state.updatePeerWork(id, Map.of());
           break;
         default:
@@ -456,13 +493,4 @@
       }
     }
   }
-
-  /** Latest report of another instance and the time of its receipt. */
-  private record ReceivedReport(LoadReport report, long receivedNanos) {
-    boolean isOlderThan(LoadReport other) {
-      return other.getIncarnation() > report.getIncarnation()
-          || (other.getIncarnation() == report.getIncarnation()
-              && other.getSequence() > report.getSequence());
-    }
-  }
 }
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayFixture.java
@@ -43,6 +43,11 @@
   final MetricRegistry metrics = new MetricRegistry();
   int keyPriority = -1;
 
+  /** Data centre of the servers that are started next. */
+  String serverDataCentre = "a";
+
+  int callerTimeoutMillis = 5_000;
+
   /** Key of a second workspace; all other keys belong to the first one. */
   String otherWorkspace = "";
 
@@ -157,7 +162,7 @@
             version,
             "127.0.0.1",
             server.port(),
-            "a",
+            serverDataCentre,
             6,
             false,
             Duration.ZERO));
@@ -233,7 +238,7 @@
   private Socket sendRequest(String id, String method, String target, String headers)
       throws IOException {
     Socket socket = new Socket(frontend.getAddress(), frontend.getPort());
-    socket.setSoTimeout(5_000);
+    socket.setSoTimeout(callerTimeoutMillis);
     socket
         .getOutputStream()
         .write(
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/EarliestFirstTokenSelector.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/EarliestFirstTokenSelector.java
@@ -13,7 +13,7 @@
  * An engine whose memory would be exceeded is not selected, because it would preempt a running
  * generation and have to prefill its prompt again.
  */
-public final class EarliestFirstTokenSelector implements ServerSelector {
+public final class EarliestFirstTokenSelector implements ServerSelector, PlacementCost {
   /** Prefill time per token before the first observation: 112 tokens in a step of 16 ms. */
   static final double DEFAULT_PREFILL_NANOS_PER_TOKEN = 145_000;
 
@@ -63,21 +63,46 @@
   }
 
   private double cost(ServerLoad server, RequestDemand demand, long nowNanos) {
-    if (!hasCapacity(server, demand)) {
+    if (!accepts(server, server.totalWork(), demand)) {
       return Double.POSITIVE_INFINITY;
     }
     double firstToken = expectedFirstTokenNanos(server, demand);
-    if (firstToken > firstTokenLimitNanos && server.totalWork().pendingPrefillTokens() > 0) {
-      return Double.POSITIVE_INFINITY;
-    }
-    return firstToken * (1 + MAX_JITTER_SHARE * random.nextDouble()) + penalty(server, nowNanos);
+    return firstToken * (1 + MAX_JITTER_SHARE * random.nextDouble())
+        + FULL_MEMORY_PENALTY_NANOS * server.totalWork().memoryTokens() / server.memoryTokens()
+        + fixedCost(server, nowNanos);
+  }
+
+  @Override
+  public boolean accepts(ServerLoad server, OutstandingWork work, RequestDemand demand) {
+    return hasCapacity(server, work, demand)
+        && (work.pendingPrefillTokens() == 0
+            || expectedFirstTokenNanos(server, work, demand) <= firstTokenLimitNanos);
+  }
+
+  /**
+   * {@inheritDoc}
+   *
+   * <p>The observed prefill time already holds the long-term speed of the engine, so the speed
+   * weighs only the memory, which a slow engine holds for longer.
+   */
+  @Override
+  public double workCost(
+      ServerLoad server, OutstandingWork work, RequestDemand demand, double slowness) {
+    double memoryShare =
+        (double) (work.memoryTokens() + demand.memoryTokens()) / Math.max(1, server.memoryTokens());
+    return expectedFirstTokenNanos(server, work, demand)
+        + FULL_MEMORY_PENALTY_NANOS * memoryShare * slowness;
   }
 
   /**
    * Whether an engine has batch slots and memory for a generation without preempting another one.
    */
   public static boolean hasCapacity(ServerLoad server, RequestDemand demand) {
-    OutstandingWork work = server.totalWork();
+    return hasCapacity(server, server.totalWork(), demand);
+  }
+
+  private static boolean hasCapacity(
+      ServerLoad server, OutstandingWork work, RequestDemand demand) {
     if (work.requests() >= server.slots()) {
       return false;
     }
@@ -88,17 +113,20 @@
 
   /** Estimates the time from sending a generation to its first token, in nanoseconds. */
   public static double expectedFirstTokenNanos(ServerLoad server, RequestDemand demand) {
-    OutstandingWork work = server.totalWork();
+    return expectedFirstTokenNanos(server, server.totalWork(), demand);
+  }
+
+  private static double expectedFirstTokenNanos(
+      ServerLoad server, OutstandingWork work, RequestDemand demand) {
     double batch = 1 + BATCH_SLOWDOWN * work.requests() / server.slots();
     return server.nanosPerPrefillToken()
         * (work.pendingPrefillTokens() + demand.promptTokens())
         * batch;
   }
 
-  private double penalty(ServerLoad server, long nowNanos) {
+  @Override
+  public double fixedCost(ServerLoad server, long nowNanos) {
     double penalty = server.dataCentre().equals(dataCentre) ? 0 : REMOTE_DATA_CENTRE_PENALTY_NANOS;
-    penalty +=
-        FULL_MEMORY_PENALTY_NANOS * server.totalWork().memoryTokens() / server.memoryTokens();
     penalty += server.health().failureRate() * firstTokenLimitNanos;
     if (server.warmingUp(nowNanos)) {
       penalty += firstTokenLimitNanos / 4.0;
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/LeastOccupiedSelector.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/LeastOccupiedSelector.java
@@ -11,7 +11,7 @@
  * from where they could no longer be sent to another one. This matters for bursts on services with
  * few slots.
  */
-public final class LeastOccupiedSelector implements ServerSelector {
+public final class LeastOccupiedSelector implements ServerSelector, PlacementCost {
   /** Requests per slot at which a server is full; beyond it the server refuses requests. */
   private static final double MAX_REQUESTS_PER_SLOT = 1.5;
 
@@ -43,12 +43,38 @@
   }
 
   private double cost(ServerLoad server, long nowNanos) {
-    double occupancy = (double) server.totalWork().requests() / server.slots();
-    if (occupancy >= MAX_REQUESTS_PER_SLOT) {
+    if (!accepts(server, server.totalWork(), RequestDemand.SERVICE_CALL)) {
       return Double.POSITIVE_INFINITY;
     }
-    double cost =
-        occupancy + MAX_OCCUPANCY_JITTER * random.nextDouble() + server.health().failureRate();
+    return occupancy(server, server.totalWork())
+        + MAX_OCCUPANCY_JITTER * random.nextDouble()
+        + fixedCost(server, nowNanos);
+  }
+
+  @Override
+  public boolean accepts(ServerLoad server, OutstandingWork work, RequestDemand demand) {
+    return occupancy(server, work) < MAX_REQUESTS_PER_SLOT;
+  }
+
+  /**
+   * {@inheritDoc}
+   *
+   * <p>The occupancy includes the request, so that an idle slow server costs more than an idle fast
+   * one.
+   */
+  @Override
+  public double workCost(
+      ServerLoad server, OutstandingWork work, RequestDemand demand, double slowness) {
+    return occupancy(server, work.plus(demand.toWork())) * slowness;
+  }
+
+  private static double occupancy(ServerLoad server, OutstandingWork work) {
+    return (double) work.requests() / server.slots();
+  }
+
+  @Override
+  public double fixedCost(ServerLoad server, long nowNanos) {
+    double cost = server.health().failureRate();
     if (!server.dataCentre().equals(dataCentre)) {
       cost += OCCUPANCY_PENALTY;
     }
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/SendCheck.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/SendCheck.java
@@ -30,8 +30,14 @@
     ALREADY_RUN,
     /** The chosen server is leaving. */
     SERVER_LEAVING,
+    /** The data centre of the chosen server is evacuated. */
+    SERVER_EVACUATED,
     /** The chosen server has asked for a pause since it was chosen. */
-    SERVER_PAUSED
+    SERVER_PAUSED,
+    /** The chosen server is cold, and this instance may not send it a request now. */
+    SERVER_COLD,
+    /** The chosen server is in a region in which the request may not run. */
+    SERVER_OUTSIDE_REGIONS
   }
 
   /**
@@ -48,6 +54,9 @@
    * @param runPermitted whether a server may begin the request, or goes on with a run that stopped
    * @param serverLeaving whether the server is leaving and does not hold a copy of the generation
    * @param serverPaused whether the server wants no requests now and does not hold such a copy
+   * @param serverEvacuated whether nothing may be sent to the data centre of the server, also if
+   *     the server holds such a copy
+   * @param serverInRegion whether the server is in a region in which the request may run
    */
   public record Conditions(
       boolean callerConnected,
@@ -59,7 +68,40 @@
       boolean quarantined,
       boolean runPermitted,
       boolean serverLeaving,
-      boolean serverPaused) {}
+      boolean serverPaused,
+      boolean serverEvacuated,
+      boolean serverInRegion) {
+
+    /**
+     * State of a request that may run in all regions, at a send to a server whose data centre is
+     * not evacuated.
+     */
+    public Conditions(
+        boolean callerConnected,
+        long remainingMillis,
+        boolean keyChecked,
+        boolean keyKnown,
+        long proofAgeMillis,
+        long maxProofAgeMillis,
+        boolean quarantined,
+        boolean runPermitted,
+        boolean serverLeaving,
+        boolean serverPaused) {
+      this(
+          callerConnected,
+          remainingMillis,
+          keyChecked,
+          keyKnown,
+          proofAgeMillis,
+          maxProofAgeMillis,
+          quarantined,
+          runPermitted,
+          serverLeaving,
+          serverPaused,
+          false,
+          true);
+    }
+  }
 
   /** Checks the conditions; the first one that is not met determines the result. */
   public static Result check(Conditions conditions) {
@@ -81,9 +123,15 @@
     if (!conditions.runPermitted) {
       return Result.ALREADY_RUN;
     }
+    if (!conditions.serverInRegion) {
+      return Result.SERVER_OUTSIDE_REGIONS;
+    }
     if (conditions.serverLeaving) {
       return Result.SERVER_LEAVING;
     }
+    if (conditions.serverEvacuated) {
+      return Result.SERVER_EVACUATED;
+    }
     return conditions.serverPaused ? Result.SERVER_PAUSED : Result.PERMITTED;
   }
 }
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServerAdmission.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServerAdmission.java
@@ -5,7 +5,8 @@
 
 /**
  * Decides whether, and from when on, a server takes new requests of this instance: for a server
- * that leaves, that asked for a pause, that names a limit, or that is suspended for its failures.
+ * that leaves, whose data centre is evacuated, that asked for a pause, that names a limit, or that
+ * is suspended for its failures.
  */
 public final class ServerAdmission {
   /** Whether a request may be placed at a server, and what prevents it. */
@@ -18,6 +19,8 @@
     LIMITED,
     /** The server wants no requests now, or has not answered the first one after its pause. */
     PAUSED,
+    /** Nothing is sent to the data centre of the server until it is restored. */
+    EVACUATED,
     /** The server is leaving and never takes requests again. */
     LEAVING
   }
@@ -26,12 +29,16 @@
   private final ServerPause pause = new ServerPause();
   private Optional<SharedRateLimit> rateLimit = Optional.empty();
   private boolean leaving;
+  private boolean evacuated;
 
   /** What applies to the server now; of several, the one that ends last. */
   public State state(long nowNanos) {
     if (leaving) {
       return State.LEAVING;
     }
+    if (evacuated) {
+      return State.EVACUATED;
+    }
     if (!pause.permits(nowNanos)) {
       return State.PAUSED;
     }
@@ -42,20 +49,24 @@
   }
 
   /**
-   * Time until the server takes a request, 0 if it does now; empty if it never does. The wait for
-   * the first answer after a pause is not counted, since its end is not known.
+   * Time until the server takes a request, 0 if it does now; empty if it never does, or if its data
+   * centre is evacuated for an unknown time. The wait for the first answer after a pause is not
+   * counted, since its end is not known.
    */
   public OptionalLong nanosToAccept(long nowNanos) {
-    if (leaving) {
+    if (leaving || evacuated) {
       return OptionalLong.empty();
     }
     long toPermit = rateLimit.map(limit -> limit.nanosToPermit(nowNanos)).orElse(0L);
     return OptionalLong.of(Math.max(pause.nanosToEnd(nowNanos), toPermit));
   }
 
-  /** Whether the server takes no request, also none that is placed already: it leaves or pauses. */
+  /**
+   * Whether the server takes no request, also none that is placed already: it leaves, pauses, or
+   * its data centre is evacuated.
+   */
   public boolean refusesAll(long nowNanos) {
-    return leaving || pause.nanosToEnd(nowNanos) > 0;
+    return leaving || evacuated || pause.nanosToEnd(nowNanos) > 0;
   }
 
   /** Records that a request is placed at the server, which uses a permit of its limit. */
@@ -84,6 +95,16 @@
     leaving = true;
   }
 
+  /** Whether the data centre of the server is evacuated. */
+  public boolean evacuated() {
+    return evacuated;
+  }
+
+  /** Sets whether the data centre of the server is evacuated. */
+  public void setEvacuated(boolean value) {
+    evacuated = value;
+  }
+
   /** Share of this instance in the rate that the server accepts; empty if it names no limit. */
   public Optional<SharedRateLimit> rateLimit() {
     return rateLimit;
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServerLoad.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServerLoad.java
@@ -15,6 +15,7 @@
   private final int slots;
   private final long memoryTokens;
   private final ServerAdmission admission = new ServerAdmission();
+  private final ServerSpeed speed = new ServerSpeed();
   private OutstandingWork ownWork = OutstandingWork.NONE;
   private OutstandingWork peerWork = OutstandingWork.NONE;
   private long precedingMemoryTokens;
@@ -75,6 +76,11 @@
     return ownWork.plus(peerWork);
   }
 
+  /** Outstanding work that the other instances have reported. */
+  public OutstandingWork peerWork() {
+    return peerWork;
+  }
+
   /** Adds outstanding work of this instance. */
   public void addOwnWork(OutstandingWork work) {
     ownWork = ownWork.plus(work);
@@ -102,6 +108,11 @@
     precedingMemoryTokens = precedingTokens;
   }
 
+  /** Estimate of the speed of the server. */
+  public ServerSpeed speed() {
+    return speed;
+  }
+
   /** Memory of the generations of instances that precede this one when all move, in tokens. */
   public long precedingMemoryTokens() {
     return precedingMemoryTokens;
