Correct response times once for the temporary slowdown

Cause: LoadSharing and the simulation divided a response time by the slowdown that the server states, and ServerSpeed.observeTime divided it again, so a slowed machine counted as a fast server. Change: ServerSpeed.withoutSlowdown is the only correction. ServerSpeedTest calls it, since observeTime no longer corrects; its bounds are unchanged.

--- a/basilport-bench/src/main/java/org/basilport/bench/evenness/EvennessSimulation.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/evenness/EvennessSimulation.java
@@ -259,7 +259,8 @@
         SimulatedServer server = servers.get(Integer.parseInt(load.id()));
         load.speed().observeSlowdown((int) Math.round(100 * server.slowdown(now)), now);
         if (server.waiting.isEmpty()) {
-          load.speed().observeTime(usual.relative("", time / load.speed().slowdown(now)), now);
+          load.speed()
+              .observeTime(usual.relative("", load.speed().withoutSlowdown(time, now)), now);
         }
       }
     }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/LoadSharing.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/LoadSharing.java
@@ -115,7 +115,7 @@
   void recordTime(ServerLoad server, String kind, double time) {
     long now = System.nanoTime();
     ServerSpeed speed = server.speed();
-    speed.observeTime(usualTimes.relative(kind, time / speed.slowdown(now)), now);
+    speed.observeTime(usualTimes.relative(kind, speed.withoutSlowdown(time, now)), now);
     speedPercent.update(Math.round(100 * speed.longTerm(now)));
   }
 }
--- a/basilport-gateway/src/test/java/org/basilport/gateway/forward/LoadSharingTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/forward/LoadSharingTest.java
@@ -103,6 +103,22 @@
     assertThat(server.speed().slowdown(before)).isAtLeast(2.5);
   }
 
+  /**
+   * Guards against a server that looks faster the slower its machine is, because its times are
+   * corrected twice for the same slowdown.
+   */
+  @Test
+  void correctsATimeOnceForTheSlowdown() {
+    LoadSharing sharing = sharing(SHARING).orElseThrow();
+    ServerLoad slowed = new ServerLoad("slowed", "a", 6, 0);
+    sharing.recordHead(slowed, response(true, OptionalInt.of(250)));
+    for (int i = 0; i < 200; i++) {
+      sharing.recordTime(server, "call", 40);
+      sharing.recordTime(slowed, "call", 100);
+    }
+    assertThat(slowed.speed().longTerm(System.nanoTime())).isWithin(0.1).of(1.0);
+  }
+
   /** Guards against a division by the tokens of a stream that is taken up without a prompt. */
   @Test
   void ignoresFirstTokensWithoutAPrompt() {
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServerSpeed.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/ServerSpeed.java
@@ -34,11 +34,19 @@
     slowdownNanos = nowNanos;
   }
 
+  /**
+   * Returns a response time as it would be without the temporary slowdown of the server. This is
+   * the only place where times are corrected.
+   */
+  public double withoutSlowdown(double time, long nowNanos) {
+    return time / slowdown(nowNanos);
+  }
+
   /**
    * Records a response time.
    *
-   * @param relativeTime response time divided by the usual one of such requests; other values than
-   *     positive numbers are ignored
+   * @param relativeTime response time without the temporary slowdown, divided by the usual one of
+   *     such requests; other values than positive numbers are ignored
    */
   public void observeTime(double relativeTime, long nowNanos) {
     if (!(relativeTime > 0) || Double.isInfinite(relativeTime)) {
@@ -46,8 +54,7 @@
     }
     double remaining = remainingShare(sampleNanos, MAX_AGE_NANOS, nowNanos);
     samples = samples * remaining + 1;
-    summedTimes =
-        summedTimes * remaining + Math.min(MAX_RELATIVE_TIME, relativeTime / slowdown(nowNanos));
+    summedTimes = summedTimes * remaining + Math.min(MAX_RELATIVE_TIME, relativeTime);
     sampleNanos = nowNanos;
   }
 
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/ServerSpeedTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/ServerSpeedTest.java
@@ -19,8 +19,8 @@
     for (int i = 0; i < count; i++) {
       now += INTERVAL_NANOS;
       speed.observeSlowdown(slowdownPercent, now);
-      double time = slowdownPercent / 100.0 / longTerm;
-      speed.observeTime(time * (1 + noise * (random.nextDouble() - 0.5)), now);
+      double time = slowdownPercent / 100.0 / longTerm * (1 + noise * (random.nextDouble() - 0.5));
+      speed.observeTime(speed.withoutSlowdown(time, now), now);
     }
   }
 
