Let instances that use a cold engine hold its permits

The 22 permits of an engine were spread over all 84 instances, while 24 use the engine, and a cold engine was chosen only when the warm ones were full, so engines that had just started stayed empty. Change: permits go to the instances whose place in the partition into cells is closest to the server's, by the hash that both are sorted by; the bound and its tests are unchanged. WarmFirstSelector is removed: a cold server with a permit is chosen by the former costs.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
@@ -3,11 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
@@ -19,7 +17,6 @@
 import org.basilport.policy.dispatch.ServerAdmission.State;
 import org.basilport.policy.dispatch.ServerLoad;
 import org.basilport.policy.dispatch.ServerSelector;
-import org.basilport.policy.dispatch.WarmFirstSelector;
 import org.basilport.policy.dispatch.WindowedRetryBudget;
 
 /**
@@ -423,7 +420,6 @@
     int instances = instanceCount.getAsInt();
     List<ServerLoad> candidates = new ArrayList<>();
     List<ServerLoad> suspended = new ArrayList<>();
-    Set<ServerLoad> cold = new HashSet<>();
     for (BackendServer server : serviceServers) {
       State state = server.load().admission().state(now);
       if (state.compareTo(State.SUSPENDED) > 0
@@ -432,9 +428,6 @@
           || !servers.coldStarts().permitsPlacement(server.entry(), now)) {
         continue;
       }
-      if (servers.coldStarts().isCold(server.entry(), now)) {
-        cold.add(server.load());
-      }
       (state == State.SUSPENDED ? suspended : candidates).add(server.load());
     }
     // If more than half of the servers are suspended, the cause is probably the network or the
@@ -442,8 +435,7 @@
     if (suspended.size() > candidates.size()) {
       candidates.addAll(suspended);
     }
-    ServerSelector warmFirst = new WarmFirstSelector(placementSelector, cold::contains);
-    Optional<ServerLoad> chosen = warmFirst.select(candidates, demand, now);
+    Optional<ServerLoad> chosen = placementSelector.select(candidates, demand, now);
     chosen.map(ServerLoad::admission).ifPresent(admission -> admission.recordPlaced(now));
     return chosen.flatMap(load -> servers.server(load.id()));
   }
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/CellPartition.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/CellPartition.java
@@ -31,7 +31,7 @@
 
   /** Partitions a fleet and the engines that it serves. */
   public CellPartition(Collection<String> instances, Collection<String> engines) {
-    this.cellCount = Math.max(1, (instances.size() + MAX_CELL_INSTANCES - 1) / MAX_CELL_INSTANCES);
+    this.cellCount = cellCount(instances.size());
     this.cellByInstance = assignCells(instances);
     this.firstCellByEngine = assignCells(engines);
   }
@@ -51,6 +51,32 @@
     return cells;
   }
 
+  /**
+   * Expected middle of the cells that use an engine, as a place on a ring of length 1. It depends
+   * on the number of instances, not on the other engines, unlike {@link #cellsOfEngine(String)}.
+   *
+   * @param instances number of instances
+   */
+  static double middleOfCells(String serverId, int instances) {
+    // An engine is used by its own cell and the next one, and lies anywhere within its own.
+    return place(serverId) + 0.5 / cellCount(instances);
+  }
+
+  /** Distance of the place of an instance from a place, at most 0.5. */
+  static double distance(String instanceId, double place) {
+    double difference = Math.abs(place(instanceId) - place) % 1;
+    return Math.min(difference, 1 - difference);
+  }
+
+  /** Place of an id in the order by which ids are assigned to cells, from 0 to 1. */
+  private static double place(String id) {
+    return 0.5 + hash(id) * 0x1p-64;
+  }
+
+  private static int cellCount(int instances) {
+    return Math.max(1, (instances + MAX_CELL_INSTANCES - 1) / MAX_CELL_INSTANCES);
+  }
+
   private static long hash(String id) {
     return Hashing.murmur3_128().hashString(id, StandardCharsets.UTF_8).asLong();
   }
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/ColdStartHolders.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/ColdStartHolders.java
@@ -6,7 +6,6 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
-import org.basilport.policy.routing.RendezvousHash;
 
 /**
  * Decides how many of the permits for a cold server one instance holds, by the lists of the
@@ -21,6 +20,11 @@
  * that is no longer than the settling time therefore held the permit already by the list that it
  * used at the beginning of the window. The sum over all instances in a window is at most the
  * permits of the lists in use at its beginning, however often the lists change in it.
+ *
+ * <p>With more instances than permits, those hold one whose place in the {@link CellPartition} is
+ * closest to the expected place of the server, since permits of instances that do not use the
+ * server are lost. The list of the servers has no influence: instances would have far more than two
+ * different divisions at the same moment.
  */
 public final class ColdStartHolders {
   /** Number of servers whose ranks are kept; servers that have left are among them. */
@@ -107,8 +111,18 @@
       return ownRanks.computeIfAbsent(serverId, this::ownRank) < permits ? 1 : 0;
     }
 
+    /** Number of instances that are closer to the middle of the server's cells than this one. */
     private int ownRank(String serverId) {
-      return RendezvousHash.rank(serverId, ids, id -> id).indexOf(ownId);
+      double middle = CellPartition.middleOfCells(serverId, ids.size());
+      double own = CellPartition.distance(ownId, middle);
+      return (int)
+          ids.stream()
+              .filter(
+                  id -> {
+                    int order = Double.compare(CellPartition.distance(id, middle), own);
+                    return order < 0 || (order == 0 && id.compareTo(ownId) < 0);
+                  })
+              .count();
     }
   }
 }
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/ColdStartPermitsTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/ColdStartPermitsTest.java
@@ -5,8 +5,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -195,6 +197,47 @@
     }
   }
 
+  /**
+   * Load: new engines are empty while the others are full, and hold nine prompts of 3,000 tokens
+   * each. Guards against permits that only instances hold that do not use the engine.
+   */
+  @ParameterizedTest
+  @CsvSource({"84, 39", "73, 50", "60, 33"})
+  void areHeldByInstancesThatUseTheServer(int instances, int engines) {
+    int fleets = 20;
+    int filled = 0;
+    for (long seed = 1; seed <= fleets; seed++) {
+      SplittableRandom random = new SplittableRandom(seed);
+      filled +=
+          enginesWithUsablePermits(
+              randomIds("instance-", instances, random), randomIds("engine-", engines, random), 9);
+    }
+    assertThat(filled).isAtLeast((int) (0.9 * fleets * engines));
+  }
+
+  private static Set<String> randomIds(String prefix, int count, SplittableRandom random) {
+    Set<String> ids = new TreeSet<>();
+    IntStream.range(0, count).forEach(i -> ids.add(prefix + random.nextLong()));
+    return ids;
+  }
+
+  /** Number of engines for which the instances that use them hold enough permits. */
+  private static int enginesWithUsablePermits(
+      Set<String> instances, Set<String> engines, int enough) {
+    CellPartition cells = new CellPartition(instances, engines);
+    Map<String, Integer> usable = new TreeMap<>();
+    for (String id : instances) {
+      ColdStartHolders holders = new ColdStartHolders(id, SETTLING);
+      holders.update(instances, 0);
+      for (String engine : engines) {
+        if (cells.cellsOfEngine(engine).contains(cells.cellOf(id))) {
+          usable.merge(engine, holders.share(engine, PERMITS, SETTLING), Integer::sum);
+        }
+      }
+    }
+    return (int) usable.values().stream().filter(permits -> permits >= enough).count();
+  }
+
   @Nested
   class Holders {
     private final ColdStartHolders holders = new ColdStartHolders("instance-1", SETTLING);
