Use one copy of each limit in the gateway and the simulations

Cause: the simulations contention and evenness repeated limits of the gateway by value, and so did classes of the gateway among themselves. A change of one copy would have left a simulation of other rules, or reports and proofs that one class takes for valid and another one for expired. Change: public constants in the policy module, which both use: length, rejection limit, longest wait and placement interval in PendingRequestQueue, the heartbeat and its receivers in HeartbeatSchedule, limits and defaults in EarliestFirstTokenSelector, the random delay of refused callers in ReturnOrder, the age of a proof in DirectReadBackoff, the timeouts of reports in PeerLiveness and the time to write again in StoreCompleteness. No value changes. DirectoryFleet uses the constants instead of its own copies.

--- a/basilport-bench/src/main/java/org/basilport/bench/contention/ContentionCommand.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/contention/ContentionCommand.java
@@ -73,7 +73,10 @@
       }
     }
     out.printf(
-        Locale.ROOT, "decision with 200 waiting requests: %.2f us%n", ContentionCost.micros(seed));
+        Locale.ROOT,
+        "decision with %d waiting requests: %.2f us%n",
+        ContentionCost.WAITING,
+        ContentionCost.micros(seed));
     out.flush();
     return 0;
   }
--- a/basilport-bench/src/main/java/org/basilport/bench/contention/ContentionCost.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/contention/ContentionCost.java
@@ -7,10 +7,13 @@
 import org.basilport.policy.dispatch.ContendedDispatch;
 import org.basilport.policy.dispatch.ContendingRequest;
 import org.basilport.policy.dispatch.FleetUsage;
+import org.basilport.policy.dispatch.PendingRequestQueue;
 
-/** Measures the processor time of a decision with 200 waiting requests. */
+/**
+ * Measures the processor time of a decision with as many waiting requests as an instance queues.
+ */
 final class ContentionCost {
-  private static final int WAITING = 200;
+  static final int WAITING = PendingRequestQueue.LENGTH_LIMIT;
   private static final int WORKSPACES = 100;
   private static final int WARM_UP_DECISIONS = 20_000;
   private static final int DECISIONS = 20_000;
@@ -22,7 +25,8 @@
     SplittableRandom random = new SplittableRandom(seed);
     OneSlot servers = new OneSlot();
     ContendedDispatch<Integer> dispatch =
-        new ContendedDispatch<>(2 * WAITING, 4, new FleetUsage(0), random, 0);
+        new ContendedDispatch<>(
+            2 * WAITING, PendingRequestQueue.REJECTION_LIMIT, new FleetUsage(0), random, 0);
     int next = 0;
     while (next < WAITING) {
       submit(dispatch, next++, servers, random, 0);
--- a/basilport-bench/src/main/java/org/basilport/bench/contention/ContentionSimulation.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/contention/ContentionSimulation.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.TimeUnit;
 import org.basilport.policy.dispatch.ContendedDispatch;
 import org.basilport.policy.dispatch.FreedCapacityDelay;
+import org.basilport.policy.dispatch.HeartbeatSchedule;
+import org.basilport.policy.dispatch.PendingRequestQueue;
 import org.basilport.policy.dispatch.ReturnOrder;
 
 /**
@@ -23,10 +25,8 @@
   private static final long MEAN_RUN_NANOS =
       TimeUnit.MILLISECONDS.toNanos(2) * (MEAN_PROMPT_TOKENS + 10 * MEAN_OUTPUT_TOKENS);
 
-  private static final long HEARTBEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
-  private static final long HOUSEKEEPING_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
-  private static final int NEIGHBOUR_HEARTBEATS = 3;
-  private static final int FAR_RECEIVERS = 3;
+  private static final long PLACEMENT_INTERVAL_NANOS =
+      TimeUnit.MILLISECONDS.toNanos(PendingRequestQueue.PLACEMENT_INTERVAL_MILLIS);
   private static final long ROUND_TRIP_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
   private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(12);
   private static final long WARM_UP_NANOS = TimeUnit.SECONDS.toNanos(20);
@@ -61,8 +61,8 @@
     for (int i = 0; i < INSTANCES; i++) {
       start(i, 0);
       int index = i;
-      at(random.nextLong(HEARTBEAT_NANOS), () -> heartbeat(index, 0));
-      at(random.nextLong(HOUSEKEEPING_NANOS), () -> housekeeping(index));
+      at(random.nextLong(HeartbeatSchedule.INTERVAL_NANOS), () -> heartbeat(index, 0));
+      at(random.nextLong(PLACEMENT_INTERVAL_NANOS), () -> housekeeping(index));
     }
     for (int i = 0; i < settings.workspaces(); i++) {
       int workspace = i;
@@ -276,7 +276,7 @@
 
   private void housekeeping(int index) {
     offer(instances[index]);
-    at(now + HOUSEKEEPING_NANOS, () -> housekeeping(index));
+    at(now + PLACEMENT_INTERVAL_NANOS, () -> housekeeping(index));
   }
 
   private void heartbeat(int index, int count) {
@@ -287,14 +287,15 @@
       boolean neighbour = distance == 1 || distance == CELLS - 1;
       boolean receives =
           distance == 0
-              || (neighbour && count % NEIGHBOUR_HEARTBEATS == 0)
-              || (Math.floorMod(receiver.index - index, INSTANCES) / FAR_RECEIVERS
-                  == count % (INSTANCES / FAR_RECEIVERS));
+              || (neighbour && count % HeartbeatSchedule.NEIGHBOUR_INTERVALS == 0)
+              || (Math.floorMod(receiver.index - index, INSTANCES)
+                      / HeartbeatSchedule.DISTANT_RECEIVERS
+                  == count % (INSTANCES / HeartbeatSchedule.DISTANT_RECEIVERS));
       if (receives && receiver != sender && random.nextDouble() >= settings.lostReports()) {
         receiver.usage.report("instance-" + index, sender.incarnation, report, now);
       }
     }
-    at(now + HEARTBEAT_NANOS, () -> heartbeat(index, count + 1));
+    at(now + HeartbeatSchedule.INTERVAL_NANOS, () -> heartbeat(index, count + 1));
   }
 
   private record Event(long at, long sequence, Runnable action) {}
--- a/basilport-bench/src/main/java/org/basilport/bench/contention/SimulatedInstance.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/contention/SimulatedInstance.java
@@ -11,9 +11,6 @@
 
 /** Waiting requests of one simulated instance, in a contended queue or in the one by arrival. */
 final class SimulatedInstance {
-  private static final int QUEUE_LIMIT = 200;
-  private static final int MAX_FAILED_PLACEMENTS = 4;
-
   final int index;
   final int cell;
   final FleetUsage usage;
@@ -21,7 +18,7 @@
   boolean dispatchScheduled;
   private final ContendedDispatch<SimulatedRequest> contended;
   private final PendingRequestQueue<SimulatedRequest> byArrival =
-      new PendingRequestQueue<>(QUEUE_LIMIT);
+      new PendingRequestQueue<>(PendingRequestQueue.LENGTH_LIMIT);
   private final Map<SimulatedRequest, PendingRequestQueue.Entry<SimulatedRequest>> entries =
       new HashMap<>();
   private final boolean fair;
@@ -36,7 +33,12 @@
     this.random = random;
     this.usage = new FleetUsage(now);
     this.contended =
-        new ContendedDispatch<>(QUEUE_LIMIT, MAX_FAILED_PLACEMENTS, usage, random, now);
+        new ContendedDispatch<>(
+            PendingRequestQueue.LENGTH_LIMIT,
+            PendingRequestQueue.REJECTION_LIMIT,
+            usage,
+            random,
+            now);
   }
 
   ReturnOrder.Arrival submit(
@@ -56,7 +58,7 @@
     if (fair) {
       contended.dispatch(servers, now);
     } else {
-      byArrival.dispatch(servers::place, same -> 0, MAX_FAILED_PLACEMENTS);
+      byArrival.dispatch(servers::place, same -> 0, PendingRequestQueue.REJECTION_LIMIT);
     }
   }
 
@@ -72,7 +74,7 @@
 
   /** Delay after which a refused caller is told to return. */
   long retryAfter(SimulatedRequest request, long now) {
-    long base = Math.round(SimulatedRequest.TARGET_NANOS * (0.5 + random.nextDouble()));
+    long base = Math.round(ReturnOrder.delayWithoutPromise(SimulatedRequest.TARGET_NANOS, random));
     return fair ? contended.refuse(request, base, now) : base;
   }
 
--- a/basilport-bench/src/main/java/org/basilport/bench/contention/SimulatedRequest.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/contention/SimulatedRequest.java
@@ -2,13 +2,14 @@
 
 import java.util.concurrent.TimeUnit;
 import org.basilport.policy.dispatch.ContendingRequest;
+import org.basilport.policy.dispatch.PendingRequestQueue;
 
 /** One attempt of a simulated caller. */
 final class SimulatedRequest {
   static final long TARGET_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
-  /** Time for which a request waits in an instance, as a fraction of the target latency. */
-  static final long MAX_WAIT_NANOS = TARGET_NANOS * 8 / 10;
+  /** Time for which a request waits in an instance. */
+  static final long MAX_WAIT_NANOS = Math.round(PendingRequestQueue.MAX_WAIT_RATIO * TARGET_NANOS);
 
   private final int workspace;
   private final int subject;
--- a/basilport-bench/src/main/java/org/basilport/bench/evenness/EvennessSimulation.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/evenness/EvennessSimulation.java
@@ -12,6 +12,7 @@
 import org.basilport.policy.dispatch.MeanDuration;
 import org.basilport.policy.dispatch.OutstandingWork;
 import org.basilport.policy.dispatch.PeerReportAges;
+import org.basilport.policy.dispatch.PendingRequestQueue;
 import org.basilport.policy.dispatch.ServerLoad;
 import org.basilport.policy.dispatch.ServerSelector;
 import org.basilport.policy.dispatch.UsualResponseTime;
@@ -20,7 +21,6 @@
 final class EvennessSimulation implements Variant.Fleet {
   private static final long SAMPLE_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
   private static final long WARM_UP_NANOS = TimeUnit.SECONDS.toNanos(10);
-  private static final int MAX_FAILED_PLACEMENTS = 4;
   private static final long MICRO_NANOS = 1_000;
 
   private final ServerKind kind;
@@ -214,7 +214,7 @@
         if (chosen.isPresent()) {
           queue.remove(request);
           send(request, chosen.get());
-        } else if (++failed == MAX_FAILED_PLACEMENTS) {
+        } else if (++failed == PendingRequestQueue.REJECTION_LIMIT) {
           return;
         }
       }
--- a/basilport-bench/src/main/java/org/basilport/bench/evenness/ServerKind.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/evenness/ServerKind.java
@@ -1,7 +1,6 @@
 package org.basilport.bench.evenness;
 
 import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
 import org.basilport.policy.dispatch.EarliestFirstTokenSelector;
 import org.basilport.policy.dispatch.LeastOccupiedSelector;
 import org.basilport.policy.dispatch.OutstandingWork;
@@ -14,8 +13,6 @@
   /** 4 application servers. */
   APPLICATION(4, 8, 0, 0.7);
 
-  private static final long FIRST_TOKEN_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(1);
-  private static final double PREFILL_NANOS_PER_TOKEN = 145_000;
   private static final double DECODE_NANOS_PER_TOKEN = 20_000_000;
   private static final int MIN_PROMPT_TOKENS = 200;
   private static final int MAX_PROMPT_TOKENS = 1_400;
@@ -44,7 +41,9 @@
         this == APPLICATION
             ? MEAN_CALL_NANOS
             : MEAN_OUTPUT_TOKENS * DECODE_NANOS_PER_TOKEN
-                + (MIN_PROMPT_TOKENS + MAX_PROMPT_TOKENS) / 2.0 * PREFILL_NANOS_PER_TOKEN;
+                + (MIN_PROMPT_TOKENS + MAX_PROMPT_TOKENS)
+                    / 2.0
+                    * EarliestFirstTokenSelector.DEFAULT_PREFILL_NANOS_PER_TOKEN;
     return utilization * MEAN_SPEED * serverCount * slots * 1e9 / meanNanos;
   }
 
@@ -60,13 +59,14 @@
     return new SimulatedRequest(
         instance,
         RequestDemand.generation(prompt, output),
-        prompt * PREFILL_NANOS_PER_TOKEN,
+        prompt * EarliestFirstTokenSelector.DEFAULT_PREFILL_NANOS_PER_TOKEN,
         output * DECODE_NANOS_PER_TOKEN);
   }
 
   /** Selector of engines without a random source of its own draws, for its bounds and costs. */
   EarliestFirstTokenSelector engineSelector(SplittableRandom random) {
-    return new EarliestFirstTokenSelector("a", FIRST_TOKEN_LIMIT_NANOS, random);
+    return new EarliestFirstTokenSelector(
+        "a", EarliestFirstTokenSelector.FIRST_TOKEN_LIMIT_NANOS, random);
   }
 
   LeastOccupiedSelector applicationSelector(SplittableRandom random) {
@@ -77,6 +77,7 @@
   boolean hasRoom(OutstandingWork work) {
     return work.requests() < slots
         && (this == APPLICATION
-            || work.memoryTokens() + MAX_PROMPT_TOKENS + MEAN_OUTPUT_TOKENS <= 0.9 * memoryTokens);
+            || work.memoryTokens() + MAX_PROMPT_TOKENS + MEAN_OUTPUT_TOKENS
+                <= EarliestFirstTokenSelector.USABLE_MEMORY_SHARE * memoryTokens);
   }
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/Gateway.java
@@ -35,6 +35,7 @@
 import org.basilport.gateway.peer.LoadExchange;
 import org.basilport.misc.LoggedTask;
 import org.basilport.misc.Service;
+import org.basilport.policy.dispatch.PendingRequestQueue;
 import org.basilport.policy.dispatch.StoreCompleteness;
 import org.basilport.policy.dispatch.StorePosition;
 import org.basilport.policy.dispatch.StoreRead;
@@ -45,7 +46,8 @@
  */
 public final class Gateway implements Service {
   /** Interval of periodic tasks: readiness, idle connections and queued requests. */
-  private static final long HOUSEKEEPING_INTERVAL_MILLIS = 200;
+  private static final long HOUSEKEEPING_INTERVAL_MILLIS =
+      PendingRequestQueue.PLACEMENT_INTERVAL_MILLIS;
 
   /** Interval at which a draining instance checks whether it may stop. */
   private static final long DRAIN_CHECK_INTERVAL_MILLIS = 50;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -37,9 +37,6 @@
    */
   private static final int MAX_REFUSED_ATTEMPTS = 2;
 
-  /** Queue timeout as a fraction of the target latency; the request is rejected afterwards. */
-  private static final double QUEUE_TIMEOUT_RATIO = 0.8;
-
   final ForwardingContext context;
   final CallerRequest request;
   final ForwardingRoute route;
@@ -86,7 +83,7 @@
     }
     dispatcher.retryBudget().recordRequest(timers.arrivalNanos());
     timers.startQueueTimeout(
-        Math.round(QUEUE_TIMEOUT_RATIO * route.targetLatency().toNanos()),
+        Math.round(PendingRequestQueue.MAX_WAIT_RATIO * route.targetLatency().toNanos()),
         () -> onHopeless("no room at any backend server"));
     place();
   }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ForwardingState.java
@@ -35,13 +35,6 @@
  * #freshnessProof()}.
  */
 public final class ForwardingState {
-  /**
-   * Expected time to first token above which an engine receives no further prompt. It is below the
-   * shortest target latency of the model routes (1.5 s), so that a queued prompt still meets its
-   * target.
-   */
-  private static final long FIRST_TOKEN_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
-
   /** Time without a periodic task above which the process was paused; the interval is 200 ms. */
   private static final long PAUSE_THRESHOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
@@ -366,7 +359,8 @@
   ServerSelector selector(String service, boolean isEngine) {
     if (isEngine) {
       EarliestFirstTokenSelector engines =
-          new EarliestFirstTokenSelector(dataCentre, FIRST_TOKEN_LIMIT_NANOS, random);
+          new EarliestFirstTokenSelector(
+              dataCentre, EarliestFirstTokenSelector.FIRST_TOKEN_LIMIT_NANOS, random);
       return loadSharing.map(sharing -> sharing.engines(service, engines)).orElse(engines);
     }
     LeastOccupiedSelector applicationServers = new LeastOccupiedSelector(dataCentre, random);
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
@@ -16,6 +16,7 @@
 import org.basilport.gateway.backend.ServerTable;
 import org.basilport.policy.dispatch.PendingRequestQueue;
 import org.basilport.policy.dispatch.RequestDemand;
+import org.basilport.policy.dispatch.ReturnOrder;
 import org.basilport.policy.dispatch.ServerAdmission.State;
 import org.basilport.policy.dispatch.ServerLoad;
 import org.basilport.policy.dispatch.ServerSelector;
@@ -27,12 +28,6 @@
  * capacity.
  */
 final class ServiceDispatcher {
-  /** Length limit of the queue; several seconds of arrivals at the request rate of one instance. */
-  private static final int QUEUE_LIMIT = 200;
-
-  /** Number of failed placements after which the rest of the queue is not tried. */
-  private static final int MAX_FAILED_PLACEMENTS = 4;
-
   private static final String NONE_ACCEPTS = "all backend servers limit their requests or pause";
 
   /** Reason of a rejection because only servers in evacuated data centres are left. */
@@ -56,7 +51,7 @@
   private boolean permitScheduled;
   private boolean coldPermitScheduled;
   private final PendingRequestQueue<PlacementRequest> queue =
-      new PendingRequestQueue<>(QUEUE_LIMIT);
+      new PendingRequestQueue<>(PendingRequestQueue.LENGTH_LIMIT);
   private Optional<ContendedRequests> contended = Optional.empty();
 
   ServiceDispatcher(
@@ -81,8 +76,8 @@
     contended =
         Optional.of(
             new ContendedRequests(
-                QUEUE_LIMIT,
-                MAX_FAILED_PLACEMENTS,
+                PendingRequestQueue.LENGTH_LIMIT,
+                PendingRequestQueue.REJECTION_LIMIT,
                 contention,
                 servers,
                 this::reserve,
@@ -225,7 +220,7 @@
   double retryAfterSeconds(Duration targetLatency, SplittableRandom random) {
     double untilAccepted = (double) nanosToAccept(server -> true) / TimeUnit.SECONDS.toNanos(1);
     double base = targetLatency.toMillis() / 1_000.0;
-    return untilAccepted + base * (0.5 + random.nextDouble());
+    return untilAccepted + ReturnOrder.delayWithoutPromise(base, random);
   }
 
   /**
@@ -341,7 +336,7 @@
           return server.isPresent();
         },
         request -> List.of(request.requiredVersion(), request.regions().allowed()),
-        MAX_FAILED_PLACEMENTS);
+        PendingRequestQueue.REJECTION_LIMIT);
     // Sending a request may modify the queue and therefore follows the iteration.
     placed.forEach(Runnable::run);
     if (queue.size() > 0) {
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/FreshnessExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/FreshnessExchange.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.basilport.gateway.forward.ForwardingState;
+import org.basilport.policy.dispatch.DirectReadBackoff;
+import org.basilport.policy.dispatch.HeartbeatSchedule;
 import org.basilport.protocol.PeerDatagram;
 import org.basilport.protocol.ProofReply;
 import org.basilport.protocol.ProofRequest;
@@ -19,16 +21,8 @@
  * the event loop thread.
  */
 final class FreshnessExchange {
-  /**
-   * Interval of requests, equal to that of load reports; several fit into the validity of a proof.
-   */
-  private static final long REQUEST_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
-
-  /**
-   * Age of the own proof above which the store is read directly. The proof of a watcher is between
-   * one and two long polls old (1.2 to 2.4 s), and an instance is not ready above 3 s.
-   */
-  private static final long DIRECT_READ_AGE_MILLIS = 2_700;
+  /** Interval of requests; several fit into the validity of a proof. */
+  private static final long REQUEST_INTERVAL_NANOS = HeartbeatSchedule.INTERVAL_NANOS;
 
   /**
    * Minimum interval of direct reads, so that a fleet without watchers does not overload the store.
@@ -72,7 +66,7 @@
       lastRequestNanos = now;
       sendRequest(watchers);
     }
-    if (state.proofAgeMillis() > DIRECT_READ_AGE_MILLIS) {
+    if (state.proofAgeMillis() > DirectReadBackoff.MAX_PROOF_AGE_MILLIS) {
       readStore();
     }
     if (configurationSubscription != null) {
@@ -107,7 +101,7 @@
   void onRequest(ProofRequest request, InetSocketAddress sender) {
     long age = state.proofAgeMillis();
     long version = state.configurationVersion();
-    boolean proven = age <= DIRECT_READ_AGE_MILLIS && version != 0;
+    boolean proven = age <= DirectReadBackoff.MAX_PROOF_AGE_MILLIS && version != 0;
     ProofReply.Builder reply =
         ProofReply.newBuilder()
             .setNonce(request.getNonce())
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -23,6 +23,7 @@
 import org.basilport.policy.dispatch.CellPartition;
 import org.basilport.policy.dispatch.FleetDiscovery;
 import org.basilport.policy.dispatch.FreedCapacityDelay;
+import org.basilport.policy.dispatch.HeartbeatSchedule;
 import org.basilport.policy.dispatch.InstanceAddress;
 import org.basilport.policy.dispatch.PeerLiveness;
 import org.basilport.policy.dispatch.WatcherSelector;
@@ -39,24 +40,9 @@
  * {@link CellPartition} defines the cells.
  */
 public final class LoadExchange implements Service {
-  /** Interval of reports while nothing changes. */
-  private static final long HEARTBEAT_INTERVAL_MILLIS = 400;
-
   /** Time for which changes are batched; the one-way latency between data centres is 1 to 2 ms. */
   private static final long BATCH_DELAY_MILLIS = 15;
 
-  /**
-   * Heartbeats per report to neighbouring cells, which also receive each change of the work on the
-   * engines that they share.
-   */
-  private static final int NEIGHBOUR_HEARTBEAT_INTERVALS = 3;
-
-  /**
-   * Time without a report after which an instance is considered silent; three heartbeats were
-   * missed.
-   */
-  private static final long PEER_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_300);
-
   private final EventLoop eventLoop;
   private final String instanceId;
   private final String frontendAddress;
@@ -141,9 +127,9 @@
             () ->
                 eventLoop.scheduleWithFixedDelay(
                     new LoggedTask(this::heartbeat),
-                    HEARTBEAT_INTERVAL_MILLIS,
-                    HEARTBEAT_INTERVAL_MILLIS,
-                    TimeUnit.MILLISECONDS));
+                    HeartbeatSchedule.INTERVAL_NANOS,
+                    HeartbeatSchedule.INTERVAL_NANOS,
+                    TimeUnit.NANOSECONDS));
   }
 
   @Override
@@ -264,7 +250,7 @@
       claims.record(watching, configurationSubscription);
     }
     int own = members.ownCell();
-    boolean toNeighbours = heartbeatCount++ % NEIGHBOUR_HEARTBEAT_INTERVALS == 0;
+    boolean toNeighbours = heartbeatCount++ % HeartbeatSchedule.NEIGHBOUR_INTERVALS == 0;
     List<InetSocketAddress> receivers =
         members.addresses(toNeighbours ? affectedCells(own) : Set.of(own));
     send(
@@ -293,8 +279,8 @@
   private PeerLiveness liveness(ReceivedReport peer, long now) {
     long limit =
         isInOwnCell(peer.report())
-            ? PEER_TIMEOUT_NANOS
-            : NEIGHBOUR_HEARTBEAT_INTERVALS * PEER_TIMEOUT_NANOS;
+            ? PeerLiveness.REPORT_TIMEOUT_NANOS
+            : HeartbeatSchedule.NEIGHBOUR_INTERVALS * PeerLiveness.REPORT_TIMEOUT_NANOS;
     return PeerLiveness.of(now - peer.receivedNanos(), limit);
   }
 
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/UsageReports.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/UsageReports.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import org.basilport.policy.dispatch.FleetUsage;
+import org.basilport.policy.dispatch.HeartbeatSchedule;
 import org.basilport.protocol.LoadReport;
 import org.basilport.protocol.WorkspaceUsage;
 
@@ -24,13 +25,6 @@
   /** Upper bound of what surrounds a report in its datagram, without the id of the instance. */
   private static final int ENVELOPE_BYTES = 16;
 
-  /**
-   * Number of instances that receive a report in addition at each heartbeat, one after the other. A
-   * fleet of 84 instances is informed within 12 s, which is less than the half-life of the usage.
-   * Without it, a workspace that uses one cell receives half of its share.
-   */
-  private static final int DISTANT_RECEIVERS = 3;
-
   private final FleetUsage usage;
   private final BooleanSupplier delayed;
   private int nextReceiver;
@@ -80,7 +74,7 @@
   List<InetSocketAddress> withDistant(
       List<InetSocketAddress> receivers, List<InetSocketAddress> all) {
     List<InetSocketAddress> extended = new ArrayList<>(receivers);
-    for (int i = 0; i < Math.min(DISTANT_RECEIVERS, all.size()); i++) {
+    for (int i = 0; i < Math.min(HeartbeatSchedule.DISTANT_RECEIVERS, all.size()); i++) {
       InetSocketAddress receiver = all.get(Math.floorMod(nextReceiver++, all.size()));
       if (!extended.contains(receiver)) {
         extended.add(receiver);
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/DataCentreEvacuations.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/DataCentreEvacuations.java
@@ -3,7 +3,6 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.concurrent.TimeUnit;
 
 /**
  * The data centres to which one instance sends nothing, as the store last told it.
@@ -16,9 +15,6 @@
  * kept until a read that began after the writers had time to write them again.
  */
 public final class DataCentreEvacuations {
-  /** Time after its return in which the writers of a store write again, as the platform states. */
-  private static final long REWRITE_NANOS = TimeUnit.SECONDS.toNanos(2);
-
   private final FreshnessProof proof = new FreshnessProof();
   private Set<String> stored = Set.of();
   private Set<String> retained = Set.of();
@@ -66,7 +62,7 @@
       position = readPosition;
       known = true;
     }
-    if (read.startNanos() - returnSeenNanos >= REWRITE_NANOS) {
+    if (read.startNanos() - returnSeenNanos >= StoreCompleteness.REWRITE_NANOS) {
       retained = Set.of();
     }
     return change(before, evacuated());
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/DirectReadBackoff.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/DirectReadBackoff.java
@@ -10,8 +10,8 @@
  */
 public final class DirectReadBackoff {
   /**
-   * Age of a proof above which the store is read. The proof of a watcher is between one and two
-   * long polls old (1.2 to 2.4 s).
+   * Age of a proof above which the store is read, in milliseconds. The proof of a watcher is
+   * between one and two long polls old (1.2 to 2.4 s), and an instance is not ready above 3 s.
    */
   public static final long MAX_PROOF_AGE_MILLIS = 2_700;
 
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/EarliestFirstTokenSelector.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/EarliestFirstTokenSelector.java
@@ -14,11 +14,21 @@
  * generation and have to prefill its prompt again.
  */
 public final class EarliestFirstTokenSelector implements ServerSelector, PlacementCost {
-  /** Prefill time per token before the first observation: 112 tokens in a step of 16 ms. */
-  static final double DEFAULT_PREFILL_NANOS_PER_TOKEN = 145_000;
+  /**
+   * Expected time to first token above which an engine receives no further prompt, in nanoseconds.
+   * It is below the shortest target latency of the model routes (1.5 s), so that a queued prompt
+   * still meets its target.
+   */
+  public static final long FIRST_TOKEN_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+  /**
+   * Prefill time per token before the first observation, in nanoseconds: 112 tokens in a step of 16
+   * ms.
+   */
+  public static final double DEFAULT_PREFILL_NANOS_PER_TOKEN = 145_000;
 
   /** Share of an engine's memory that may be reserved; the rest absorbs estimation errors. */
-  private static final double USABLE_MEMORY_SHARE = 0.9;
+  public static final double USABLE_MEMORY_SHARE = 0.9;
 
   /** Cost of another data centre, about one round trip between data centres. */
   private static final double REMOTE_DATA_CENTRE_PENALTY_NANOS = TimeUnit.MILLISECONDS.toNanos(15);
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/PeerLiveness.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/PeerLiveness.java
@@ -20,10 +20,16 @@
   GONE;
 
   /**
-   * Time without a report for which the work of an instance counts. An engine notices within some
-   * seconds that the reader of a stream is gone.
+   * Time without a report after which an instance of the own cell is silent, in nanoseconds; three
+   * heartbeats were missed.
    */
-  private static final long WORK_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(5);
+  public static final long REPORT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_300);
+
+  /**
+   * Time without a report for which the work of an instance counts, in nanoseconds. An engine
+   * notices within some seconds that the reader of a stream is gone.
+   */
+  public static final long WORK_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(5);
 
   /**
    * Judges an instance.
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/PeerReportAges.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/PeerReportAges.java
@@ -9,12 +9,6 @@
  * reported. Load: 73 to 300 instances that report each 0.4 s, some of them partitioned.
  */
 public final class PeerReportAges {
-  /** Age from which a report says nothing; its instance has probably ended. */
-  private static final long MAX_AGE_NANOS = TimeUnit.SECONDS.toNanos(5);
-
-  /** Age up to which heartbeats of the own and of neighbouring cells arrive without a loss. */
-  private static final long REPORTING_NANOS = TimeUnit.MILLISECONDS.toNanos(1_300);
-
   /** Delay of a change that is reported at once: a batch of 15 ms and the way between instances. */
   private static final long CHANGE_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
@@ -55,11 +49,13 @@
     computedNanos = nowNanos;
     long heartbeatSum = 0;
     long changeSum = 0;
-    receivedNanos.values().removeIf(received -> nowNanos - received > MAX_AGE_NANOS);
+    receivedNanos
+        .values()
+        .removeIf(received -> nowNanos - received > PeerLiveness.WORK_RETENTION_NANOS);
     for (long received : receivedNanos.values()) {
       long age = nowNanos - received;
       heartbeatSum += age;
-      changeSum += age <= REPORTING_NANOS ? CHANGE_DELAY_NANOS : age;
+      changeSum += age <= PeerLiveness.REPORT_TIMEOUT_NANOS ? CHANGE_DELAY_NANOS : age;
     }
     int count = Math.max(1, receivedNanos.size());
     heartbeatMean = heartbeatSum / count;
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/PendingRequestQueue.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/PendingRequestQueue.java
@@ -18,6 +18,20 @@
  * its time limit is rejected without having been sent.
  */
 public final class PendingRequestQueue<T> {
+  /**
+   * Largest number of waiting requests of a service at one instance; several seconds of arrivals.
+   */
+  public static final int LENGTH_LIMIT = 200;
+
+  /** Number of requests of a group without capacity after which the rest of it is not tried. */
+  public static final int REJECTION_LIMIT = 4;
+
+  /** Longest wait of a request, as a fraction of its target latency; it is rejected afterwards. */
+  public static final double MAX_WAIT_RATIO = 0.8;
+
+  /** Interval at which waiting requests are tried without news of the servers, in milliseconds. */
+  public static final long PLACEMENT_INTERVAL_MILLIS = 200;
+
   private static final Comparator<Entry<?>> ORDER =
       Comparator.<Entry<?>>comparingInt(Entry::priority).thenComparingLong(Entry::sequence);
 
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/ReturnOrder.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/ReturnOrder.java
@@ -20,6 +20,9 @@
  * <p>Confined to the thread that makes the decisions.
  */
 public final class ReturnOrder {
+  /** Shortest delay of a refused caller, as a fraction of the target latency of its route. */
+  private static final double MIN_DELAY_RATIO = 0.5;
+
   /** Time with waiting requests over which the rate of free capacity is observed. */
   private static final long RATE_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(5);
 
@@ -65,6 +68,14 @@
     this.random = random;
   }
 
+  /**
+   * Random delay of a refused caller without a promise, in the unit of the target latency: 0.5 to
+   * 1.5 times the target latency, so that callers do not return at once nor all together.
+   */
+  public static double delayWithoutPromise(double targetLatency, SplittableRandom random) {
+    return targetLatency * (MIN_DELAY_RATIO + random.nextDouble());
+  }
+
   /** Records whether requests wait now; the rate is observed while they do. */
   public void setWaiting(boolean requestsWait, long nowNanos) {
     if (requestsWait == waiting) {
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/StoreCompleteness.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/StoreCompleteness.java
@@ -13,10 +13,10 @@
  */
 public final class StoreCompleteness {
   /**
-   * Time after its return in which the writers of a store write again; the platform states about
-   * two seconds for the entries of servers.
+   * Time after its return in which the writers of a store write again, in nanoseconds; the platform
+   * states about two seconds.
    */
-  private static final long REWRITE_NANOS = TimeUnit.SECONDS.toNanos(2);
+  public static final long REWRITE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
   private boolean firstStart;
   private long latest;
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/DataCentreEvacuationsTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/DataCentreEvacuationsTest.java
@@ -58,6 +58,24 @@
     }
   }
 
+  @Nested
+  class Returns {
+    /** Guards against evacuations that end while the same store still proves nothing. */
+    @Test
+    void endWhenTheStoreIsComplete() {
+      StoreCompleteness store = new StoreCompleteness(true);
+      apply(0, at(1, 5), "a");
+      store.proves(new StoreRead(1, nanos(0), 0), nanos(10));
+      for (long millis = 10_000; millis < 14_000; millis += 50) {
+        apply(millis, at(2, 5));
+        StoreRead read = new StoreRead(2, nanos(millis), millis);
+        boolean complete = store.proves(read, nanos(millis + 10));
+        assertThat(evacuations.evacuated("a")).isEqualTo(!complete);
+      }
+      assertThat(evacuations.evacuated("a")).isFalse();
+    }
+  }
+
   @Nested
   class LateNews {
     /** Guards against a late reply that ends an evacuation or takes up one that has ended. */
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/DirectoryFleet.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/DirectoryFleet.java
@@ -15,8 +15,6 @@
  */
 final class DirectoryFleet {
   private static final List<String> IDS = List.of("a", "b", "c");
-  private static final long HEARTBEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
-  private static final long REPORT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_300);
   private static final long LONG_NANOS = TimeUnit.SECONDS.toNanos(8);
 
   /** What may happen besides deaths. */
@@ -73,7 +71,7 @@
     this.asks = asks;
     this.faults = EnumSet.copyOf(faults);
     IDS.forEach(id -> start(id, id + "-0"));
-    runUndisturbed(HEARTBEAT_NANOS);
+    runUndisturbed(HeartbeatSchedule.INTERVAL_NANOS);
   }
 
   private void start(String id, String address) {
@@ -147,7 +145,7 @@
   }
 
   private void heartbeat() {
-    now += HEARTBEAT_NANOS;
+    now += HeartbeatSchedule.INTERVAL_NANOS;
     for (Life life : List.copyOf(running.values())) {
       send(new Report(life, ++sequence));
     }
@@ -172,7 +170,7 @@
   }
 
   private PeerLiveness liveness(Peer peer) {
-    return PeerLiveness.of(now - peer.receivedNanos, REPORT_TIMEOUT_NANOS);
+    return PeerLiveness.of(now - peer.receivedNanos, PeerLiveness.REPORT_TIMEOUT_NANOS);
   }
 
   private void send(Object message) {
