Record refusals only of requests that competed for capacity

Cause: ContendedDispatch.refuse recorded a refusal for each rejected request, also for one that was never submitted because its data centres are evacuated or no server may accept it. Requests of other workspaces were then held for two seconds although there was capacity.

--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/ContendedDispatch.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/ContendedDispatch.java
@@ -132,14 +132,15 @@
 
   /**
    * Returns the delay after which the caller of a refused request returns, in nanoseconds, and
-   * promises capacity to it.
+   * promises capacity to it. A request that was not submitted did not compete: its refusal does not
+   * show that there is too little capacity, and nothing is promised.
    */
   public long refuse(T request, long minDelayNanos, long nowNanos) {
-    policy.recordRefusal(nowNanos);
     Known state = known.get(request);
     if (state == null) {
       return minDelayNanos;
     }
+    policy.recordRefusal(nowNanos);
     return returns.refuse(state.demand, state.arrival, queue.size(), minDelayNanos, nowNanos);
   }
 
