Charge the tokens of each event to the workspace

Cause: the usage of a generation was corrected at its end by one token per event. An engine puts several tokens into one event, so a workspace was charged a part of its output only. Change: a streamed exchange counts output tokens by the capacity of the engine that sent the event. The memory of a running generation uses the same count.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/Exchange.java
@@ -465,6 +465,11 @@
     return false;
   }
 
+  /** Number of output tokens received from servers for the caller. */
+  long outputTokens() {
+    return 0;
+  }
+
   /** Number of events received from servers for the caller. */
   int eventCount() {
     return 0;
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ExchangeContention.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ExchangeContention.java
@@ -27,16 +27,13 @@
             size.map(GenerationSize::estimatedOutputTokens).orElse(0)));
   }
 
-  /**
-   * Tokens that an exchange used, since the estimate of its caller may be wrong; each event of a
-   * generation is a token.
-   */
+  /** Tokens that an exchange used, since the estimate of its caller may be wrong. */
   static OptionalLong usedTokens(Exchange exchange) {
     if (!exchange.mayHaveBeenExecuted()) {
       return OptionalLong.of(0);
     }
     return exchange.request.generationSize().stream()
-        .mapToLong(size -> ContendingRequest.tokens(size.promptTokens(), exchange.eventCount()))
+        .mapToLong(size -> ContendingRequest.tokens(size.promptTokens(), exchange.outputTokens()))
         .findFirst();
   }
 
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -63,6 +63,7 @@
   private long prefillTokensWhenSent;
   private long firstEventMillis = -1;
   private long lastEventNanos;
+  private long outputTokens;
   private BackendServer observedServer;
   private ScheduledFuture<?> eventGapTimer;
   private final Duration maxEventGap;
@@ -155,7 +156,7 @@
     int previousEvents = reader.eventCount();
     ByteBuf completeEvents = reader.read(content);
     if (reader.eventCount() > previousEvents) {
-      onProgress();
+      onProgress(reader.eventCount() - previousEvents);
     }
     if (completeEvents.isReadable()) {
       startResponse();
@@ -206,8 +207,10 @@
     return version;
   }
 
-  private void onProgress() {
+  private void onProgress(int newEvents) {
     lastEventNanos = System.nanoTime();
+    outputTokens +=
+        (long) newEvents * server.engine().map(EngineCapacity::tokensPerEvent).orElse(1);
     if (!begun) {
       begun = true;
       version = Optional.of(server.entry().version());
@@ -427,9 +430,7 @@
 
   /** KV cache that the generation uses at its engine, in tokens. */
   long usedTokens() {
-    int perEvent = server.engine().map(EngineCapacity::tokensPerEvent).orElse(1);
-    return request.generationSize().map(GenerationSize::promptTokens).orElse(0)
-        + (long) perEvent * reader.eventCount();
+    return request.generationSize().map(GenerationSize::promptTokens).orElse(0) + outputTokens;
   }
 
   private void checkEventGap() {
@@ -483,6 +484,11 @@
     }
   }
 
+  @Override
+  long outputTokens() {
+    return outputTokens;
+  }
+
   @Override
   int eventCount() {
     return reader.eventCount();
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/ContendingRequest.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/ContendingRequest.java
@@ -18,7 +18,7 @@
   private static final long MIN_TOKENS = 100;
 
   /** Usage of a request in tokens. */
-  public static long tokens(int promptTokens, int outputTokens) {
-    return Math.max(MIN_TOKENS, promptTokens + (long) OUTPUT_TOKEN_WEIGHT * outputTokens);
+  public static long tokens(int promptTokens, long outputTokens) {
+    return Math.max(MIN_TOKENS, promptTokens + OUTPUT_TOKEN_WEIGHT * outputTokens);
   }
 }
