Use one weight of an output token

Cause: the weight of an output token (10 prompt tokens) was written three times: in ContendingRequest, in GenerationDeparture and in the simulation of contention, which also repeated its own duration of a token. Change: ContendingRequest.OUTPUT_TOKEN_WEIGHT and ContendingRequest.tokens are used. No value changes.

--- a/basilport-bench/src/main/java/org/basilport/bench/contention/ContentionSimulation.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/contention/ContentionSimulation.java
@@ -5,6 +5,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.basilport.policy.dispatch.ContendedDispatch;
+import org.basilport.policy.dispatch.ContendingRequest;
 import org.basilport.policy.dispatch.FreedCapacityDelay;
 import org.basilport.policy.dispatch.HeartbeatSchedule;
 import org.basilport.policy.dispatch.PendingRequestQueue;
@@ -23,7 +24,7 @@
   private static final int MEAN_PROMPT_TOKENS = 400;
   private static final int MEAN_OUTPUT_TOKENS = 160;
   private static final long MEAN_RUN_NANOS =
-      TimeUnit.MILLISECONDS.toNanos(2) * (MEAN_PROMPT_TOKENS + 10 * MEAN_OUTPUT_TOKENS);
+      SimulatedRequest.runNanos(ContendingRequest.tokens(MEAN_PROMPT_TOKENS, MEAN_OUTPUT_TOKENS));
 
   private static final long PLACEMENT_INTERVAL_NANOS =
       TimeUnit.MILLISECONDS.toNanos(PendingRequestQueue.PLACEMENT_INTERVAL_MILLIS);
--- a/basilport-bench/src/main/java/org/basilport/bench/contention/SimulatedRequest.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/contention/SimulatedRequest.java
@@ -11,6 +11,8 @@
   /** Time for which a request waits in an instance. */
   static final long MAX_WAIT_NANOS = Math.round(PendingRequestQueue.MAX_WAIT_RATIO * TARGET_NANOS);
 
+  private static final long NANOS_PER_TOKEN = TimeUnit.MILLISECONDS.toNanos(2);
+
   private final int workspace;
   private final int subject;
   private final int promptTokens;
@@ -46,8 +48,13 @@
     return ContendingRequest.tokens(promptTokens, outputTokens);
   }
 
-  /** Time for which the request occupies a slot; proportional to its tokens. */
+  /** Time for which a request of the given tokens occupies a slot. */
+  static long runNanos(long tokens) {
+    return tokens * NANOS_PER_TOKEN;
+  }
+
+  /** Time for which the request occupies a slot. */
   long runNanos() {
-    return tokens() * TimeUnit.MILLISECONDS.toNanos(2);
+    return runNanos(tokens());
   }
 }
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationDeparture.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/GenerationDeparture.java
@@ -1,12 +1,10 @@
 package org.basilport.gateway.forward;
 
 import org.basilport.gateway.backend.DepartureListener;
+import org.basilport.policy.dispatch.ContendingRequest;
 
 /** Starts the move of a generation when its engine begins to leave. */
 final class GenerationDeparture implements DepartureListener {
-  /** Producing one output token takes about as long as the prefill of ten prompt tokens. */
-  private static final int OUTPUT_WEIGHT = 10;
-
   private final StreamedExchange exchange;
 
   GenerationDeparture(StreamedExchange exchange) {
@@ -23,7 +21,10 @@
     return exchange
         .request
         .generationSize()
-        .map(size -> (double) size.promptTokens() + OUTPUT_WEIGHT * size.maxOutputTokens())
+        .map(
+            size ->
+                size.promptTokens()
+                    + (double) ContendingRequest.OUTPUT_TOKEN_WEIGHT * size.maxOutputTokens())
         .orElse(0.0);
   }
 
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/ContendingRequest.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/ContendingRequest.java
@@ -10,9 +10,10 @@
  */
 public record ContendingRequest(int priority, long workspace, long subject, long tokens) {
   /**
-   * Usage per output token, in tokens; the capacity that an engine spends on a prompt token is 1.
+   * Usage per output token, in prompt tokens: an engine takes about as long to produce an output
+   * token as to prefill ten prompt tokens.
    */
-  private static final int OUTPUT_TOKEN_WEIGHT = 10;
+  public static final int OUTPUT_TOKEN_WEIGHT = 10;
 
   /** Usage of a request without tokens, so that services without engines are shared by requests. */
   private static final long MIN_TOKENS = 100;
