--- a/basilport-bench/src/main/java/org/basilport/bench/contention/SimulatedRequest.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/contention/SimulatedRequest.java
@@ -2,13 +2,16 @@
 
 import java.util.concurrent.TimeUnit;
 import org.basilport.policy.dispatch.ContendingRequest;
+import org.basilport.policy.dispatch.PendingRequestQueue;
 
 /** One attempt of a simulated caller. */
 final class SimulatedRequest {
   static final long TARGET_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
-  /** Time for which a request waits in an instance, as a fraction of the target latency. */
-  static final long MAX_WAIT_NANOS = TARGET_NANOS * 8 / 10;
+  /** Time for which a request waits in an instance. */
+  static final long MAX_WAIT_NANOS = Math.round(PendingRequestQueue.MAX_WAIT_RATIO * TARGET_NANOS);
+
+  private static final long NANOS_PER_TOKEN = TimeUnit.MILLISECONDS.toNanos(2);
 
   private final int workspace;
   private final int subject;
@@ -45,8 +48,13 @@
     return ContendingRequest.tokens(promptTokens, outputTokens);
   }
 
-  /** Time for which the request occupies a slot; proportional to its tokens. */
+  /** Time for which a request of the given tokens occupies a slot. */
+  static long runNanos(long tokens) {
+    return tokens * NANOS_PER_TOKEN;
+  }
+
+  /** Time for which the request occupies a slot. */
   long runNanos() {
-    return tokens() * TimeUnit.MILLISECONDS.toNanos(2);
+    return runNanos(tokens());
   }
 }
