Test reports between instances without the real clock

Cause: LimitReportsTest and CrashReportsTest slept 2 ms between the writing and the reading of a report. A receiver subtracts 20 ms for the transit (ReportedAge), so a pause of the machine of more than 20 ms made a time that came back later than the one that was told.

Change: LimitReports and CrashReports take their clock as a parameter; the tests advance it by 2 ms per report. LoadExchangeTest waits for what was told, up to 10 s, instead of sleeping 0.5 or 1 s; the periods in which nothing may change stay.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/CrashReports.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/CrashReports.java
@@ -1,6 +1,7 @@
 package org.basilport.gateway.peer;
 
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import org.basilport.gateway.backend.CrashMonitor;
 import org.basilport.policy.dispatch.CrashEvidence;
 import org.basilport.policy.dispatch.Quarantine;
@@ -19,21 +20,24 @@
 final class CrashReports {
   private final CrashMonitor crashes;
   private final BooleanSupplier delayed;
+  private final LongSupplier clock;
 
   /**
    * Creates a translation.
    *
    * @param delayed whether reports are read now that arrived before a pause of this process, so
    *     that their ages are too small
+   * @param clock monotonic time in nanoseconds
    */
-  CrashReports(CrashMonitor crashes, BooleanSupplier delayed) {
+  CrashReports(CrashMonitor crashes, BooleanSupplier delayed, LongSupplier clock) {
     this.crashes = crashes;
     this.delayed = delayed;
+    this.clock = clock;
   }
 
   /** Adds what this instance knows to a report. */
   void write(LoadReport.Builder report) {
-    long now = System.nanoTime();
+    long now = clock.getAsLong();
     crashes
         .detector()
         .recentCrashes(now)
@@ -75,7 +79,7 @@
     if (delayed.getAsBoolean()) {
       return false;
     }
-    long now = System.nanoTime();
+    long now = clock.getAsLong();
     for (SoundContent sound : report.getSoundContentsList()) {
       crashes
           .detector()
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LimitReports.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LimitReports.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalDouble;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import org.basilport.gateway.backend.BackendServer;
 import org.basilport.gateway.backend.ServerTable;
 import org.basilport.policy.dispatch.NamedLimit;
@@ -16,21 +17,24 @@
 final class LimitReports {
   private final ServerTable servers;
   private final BooleanSupplier delayed;
+  private final LongSupplier clock;
 
   /**
    * Creates a translation.
    *
    * @param delayed whether reports are read now that arrived before a pause of this process, so
    *     that their ages are too small
+   * @param clock monotonic time in nanoseconds
    */
-  LimitReports(ServerTable servers, BooleanSupplier delayed) {
+  LimitReports(ServerTable servers, BooleanSupplier delayed, LongSupplier clock) {
     this.servers = servers;
     this.delayed = delayed;
+    this.clock = clock;
   }
 
   /** Adds what this instance knows to a report. */
   void write(LoadReport.Builder report) {
-    long now = System.nanoTime();
+    long now = clock.getAsLong();
     servers
         .limits()
         .reportable(now)
@@ -54,7 +58,7 @@
     if (delayed.getAsBoolean()) {
       return;
     }
-    long now = System.nanoTime();
+    long now = clock.getAsLong();
     for (ServerLimit limit : report.getLimitsList()) {
       servers
           .server(limit.getServerId())
--- a/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/peer/LoadExchange.java
@@ -108,9 +108,10 @@
     this.runTimes = new RunTimeExchange(instanceId, channel);
     this.claims = new ClaimRecorder(state, firstStart);
     state.servers().onEngineWorkChange(this::onEngineWorkChange);
-    this.crashReports = new CrashReports(state.servers().crashMonitor(), state::paused);
+    this.crashReports =
+        new CrashReports(state.servers().crashMonitor(), state::paused, System::nanoTime);
     state.servers().onDeparture(this::scheduleFlush);
-    this.limitReports = new LimitReports(state.servers(), state::paused);
+    this.limitReports = new LimitReports(state.servers(), state::paused, System::nanoTime);
     this.usageReports =
         state.contention().map(shared -> new UsageReports(shared.usage(), state::paused));
     state.servers().limits().onChange(() -> schedule(PendingReport::addEvidenceForAll));
--- a/basilport-gateway/src/test/java/org/basilport/gateway/peer/CrashReportsTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/peer/CrashReportsTest.java
@@ -22,11 +22,17 @@
   private static final long QUARANTINED_PART = 8;
   private static final int REPORTS = 50;
 
+  /** Time from the writing of a report to its reading. */
+  private static final long TRANSIT_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
+
   private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(1);
   private final CrashMonitor first = monitor("first");
   private final CrashMonitor second = monitor("second");
   private boolean delayed;
 
+  /** Monotonic time of both instances. */
+  private long nowNanos = System.nanoTime();
+
   private CrashMonitor monitor(String instance) {
     return new ServerTable(instance, eventLoops.next(), new TestCodec(), EventSink.none())
         .crashMonitor();
@@ -37,15 +43,15 @@
     eventLoops.shutdownGracefully();
   }
 
-  private void tell(CrashMonitor sender, CrashMonitor receiver) throws InterruptedException {
+  private void tell(CrashMonitor sender, CrashMonitor receiver) {
     LoadReport.Builder report = LoadReport.newBuilder();
-    new CrashReports(sender, () -> false).write(report);
-    TimeUnit.MILLISECONDS.sleep(2);
-    new CrashReports(receiver, () -> delayed).read(report.build());
+    new CrashReports(sender, () -> false, () -> nowNanos).write(report);
+    nowNanos += TRANSIT_NANOS;
+    new CrashReports(receiver, () -> delayed, () -> nowNanos).read(report.build());
   }
 
   private void observe(CrashMonitor monitor) {
-    long now = System.nanoTime();
+    long now = nowNanos;
     RequestContent content = new RequestContent(1, List.of(PART));
     monitor.recordReportedCrash(new CrashEvidence(content, true, "server", 1), now);
     monitor.detector().addSound(PART, now);
@@ -59,14 +65,14 @@
   @Test
   void keepsTheTimesOfEvidenceThatComesBack() throws Exception {
     observe(first);
-    long soundAt = first.detector().soundSuspects(System.nanoTime()).get(PART);
-    long until = first.detector().quarantines(System.nanoTime()).get(0).untilNanos();
+    long soundAt = first.detector().soundSuspects(nowNanos).get(PART);
+    long until = first.detector().quarantines(nowNanos).get(0).untilNanos();
     for (int i = 0; i < REPORTS; i++) {
       tell(first, second);
       tell(second, first);
     }
 
-    long now = System.nanoTime();
+    long now = nowNanos;
     assertThat(second.detector().quarantines(now)).hasSize(1);
     assertThat(first.detector().soundSuspects(now).get(PART)).isEqualTo(soundAt);
     assertThat(first.detector().quarantines(now).get(0).untilNanos()).isEqualTo(until);
@@ -78,10 +84,10 @@
     observe(first);
     delayed = true;
     tell(first, second);
-    assertThat(second.detector().quarantines(System.nanoTime())).isEmpty();
+    assertThat(second.detector().quarantines(nowNanos)).isEmpty();
     delayed = false;
     tell(first, second);
 
-    assertThat(second.detector().quarantines(System.nanoTime())).hasSize(1);
+    assertThat(second.detector().quarantines(nowNanos)).hasSize(1);
   }
 }
--- a/basilport-gateway/src/test/java/org/basilport/gateway/peer/LimitReportsTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/peer/LimitReportsTest.java
@@ -28,11 +28,17 @@
   private static final OptionalDouble LIMIT = OptionalDouble.of(2.5);
   private static final int REPORTS = 50;
 
+  /** Time from the writing of a report to its reading. */
+  private static final long TRANSIT_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
+
   private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(1);
   private final ServerTable first = table("first");
   private final ServerTable second = table("second");
   private boolean delayed;
 
+  /** Monotonic time of both instances while they tell each other. */
+  private long nowNanos;
+
   private ServerTable table(String instance) {
     ServerTable servers =
         new ServerTable(instance, eventLoops.next(), new TestCodec(), EventSink.none());
@@ -63,17 +69,18 @@
     return servers.limits().reportable(System.nanoTime()).get(server(servers));
   }
 
-  private void tell(ServerTable sender, ServerTable receiver) throws InterruptedException {
+  private void tell(ServerTable sender, ServerTable receiver) {
     LoadReport.Builder report = LoadReport.newBuilder();
-    new LimitReports(sender, () -> false).write(report);
-    TimeUnit.MILLISECONDS.sleep(2);
-    new LimitReports(receiver, () -> delayed).read(report.build());
+    new LimitReports(sender, () -> false, () -> nowNanos).write(report);
+    nowNanos += TRANSIT_NANOS;
+    new LimitReports(receiver, () -> delayed, () -> nowNanos).read(report.build());
   }
 
   /** Guards against a limit that two instances renew by telling it to each other. */
   @Test
   void keepsTheTimesOfALimitThatComesBack() throws Exception {
     first.limits().record(server(first), LIMIT);
+    nowNanos = System.nanoTime();
     NamedLimit told = limit(first);
     for (int i = 0; i < REPORTS; i++) {
       tell(first, second);
@@ -94,6 +101,7 @@
     first.limits().record(server(first), LIMIT);
     TimeUnit.MILLISECONDS.sleep(1_100);
     second.limits().record(server(second), OptionalDouble.empty());
+    nowNanos = System.nanoTime();
     tell(second, first);
 
     assertThat(server(first).load().admission().rateLimit().isPresent()).isFalse();
@@ -103,6 +111,7 @@
   @Test
   void ignoresReportsThatWaitedDuringAPause() throws Exception {
     first.limits().record(server(first), LIMIT);
+    nowNanos = System.nanoTime();
     delayed = true;
     tell(first, second);
 
--- a/basilport-gateway/src/test/java/org/basilport/gateway/peer/LoadExchangeTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/peer/LoadExchangeTest.java
@@ -14,6 +14,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
@@ -50,6 +51,9 @@
    */
   private static final long QUIET_PERIOD_MILLIS = 3_000;
 
+  /** Bound of a wait for a report, which instances send several times a second. */
+  private static final long REPORT_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(10);
+
   private static final double LIMIT = 2.5;
   private static final int CRASHES = 5;
   private static final long CRASHING_PART = 77;
@@ -86,6 +90,15 @@
         .orElseThrow();
   }
 
+  /** Waits until what one instance told is known to the other one. */
+  private static void await(Callable<Boolean> condition) throws Exception {
+    long end = System.nanoTime() + REPORT_TIMEOUT_NANOS;
+    while (!condition.call() && end - System.nanoTime() > 0) {
+      Thread.sleep(10);
+    }
+    assertThat(condition.call()).isTrue();
+  }
+
   @AfterEach
   void stop() throws Exception {
     first.exchange.stop().get(5, TimeUnit.SECONDS);
@@ -101,8 +114,7 @@
   void retainsWorkOfANeighbouringCell() throws Exception {
     startInstancesOf(3, 4);
     first.addWork(GENERATION);
-    Thread.sleep(500);
-    assertThat(second.totalWork()).isEqualTo(GENERATION);
+    await(() -> second.totalWork().equals(GENERATION));
     Thread.sleep(QUIET_PERIOD_MILLIS);
     assertThat(second.totalWork()).isEqualTo(GENERATION);
   }
@@ -123,7 +135,7 @@
     first.start(second);
     second.start(first);
     first.addWork(GENERATION);
-    Thread.sleep(500);
+    await(() -> second.totalWork().equals(GENERATION));
     first.exchange.stop().get(5, TimeUnit.SECONDS);
     Thread.sleep(QUIET_PERIOD_MILLIS);
     assertThat(second.totalWork()).isEqualTo(GENERATION);
@@ -135,7 +147,7 @@
   void removesTheWorkOfADeadNeighbour() throws Exception {
     startInstancesOf(3, 4);
     first.addWork(GENERATION);
-    Thread.sleep(500);
+    await(() -> second.totalWork().equals(GENERATION));
     first.exchange.stop().get(5, TimeUnit.SECONDS);
     Thread.sleep(2 * QUIET_PERIOD_MILLIS);
     assertThat(second.totalWork()).isEqualTo(OutstandingWork.NONE);
@@ -153,8 +165,7 @@
     assertThat(new CellPartition(instances, remaining).cellsOfEngine(engine)).contains(1);
     first.list(remaining);
     second.list(remaining);
-    Thread.sleep(1_000);
-    assertThat(second.totalWork()).isEqualTo(GENERATION);
+    await(() -> second.totalWork().equals(GENERATION));
     Thread.sleep(QUIET_PERIOD_MILLIS);
     assertThat(second.totalWork()).isEqualTo(GENERATION);
   }
@@ -168,13 +179,11 @@
             servers
                 .limits()
                 .record(servers.server(engine).orElseThrow(), OptionalDouble.of(LIMIT)));
-    Thread.sleep(500);
-    assertThat(second.limited()).isTrue();
+    await(second::limited);
     first.run(
         servers ->
             servers.limits().record(servers.server(engine).orElseThrow(), OptionalDouble.empty()));
-    Thread.sleep(500);
-    assertThat(second.limited()).isFalse();
+    await(() -> !second.limited());
   }
 
   /** Guards against a crashing prompt part that only its witnesses stop. */
