Make the tests of the HTTP clients independent of the speed

Cause: connections of HttpTransportTest were closed when idle for 500 ms, and every request had to get its next byte within 1 s. Tests assumed after 200 ms and 1 s that a connection was closed.

Change: timeouts are 30 s, except in the tests of these timeouts, which first load the classes with a request of its own. The tests wait until the server has seen the connections close, and until an endless answer stands still. The limits of the waits are 30 s, and 60 s for token streams.

--- a/basilport-clients/src/test/java/org/basilport/engine/http/HttpTokenStreamTest.java
+++ b/basilport-clients/src/test/java/org/basilport/engine/http/HttpTokenStreamTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import io.netty.buffer.Unpooled;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
@@ -39,6 +40,12 @@
   private static final int BLOCK_BYTES = 32_768;
   private static final long MAX_UNREAD_FRAMES = 500;
 
+  /** Limit of a wait for a state, which only a state that never comes reaches. */
+  private static final long LIMIT_SECONDS = 60;
+
+  /** Time in which a server that still sends has sent, even on a slow machine. */
+  private static final long STILL_MILLIS = 500;
+
   private final HttpTransport transport = HttpTransport.standalone(1, HttpTimeouts.defaults());
   private final AtomicLong sent = new AtomicLong();
   private final AtomicLong received = new AtomicLong();
@@ -74,10 +81,18 @@
   }
 
   private static void awaitCondition(BooleanSupplier condition) throws Exception {
-    for (int i = 0; i < 500 && !condition.getAsBoolean(); i++) {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
+    while (!condition.getAsBoolean()) {
+      assertThat(end - System.nanoTime()).isGreaterThan(0L);
       TimeUnit.MILLISECONDS.sleep(10);
     }
-    assertThat(condition.getAsBoolean()).isTrue();
+  }
+
+  /** Whether a count stays as it is for {@link #STILL_MILLIS}. */
+  private static boolean isUnchanged(AtomicLong count) {
+    long before = count.get();
+    Uninterruptibles.sleepUninterruptibly(STILL_MILLIS, TimeUnit.MILLISECONDS);
+    return count.get() == before;
   }
 
   /** Guards against a client that buffers an endless stream whose reader requests nothing. */
@@ -114,7 +129,7 @@
     open(context -> context.getResponse().contentType("text/event-stream").send(nextEvent()))
         .request(10);
 
-    BasilportException thrown = failure.get(5, TimeUnit.SECONDS);
+    BasilportException thrown = failure.get(LIMIT_SECONDS, TimeUnit.SECONDS);
 
     assertThat(received.get()).isEqualTo(1);
     assertThat(thrown.outcome()).isEqualTo(Outcome.MAY_HAVE_RUN);
@@ -136,7 +151,8 @@
     TimeUnit.MILLISECONDS.sleep(200);
     stream.request(10);
 
-    assertThat(failure.get(5, TimeUnit.SECONDS).outcome()).isEqualTo(Outcome.MAY_HAVE_RUN);
+    assertThat(failure.get(LIMIT_SECONDS, TimeUnit.SECONDS).outcome())
+        .isEqualTo(Outcome.MAY_HAVE_RUN);
     assertThat(received.get()).isEqualTo(2);
   }
 
@@ -149,7 +165,8 @@
     open(context -> context.getResponse().status(status).send("data: " + event + "\n\n"))
         .request(1);
 
-    assertThat(failure.get(5, TimeUnit.SECONDS).outcome()).isEqualTo(Outcome.MAY_HAVE_RUN);
+    assertThat(failure.get(LIMIT_SECONDS, TimeUnit.SECONDS).outcome())
+        .isEqualTo(Outcome.MAY_HAVE_RUN);
     assertThat(received.get()).isEqualTo(0);
   }
 
@@ -160,7 +177,7 @@
         "data: {\"id\":\"g\",\"offset\":4,\"choices\":[{\"finish_reason\":\"other\"}]}\n\n";
     open(context -> context.getResponse().send(event));
 
-    assertThat(end.get(5, TimeUnit.SECONDS))
+    assertThat(end.get(LIMIT_SECONDS, TimeUnit.SECONDS))
         .isEqualTo(new GenerationEnd("g", 4, GenerationEnd.Reason.STOP));
   }
 
@@ -186,11 +203,10 @@
         })
         .request(1);
 
-    assertThat(failure.get(5, TimeUnit.SECONDS).outcome()).isEqualTo(Outcome.MAY_HAVE_RUN);
+    assertThat(failure.get(LIMIT_SECONDS, TimeUnit.SECONDS).outcome())
+        .isEqualTo(Outcome.MAY_HAVE_RUN);
     assertThat(received.get()).isEqualTo(0);
-    long sentAtTheEnd = sent.get();
-    TimeUnit.MILLISECONDS.sleep(500);
-    assertThat(sent.get()).isLessThan(sentAtTheEnd + 50);
+    awaitCondition(() -> isUnchanged(sent));
   }
 
   @Nested
--- a/basilport-clients/src/test/java/org/basilport/engine/http/SingleStreamTest.java
+++ b/basilport-clients/src/test/java/org/basilport/engine/http/SingleStreamTest.java
@@ -39,7 +39,7 @@
   private static final int SMALL_WRITES_STRIDE = 11;
 
   /** Time after which a stream without an end counts as wrong. */
-  private static final long MAX_RESULT_SECONDS = 5;
+  private static final long MAX_RESULT_SECONDS = 30;
 
   private static final int CREDITS = 100;
   private static final String STREAM_TYPE = "Content-Type: text/event-stream\r\n";
--- a/basilport-clients/src/test/java/org/basilport/http/HttpTransportTest.java
+++ b/basilport-clients/src/test/java/org/basilport/http/HttpTransportTest.java
@@ -24,10 +24,12 @@
 class HttpTransportTest {
   private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
   private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
-  private static final HttpTimeouts TIMEOUTS =
-      new HttpTimeouts(Duration.ofSeconds(5), Duration.ofSeconds(1), Duration.ofMillis(500));
 
-  private final HttpTransport transport = HttpTransport.standalone(1, TIMEOUTS);
+  /** Limit of a wait for a state, which only a state that never comes reaches. */
+  private static final Duration LIMIT = Duration.ofSeconds(30);
+
+  private HttpTransport transport =
+      HttpTransport.standalone(1, new HttpTimeouts(LIMIT, LIMIT, LIMIT));
   private volatile Script script = new Script(List.of(OK), End.KEEP_OPEN);
   private final ScriptedServer server = new ScriptedServer(path -> script);
 
@@ -37,6 +39,21 @@
     server.close();
   }
 
+  /** Shortens the timeouts after a first request, which also loads the classes of the client. */
+  private void shortenTimeouts(Duration answer, Duration idle) {
+    send().join();
+    transport.close();
+    transport = HttpTransport.standalone(1, new HttpTimeouts(LIMIT, answer, idle));
+  }
+
+  private void awaitClosedConnections(int count) throws InterruptedException {
+    long end = System.nanoTime() + LIMIT.toNanos();
+    while (server.closedConnections() < count) {
+      assertThat(end - System.nanoTime()).isGreaterThan(0L);
+      TimeUnit.MILLISECONDS.sleep(10);
+    }
+  }
+
   private void answer(End end, String... writes) {
     script = new Script(List.of(writes), end);
   }
@@ -60,7 +77,7 @@
       assertThat(send().join().text()).isEqualTo("ok");
       answer(End.KEEP_OPEN, OK, surplus);
       assertThat(send().join().text()).isEqualTo("ok");
-      TimeUnit.MILLISECONDS.sleep(200);
+      awaitClosedConnections(2);
       answer(End.KEEP_OPEN, OK);
       assertThat(send().join().text()).isEqualTo("ok");
 
@@ -92,11 +109,12 @@
     /** Guards against connections that stay open without a request. */
     @Test
     void areClosedWhenTheyAreIdle() throws Exception {
+      shortenTimeouts(LIMIT, Duration.ofMillis(500));
       send().join();
-      TimeUnit.MILLISECONDS.sleep(1_000);
+      awaitClosedConnections(2);
       send().join();
 
-      assertThat(server.connections()).isEqualTo(2);
+      assertThat(server.connections()).isEqualTo(3);
     }
 
     /** Guards against more connections to a server than a pool may have. */
@@ -164,6 +182,7 @@
     /** Guards against a server that stops sending and keeps its caller waiting. */
     @Test
     void failWhenNoByteArrives() {
+      shortenTimeouts(Duration.ofSeconds(1), LIMIT);
       answer(End.KEEP_OPEN, OK.substring(0, OK.length() - 1));
 
       assertThat(failureOf(send())).isInstanceOf(SocketTimeoutException.class);
@@ -172,6 +191,7 @@
     /** Guards against a slow answer that fails though its bytes keep arriving. */
     @Test
     void mayTakeLongerThanTheTimeoutWhileBytesArrive() {
+      shortenTimeouts(Duration.ofSeconds(1), LIMIT);
       String head = "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n";
       List<String> writes = new ArrayList<>(Collections.nCopies(2_000, "x"));
       writes.add(0, head);
@@ -183,13 +203,13 @@
     /** Guards against a long poll that ends at the usual timeout. */
     @Test
     void areAwaitedForTheExtraWait() {
+      shortenTimeouts(Duration.ofSeconds(1), LIMIT);
       List<String> writes = new ArrayList<>(Collections.nCopies(2_000, ""));
       writes.add(OK);
       script = new Script(writes, End.KEEP_OPEN);
       HttpCall call = HttpCall.of("GET", server.address(), "/");
 
-      assertThat(transport.exchange(call.withExtraWait(Duration.ofSeconds(20))).join().text())
-          .isEqualTo("ok");
+      assertThat(transport.exchange(call.withExtraWait(LIMIT)).join().text()).isEqualTo("ok");
       assertThat(failureOf(send())).isInstanceOf(SocketTimeoutException.class);
     }
   }
--- a/basilport-clients/src/test/java/org/basilport/http/ScriptedServer.java
+++ b/basilport-clients/src/test/java/org/basilport/http/ScriptedServer.java
@@ -46,6 +46,7 @@
   private final EventLoopGroup group = new NioEventLoopGroup(2);
   private final Function<String, Script> scripts;
   private final AtomicInteger connections = new AtomicInteger();
+  private final AtomicInteger closedConnections = new AtomicInteger();
   private final Channel listening;
 
   /** Starts a server; the function returns the script for the path and query of a request. */
@@ -62,6 +63,7 @@
                   @Override
                   protected void initChannel(SocketChannel channel) {
                     connections.incrementAndGet();
+                    channel.closeFuture().addListener(end -> closedConnections.incrementAndGet());
                     channel
                         .pipeline()
                         .addLast(
@@ -85,6 +87,11 @@
     return connections.get();
   }
 
+  /** Number of connections that were closed. */
+  public int closedConnections() {
+    return closedConnections.get();
+  }
+
   @Override
   public void close() {
     group.shutdownGracefully(0, 1_000, TimeUnit.MILLISECONDS).syncUninterruptibly();
--- a/basilport-clients/src/test/java/org/basilport/http/SingleAnswerTest.java
+++ b/basilport-clients/src/test/java/org/basilport/http/SingleAnswerTest.java
@@ -26,7 +26,7 @@
   private static final int SMALL_WRITES_STRIDE = 11;
 
   /** Time after which a request without a result counts as wrong; the read timeout is shorter. */
-  private static final long MAX_RESULT_SECONDS = 10;
+  private static final long MAX_RESULT_SECONDS = 30;
 
   private static final String SOUND_PATH = "/sound";
   private static final String OWN = "Request-Id: r1\r\n";
--- a/basilport-clients/src/test/java/org/basilport/platform/http/PlatformResponsesTest.java
+++ b/basilport-clients/src/test/java/org/basilport/platform/http/PlatformResponsesTest.java
@@ -27,6 +27,9 @@
 
 /** Responses of the platform that are whole, but not those of the call. */
 class PlatformResponsesTest {
+  /** Limit of a call, which only a call that never ends reaches. */
+  private static final long LIMIT_SECONDS = 30;
+
   private static final String NO_VERSION = "";
   private static final byte[] VALUE = {1};
 
@@ -123,16 +126,17 @@
   @Test
   void areBelievedIfTheyAreThoseOfTheCall() throws Exception {
     response = new Response(200, "\"7\"", "value");
-    assertThat(store.read("a").get(5, TimeUnit.SECONDS).orElseThrow().version()).isEqualTo(7);
+    assertThat(store.read("a").get(LIMIT_SECONDS, TimeUnit.SECONDS).orElseThrow().version())
+        .isEqualTo(7);
     response = new Response(404, NO_VERSION, "{}");
-    assertThat(store.read("a").get(5, TimeUnit.SECONDS)).isEqualTo(Optional.empty());
+    assertThat(store.read("a").get(LIMIT_SECONDS, TimeUnit.SECONDS)).isEqualTo(Optional.empty());
     response = new Response(304, NO_VERSION, "");
-    assertThat(store.watch("a", 3, Duration.ZERO).get(5, TimeUnit.SECONDS))
+    assertThat(store.watch("a", 3, Duration.ZERO).get(LIMIT_SECONDS, TimeUnit.SECONDS))
         .isEqualTo(Optional.empty());
     response = new Response(204, "\"8\"", "");
-    assertThat(store.write("a", VALUE, 7).get(5, TimeUnit.SECONDS)).isEqualTo(8);
+    assertThat(store.write("a", VALUE, 7).get(LIMIT_SECONDS, TimeUnit.SECONDS)).isEqualTo(8);
     response = new Response(200, NO_VERSION, "[\"a\"]");
-    assertThat(store.list("a").get(5, TimeUnit.SECONDS)).containsExactly("a");
+    assertThat(store.list("a").get(LIMIT_SECONDS, TimeUnit.SECONDS)).containsExactly("a");
   }
 
   private void assertRefused(
@@ -142,7 +146,7 @@
       response = other;
       Throwable failure = null;
       try {
-        call.get().get(5, TimeUnit.SECONDS);
+        call.get().get(LIMIT_SECONDS, TimeUnit.SECONDS);
       } catch (ExecutionException e) {
         failure = e.getCause();
       }
