Wait for the crash of an engine in its test

StandInProcessTest called a crashed engine 0.7 s after the crash and 0.8 s before its restart, so a slow machine reached the restarted engine. It now calls until a connection is refused; the engine restarts after 5 s. The wait for the restart ends after 30 s instead of 100 attempts.

--- a/basilport-standin/src/test/java/org/basilport/standin/site/StandInProcessTest.java
+++ b/basilport-standin/src/test/java/org/basilport/standin/site/StandInProcessTest.java
@@ -1,12 +1,12 @@
 package org.basilport.standin.site;
 
 import static com.google.common.truth.Truth.assertThat;
-import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.CompletionException;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.basilport.engine.EngineReport;
+import java.util.function.Supplier;
 import org.basilport.engine.ModelEngine;
 import org.basilport.engine.http.HttpModelEngine;
 import org.basilport.error.BasilportException;
@@ -26,6 +26,9 @@
 import org.junit.jupiter.api.Test;
 
 class StandInProcessTest {
+  /** Limit of a wait for a state, which only a state that never comes reaches. */
+  private static final Duration LIMIT = Duration.ofSeconds(30);
+
   private final HttpTransport transport = HttpTransport.standalone(1, HttpTimeouts.defaults());
   private final StandInProcess process =
       new StandInProcess(
@@ -82,25 +85,39 @@
   void crashedEngineRefusesConnectionsAndRestarts() throws Exception {
     String address = process.engineServers().get(0).address();
     ModelEngine engine = new HttpModelEngine(transport, address);
-    send("POST", address, "/admin/crash?restartAfterMillis=1500", null);
-    TimeUnit.MILLISECONDS.sleep(700);
+    send("POST", address, "/admin/crash?restartAfterMillis=5000", null);
+
+    assertThat(awaitRefusal(engine)).isEqualTo(Outcome.NOT_RUN);
+    assertThat(awaitIncarnation(engine)).isEqualTo(2);
+  }
 
-    CompletionException refused =
-        assertThrows(CompletionException.class, () -> engine.report().join());
-    assertThat(BasilportException.unwrap(refused, Outcome.MAY_HAVE_RUN, Step.SEND).outcome())
-        .isEqualTo(Outcome.NOT_RUN);
+  /** Outcome of the first call that fails because no connection is accepted. */
+  private static Outcome awaitRefusal(ModelEngine engine) throws Exception {
+    return await(
+        () ->
+            engine
+                .report()
+                .handle((report, failure) -> Optional.ofNullable(failure))
+                .join()
+                .map(f -> BasilportException.unwrap(f, Outcome.MAY_HAVE_RUN, Step.SEND).outcome())
+                .filter(outcome -> outcome == Outcome.NOT_RUN));
+  }
 
-    assertThat(awaitIncarnation(engine, 100)).isEqualTo(2);
+  private static long awaitIncarnation(ModelEngine engine) throws Exception {
+    return await(() -> Optional.ofNullable(engine.report().exceptionally(failure -> null).join()))
+        .incarnation();
   }
 
-  private static long awaitIncarnation(ModelEngine engine, int maxAttempts) throws Exception {
-    for (int i = 0; i < maxAttempts; i++) {
-      EngineReport report = engine.report().exceptionally(failure -> null).join();
-      if (report != null) {
-        return report.incarnation();
+  /** Waits for a value; fails after {@link #LIMIT}. */
+  private static <T> T await(Supplier<Optional<T>> value) throws InterruptedException {
+    long end = System.nanoTime() + LIMIT.toNanos();
+    while (true) {
+      Optional<T> present = value.get();
+      if (present.isPresent()) {
+        return present.get();
       }
-      TimeUnit.MILLISECONDS.sleep(100);
+      assertThat(end - System.nanoTime()).isGreaterThan(0L);
+      TimeUnit.MILLISECONDS.sleep(50);
     }
-    return 0;
   }
 }
