--- a/basilport-cli/src/main/java/org/basilport/cli/ConfigCommand.java
+++ b/basilport-cli/src/main/java/org/basilport/cli/ConfigCommand.java
@@ -13,6 +13,7 @@
       ConfigApplyCommand.class,
       ConfigShowCommand.class,
       ConfigHistoryCommand.class,
-      ConfigStatusCommand.class
+      ConfigStatusCommand.class,
+      ConfigCheckCommand.class
     })
 final class ConfigCommand {}
