Name positions on the ring of cells by the usual terms

Cause: "place" and "middle" are not what such code calls them. Change: names and comments only. Result: the tests of permits and cells pass.

--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/CellPartition.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/CellPartition.java
@@ -52,24 +52,24 @@
   }
 
   /**
-   * Expected middle of the cells that use an engine, as a place on a ring of length 1. It depends
-   * on the number of instances, not on the other engines, unlike {@link #cellsOfEngine(String)}.
+   * Expected centre of the cells that use an engine, on a ring of length 1. It depends on the
+   * number of instances, not on the other engines, unlike {@link #cellsOfEngine(String)}.
    *
    * @param instances number of instances
    */
-  static double middleOfCells(String serverId, int instances) {
+  static double expectedCentre(String serverId, int instances) {
     // An engine is used by its own cell and the next one, and lies anywhere within its own.
-    return place(serverId) + 0.5 / cellCount(instances);
+    return ringPosition(serverId) + 0.5 / cellCount(instances);
   }
 
-  /** Distance of the place of an instance from a place, at most 0.5. */
-  static double distance(String instanceId, double place) {
-    double difference = Math.abs(place(instanceId) - place) % 1;
+  /** Distance of an instance from a position on the ring, at most 0.5. */
+  static double ringDistance(String instanceId, double position) {
+    double difference = Math.abs(ringPosition(instanceId) - position) % 1;
     return Math.min(difference, 1 - difference);
   }
 
-  /** Place of an id in the order by which ids are assigned to cells, from 0 to 1. */
-  private static double place(String id) {
+  /** Position of an id in the order by which ids are assigned to cells, from 0 to 1. */
+  private static double ringPosition(String id) {
     return 0.5 + hash(id) * 0x1p-64;
   }
 
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/ColdStartHolders.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/ColdStartHolders.java
@@ -21,10 +21,10 @@
  * used at the beginning of the window. The sum over all instances in a window is at most the
  * permits of the lists in use at its beginning, however often the lists change in it.
  *
- * <p>With more instances than permits, those hold one whose place in the {@link CellPartition} is
- * closest to the expected place of the server, since permits of instances that do not use the
- * server are lost. The list of the servers has no influence: instances would have far more than two
- * different divisions at the same moment.
+ * <p>With more instances than permits, those hold one that are closest to the expected centre of
+ * the cells that use the server, since permits of instances that do not use it are lost. The list
+ * of the servers has no influence: instances would have far more than two different divisions at
+ * the same moment.
  */
 public final class ColdStartHolders {
   /** Number of servers whose ranks are kept; servers that have left are among them. */
@@ -111,15 +111,15 @@
       return ownRanks.computeIfAbsent(serverId, this::ownRank) < permits ? 1 : 0;
     }
 
-    /** Number of instances that are closer to the middle of the server's cells than this one. */
+    /** Number of instances that are closer to the expected centre of the cells than this one. */
     private int ownRank(String serverId) {
-      double middle = CellPartition.middleOfCells(serverId, ids.size());
-      double own = CellPartition.distance(ownId, middle);
+      double centre = CellPartition.expectedCentre(serverId, ids.size());
+      double own = CellPartition.ringDistance(ownId, centre);
       return (int)
           ids.stream()
               .filter(
                   id -> {
-                    int order = Double.compare(CellPartition.distance(id, middle), own);
+                    int order = Double.compare(CellPartition.ringDistance(id, centre), own);
                     return order < 0 || (order == 0 && id.compareTo(ownId) < 0);
                   })
               .count();
