Close pooled connections before their event loops

HttpTransport ended its event loops while FixedChannelPool waited for its connections on Netty's global executor; a connection whose loop has ended never reports its close, so the executor was blocked and no other event loop group of the process reported its end. Change: PooledConnections.close returns when the connections are closed, after a second at the latest.

--- a/basilport-clients/src/main/java/org/basilport/http/PooledConnections.java
+++ b/basilport-clients/src/main/java/org/basilport/http/PooledConnections.java
@@ -12,6 +12,8 @@
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 
 /** Keeps connections for the next request to the same server on the same event loop. */
@@ -19,6 +21,9 @@
   /** Open connections to a server on one event loop, above which requests wait. */
   private static final int MAX_CONNECTIONS = 16;
 
+  /** Longest wait for the connections of a pool, whose event loop may have ended. */
+  private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
+
   private static final AttributeKey<ChannelPool> POOL =
       AttributeKey.valueOf(PooledConnections.class, "pool");
 
@@ -61,11 +66,18 @@
     channel.attr(POOL).get().release(channel);
   }
 
+  /**
+   * Closes the connections. Returns when they are closed: the pools wait for that on Netty's global
+   * executor, and would block it for ever if the event loops ended before.
+   */
   @Override
   public void close() {
+    List<Future<Void>> closing = new ArrayList<>();
     for (Map.Entry<Key, FixedChannelPool> entry : pools) {
+      closing.add(entry.getValue().closeAsync());
       pools.remove(entry.getKey());
     }
+    closing.forEach(pool -> pool.awaitUninterruptibly(CLOSE_TIMEOUT_MILLIS));
   }
 
   private record Key(EventLoop eventLoop, InetSocketAddress peer) {}
--- /dev/null
+++ b/basilport-clients/src/test/java/org/basilport/http/PooledConnectionsTest.java
@@ -0,0 +1,53 @@
+package org.basilport.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import org.basilport.http.ScriptedServer.End;
+import org.basilport.http.ScriptedServer.Script;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.RepeatedTest;
+
+/** Connections that are kept for later requests. */
+class PooledConnectionsTest {
+  private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(1);
+  private final ScriptedServer server =
+      new ScriptedServer(path -> new Script(List.of(), End.KEEP_OPEN));
+
+  @AfterEach
+  void stop() {
+    eventLoops.shutdownGracefully();
+    server.close();
+  }
+
+  /**
+   * Guards against a pool that waits on Netty's global executor for connections whose event loop
+   * has ended, so that no event loop of the process reports its end any more.
+   */
+  @RepeatedTest(20)
+  void areClosedBeforeTheirEventLoopEnds() throws Exception {
+    EventLoop eventLoop = eventLoops.next();
+    String[] address = server.address().split(":");
+    PooledConnections connections =
+        new PooledConnections(
+            new Bootstrap().channel(NioSocketChannel.class), Duration.ofSeconds(30));
+    Channel channel =
+        connections
+            .acquire(eventLoop, new InetSocketAddress(address[0], Integer.parseInt(address[1])))
+            .sync()
+            .getNow();
+    connections.release(channel);
+    eventLoop.submit(() -> {}).sync();
+
+    connections.close();
+
+    assertThat(channel.isOpen()).isFalse();
+  }
+}
