--- a/basilport-clients/src/test/java/org/basilport/http/PooledConnectionsTest.java
+++ b/basilport-clients/src/test/java/org/basilport/http/PooledConnectionsTest.java
@@ -43,7 +43,7 @@
             .acquire(eventLoop, new InetSocketAddress(address[0], Integer.parseInt(address[1])))
             .sync()
             .getNow();
-    connections.release(channel);
+    eventLoop.submit(() -> connections.release(channel)).sync();
     eventLoop.submit(() -> {}).sync();
 
     connections.close();
