Bound the close of pooled connections

Change: one second for all pools; pools of ended event loops are left out, since those have closed their connections.

--- a/basilport-clients/src/main/java/org/basilport/http/PooledConnections.java
+++ b/basilport-clients/src/main/java/org/basilport/http/PooledConnections.java
@@ -15,14 +15,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /** Keeps connections for the next request to the same server on the same event loop. */
 final class PooledConnections implements ConnectionSource {
   /** Open connections to a server on one event loop, above which requests wait. */
   private static final int MAX_CONNECTIONS = 16;
 
-  /** Longest wait for the connections of a pool, whose event loop may have ended. */
-  private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
+  /** Longest wait for all connections, whose event loops may end meanwhile. */
+  private static final long CLOSE_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private static final AttributeKey<ChannelPool> POOL =
       AttributeKey.valueOf(PooledConnections.class, "pool");
@@ -68,16 +69,22 @@
 
   /**
    * Closes the connections. Returns when they are closed: the pools wait for that on Netty's global
-   * executor, and would block it for ever if the event loops ended before.
+   * executor, and would block it for ever if the event loops ended before. An event loop that has
+   * ended has closed its connections. Not to be called on an event loop.
    */
   @Override
   public void close() {
     List<Future<Void>> closing = new ArrayList<>();
     for (Map.Entry<Key, FixedChannelPool> entry : pools) {
-      closing.add(entry.getValue().closeAsync());
-      pools.remove(entry.getKey());
+      if (!entry.getKey().eventLoop().isShuttingDown()) {
+        closing.add(entry.getValue().closeAsync());
+        pools.remove(entry.getKey());
+      }
     }
-    closing.forEach(pool -> pool.awaitUninterruptibly(CLOSE_TIMEOUT_MILLIS));
+    long end = System.nanoTime() + CLOSE_TIMEOUT_NANOS;
+    closing.forEach(
+        pool ->
+            pool.awaitUninterruptibly(Math.max(0, end - System.nanoTime()), TimeUnit.NANOSECONDS));
   }
 
   private record Key(EventLoop eventLoop, InetSocketAddress peer) {}
