Use a cold permit only when its former holder has stopped

It also found that a change of the number of cells moved up to six holders at once. Change: the settling time is 8 s and stands in the policy module; the centre of a server's cells does not depend on the number of cells.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/backend/ColdStartShares.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/backend/ColdStartShares.java
@@ -27,12 +27,6 @@
  * bear. Confined to the event loop thread, except {@link #coldServers()} and the counters.
  */
 public final class ColdStartShares {
-  /**
-   * Time for which a list of instances must be in use before it adds permits. Instances read the
-   * list every 5 s, so that the others have read one that contains this instance by then.
-   */
-  static final long SETTLING_NANOS = TimeUnit.SECONDS.toNanos(6);
-
   /**
    * Retention of a server that is not listed, longer than a window: its entry may return, and the
    * requests that were sent to it still count.
@@ -67,7 +61,7 @@
   public ColdStartShares(String instanceId, Optional<ColdStartLimits> limits, EventSink events) {
     this.limits = limits;
     this.events = events;
-    this.holders = new ColdStartHolders(instanceId, SETTLING_NANOS);
+    this.holders = new ColdStartHolders(instanceId, ColdStartHolders.SETTLING_NANOS);
   }
 
   /**
--- a/basilport-gateway/src/test/java/org/basilport/gateway/GatewayColdServersTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/GatewayColdServersTest.java
@@ -72,6 +72,9 @@
 
   private static final int CALLS = 20;
 
+  /** Slots of each server. */
+  private static final int SLOTS = 6;
+
   private final AtomicInteger ids = new AtomicInteger();
   private final List<Long> arrivals = new CopyOnWriteArrayList<>();
 
@@ -202,6 +205,48 @@
     assertThat(cold.requests()).isEmpty();
   }
 
+  /** Waits until the list of instances has settled, and this instance holds all permits. */
+  private void awaitPermits() throws Exception {
+    gateway.updateInstances(List.of(new InstanceEntry("gateway-1", peerAddress)));
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+    while (!read().startsWith("HTTP/1.1 200") && end - System.nanoTime() > 0) {
+      TimeUnit.MILLISECONDS.sleep(100);
+    }
+  }
+
+  /**
+   * Load: a server that has just started is empty while the other one fills up. Guards against
+   * requests that wait at a full server because an empty one is cold.
+   */
+  @Test
+  void areUsedBeforeTheOthersAreFull() throws Exception {
+    ScriptedServer cold = serve(LONG_COLD);
+    awaitPermits();
+    int before = cold.requests().size();
+    CountDownLatch answered = new CountDownLatch(1);
+    ScriptedServer warm =
+        serve(
+            "plain",
+            (request, out, socket) -> {
+              answered.await(20, TimeUnit.SECONDS);
+              ScriptedServer.sendResponse(out, request, 200, "ok");
+            });
+    ExecutorService callers = Executors.newFixedThreadPool(SLOTS);
+    List<Future<String>> responses = new ArrayList<>();
+    for (int i = 0; i < SLOTS; i++) {
+      responses.add(callers.submit(this::read));
+    }
+    await(() -> cold.requests().size() + warm.requests().size() - before == SLOTS);
+    answered.countDown();
+    for (Future<String> response : responses) {
+      assertThat(response.get(30, TimeUnit.SECONDS)).startsWith("HTTP/1.1 200");
+    }
+    callers.shutdown();
+
+    assertThat(warm.requests()).isNotEmpty();
+    assertThat(cold.requests().size()).isGreaterThan(before);
+  }
+
   /**
    * Load: more requests than permits while the only server is cold. Guards against requests above
    * the bound, and against a queued request that is not tried again when a permit is free.
@@ -209,11 +254,7 @@
   @Test
   void getNoMoreThanTheBound() throws Exception {
     serve(LONG_COLD);
-    gateway.updateInstances(List.of(new InstanceEntry("gateway-1", peerAddress)));
-    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
-    while (!read().startsWith("HTTP/1.1 200") && end - System.nanoTime() > 0) {
-      TimeUnit.MILLISECONDS.sleep(100);
-    }
+    awaitPermits();
     ExecutorService callers = Executors.newFixedThreadPool(CALLS + BOUND);
     List<Future<String>> responses = new ArrayList<>();
     for (int i = 0; i < CALLS + BOUND; i++) {
--- a/basilport-gateway/src/test/java/org/basilport/gateway/backend/ColdStartSharesTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/backend/ColdStartSharesTest.java
@@ -14,6 +14,7 @@
 import org.basilport.gateway.config.ForwardingConfiguration;
 import org.basilport.gateway.config.ForwardingService;
 import org.basilport.gateway.config.FrontendLimits;
+import org.basilport.policy.dispatch.ColdStartHolders;
 import org.junit.jupiter.api.Test;
 
 /** Which servers count as cold, and what one instance may send to them. */
@@ -22,7 +23,7 @@
   private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
   /** Time by which the list of the two instances adds permits. */
-  private static final long SETTLED = ColdStartShares.SETTLING_NANOS;
+  private static final long SETTLED = ColdStartHolders.SETTLING_NANOS;
 
   /** Half of 44, divided by two. */
   private static final int SHARE = 11;
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/CellPartition.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/CellPartition.java
@@ -25,13 +25,21 @@
   /** Largest number of instances in a cell; a fleet of this size is a single cell. */
   private static final int MAX_CELL_INSTANCES = 12;
 
+  /**
+   * Expected distance of an engine from the centre of its cells, on a ring of length 1: half a cell
+   * of a fleet of 73 to 84 instances. An engine is used by its own cell and the next one, and lies
+   * anywhere within its own. The number of cells of the fleet has no influence, so that a join or
+   * departure does not move all centres.
+   */
+  private static final double CENTRE_OFFSET = 0.07;
+
   private final int cellCount;
   private final Map<String, Integer> cellByInstance;
   private final Map<String, Integer> firstCellByEngine;
 
   /** Partitions a fleet and the engines that it serves. */
   public CellPartition(Collection<String> instances, Collection<String> engines) {
-    this.cellCount = cellCount(instances.size());
+    this.cellCount = Math.max(1, (instances.size() + MAX_CELL_INSTANCES - 1) / MAX_CELL_INSTANCES);
     this.cellByInstance = assignCells(instances);
     this.firstCellByEngine = assignCells(engines);
   }
@@ -52,14 +60,11 @@
   }
 
   /**
-   * Expected centre of the cells that use an engine, on a ring of length 1. It depends on the
-   * number of instances, not on the other engines, unlike {@link #cellsOfEngine(String)}.
-   *
-   * @param instances number of instances
+   * Expected centre of the cells that use an engine, on a ring of length 1. It depends neither on
+   * the instances nor on the other engines, unlike {@link #cellsOfEngine(String)}.
    */
-  static double expectedCentre(String serverId, int instances) {
-    // An engine is used by its own cell and the next one, and lies anywhere within its own.
-    return ringPosition(serverId) + 0.5 / cellCount(instances);
+  static double expectedCentre(String serverId) {
+    return ringPosition(serverId) + CENTRE_OFFSET;
   }
 
   /** Distance of an instance from a position on the ring, at most 0.5. */
@@ -73,10 +78,6 @@
     return 0.5 + hash(id) * 0x1p-64;
   }
 
-  private static int cellCount(int instances) {
-    return Math.max(1, (instances + MAX_CELL_INSTANCES - 1) / MAX_CELL_INSTANCES);
-  }
-
   private static long hash(String id) {
     return Hashing.murmur3_128().hashString(id, StandardCharsets.UTF_8).asLong();
   }
--- a/basilport-policy/src/main/java/org/basilport/policy/dispatch/ColdStartHolders.java
+++ b/basilport-policy/src/main/java/org/basilport/policy/dispatch/ColdStartHolders.java
@@ -6,6 +6,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Decides how many of the permits for a cold server one instance holds, by the lists of the
@@ -27,6 +28,13 @@
  * the same moment.
  */
 public final class ColdStartHolders {
+  /**
+   * Time for which a list of instances must be in use before it adds permits. Instances read the
+   * list every 5 s, up to 1 s old, so an instance that lost a permit by it has sent its last
+   * request more than a window (1.3 s) before. With 6 s, two instances used the same permit.
+   */
+  public static final long SETTLING_NANOS = TimeUnit.SECONDS.toNanos(8);
+
   /** Number of servers whose ranks are kept; servers that have left are among them. */
   private static final int MAX_CACHED_RANKS = 4_096;
 
@@ -113,7 +121,7 @@
 
     /** Number of instances that are closer to the expected centre of the cells than this one. */
     private int ownRank(String serverId) {
-      double centre = CellPartition.expectedCentre(serverId, ids.size());
+      double centre = CellPartition.expectedCentre(serverId);
       double own = CellPartition.ringDistance(ownId, centre);
       return (int)
           ids.stream()
--- a/basilport-policy/src/test/java/org/basilport/policy/dispatch/ColdStartPermitsTest.java
+++ b/basilport-policy/src/test/java/org/basilport/policy/dispatch/ColdStartPermitsTest.java
@@ -4,6 +4,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -16,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Requests of a fleet to servers that all turn cold at once. */
 class ColdStartPermitsTest {
@@ -27,6 +29,7 @@
   private static final long MAX_DELAY = 300 * MILLI;
 
   private static final long SETTLING = 2 * SECOND;
+
   private static final long DURATION = 10 * SECOND;
   private static final int SERVERS = 39;
 
@@ -156,7 +159,7 @@
   @ParameterizedTest
   @CsvSource({"84, 10, 1", "84, 3, 2", "9, 12, 3", "9, 4, 4", "23, 20, 5"})
   void keepTheBoundWhileAFleetStarts(int instances, int startSeconds, long seed) {
-    Fleet fleet = new Fleet(instances, seed, 6 * SECOND);
+    Fleet fleet = new Fleet(instances, seed, ColdStartHolders.SETTLING_NANOS);
     SplittableRandom random = new SplittableRandom(seed);
     List<Long> registered = new ArrayList<>();
     List<Long> nextRead = new ArrayList<>();
@@ -185,6 +188,50 @@
     assertThat(fleet.mostInASecond()).isAtMost(BOUND);
   }
 
+  /**
+   * Load: instances leave and return one at a time, and the others read that at different times,
+   * every 5 s and up to 1 s late. Guards against a new permit that is used while another instance
+   * still uses it by an older list, so that a second partition exceeds the bound.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+  void areNotUsedByTwoInstancesAfterASingleChange(long seed) {
+    int instances = 42;
+    Fleet fleet = new Fleet(instances, seed, ColdStartHolders.SETTLING_NANOS);
+    SplittableRandom random = new SplittableRandom(seed);
+    List<Long> nextRead = new ArrayList<>();
+    IntStream.range(0, instances).forEach(id -> nextRead.add(random.nextLong(5 * SECOND)));
+    Set<String> all = ids(0, instances);
+    TreeMap<Long, Set<String>> lists = new TreeMap<>(Map.of(-SECOND, all));
+    for (int change = 1; change <= 6; change++) {
+      Set<String> rest = new TreeSet<>(all);
+      rest.remove("instance-" + random.nextInt(instances));
+      lists.put(20 * change * SECOND, change % 2 == 0 ? all : rest);
+    }
+    // Latest time at which each instance held a permit, by server.
+    List<Map<Integer, Long>> held = new ArrayList<>();
+    IntStream.range(0, SERVERS).forEach(server -> held.add(new HashMap<>()));
+    for (long now = 0; now < 140 * SECOND; now += 10 * STEP) {
+      long at = now;
+      for (int id = 0; id < instances; id++) {
+        if (now >= nextRead.get(id)) {
+          nextRead.set(id, now + 5 * SECOND);
+          fleet.list(id, lists.floorEntry(now - random.nextLong(SECOND)).getValue(), now);
+        }
+        ColdStartHolders holders = fleet.processes.get(id).holders;
+        for (int server = 0; server < SERVERS; server++) {
+          if (holders.share("server-" + server, PERMITS, now) > 0) {
+            held.get(server).put(id, now);
+          }
+        }
+      }
+      for (Map<Integer, Long> holders : held) {
+        holders.values().removeIf(last -> at - last > ColdStartShare.WINDOW_NANOS);
+        assertThat(holders.size()).isAtMost(PERMITS);
+      }
+    }
+  }
+
   /** Guards against permits that nobody holds while all instances have the same list. */
   @Test
   void areAllHeldByTheInstancesOfOneList() {
