Group contended requests by their regions

Cause: the queue by usage grouped requests by version only, unlike the queue by arrival: requests of a region without capacity ended the offers to others. Change: PlacementRequest.placementGroup is the only definition. Result: placesRequestsBehindThoseOfAnotherRegion placed nothing before.

--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ContendedRequests.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ContendedRequests.java
@@ -67,7 +67,7 @@
         dispatch.submit(
             request,
             request.contendingRequest(),
-            request.requiredVersion(),
+            request.placementGroup(),
             request.maxWaitNanos(),
             capacity,
             System.nanoTime());
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/PlacementRequest.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/PlacementRequest.java
@@ -1,5 +1,6 @@
 package org.basilport.gateway.forward;
 
+import java.util.List;
 import java.util.Optional;
 import org.basilport.gateway.backend.BackendServer;
 import org.basilport.policy.dispatch.ContendingRequest;
@@ -34,6 +35,11 @@
     return RequestRegions.UNRESTRICTED;
   }
 
+  /** Group of the request in a queue; the requests of one group can go to the same servers. */
+  default Object placementGroup() {
+    return List.of(requiredVersion(), regions().allowed());
+  }
+
   /** Called when the request was queued. */
   void onQueued(PendingRequestQueue.Entry<PlacementRequest> entry);
 
--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/ServiceDispatcher.java
@@ -332,7 +332,7 @@
           server.ifPresent(chosen -> placed.add(() -> request.onPlaced(chosen)));
           return server.isPresent();
         },
-        request -> List.of(request.requiredVersion(), request.regions().allowed()),
+        PlacementRequest::placementGroup,
         PendingRequestQueue.REJECTION_LIMIT);
     // Sending a request may modify the queue and therefore follows the iteration.
     placed.forEach(Runnable::run);
--- a/basilport-gateway/src/test/java/org/basilport/gateway/forward/ContendedRequestsTest.java
+++ b/basilport-gateway/src/test/java/org/basilport/gateway/forward/ContendedRequestsTest.java
@@ -21,6 +21,7 @@
 import org.basilport.gateway.config.ForwardingService;
 import org.basilport.gateway.config.FrontendLimits;
 import org.basilport.gateway.forward.ForwardingState.RetryLimits;
+import org.basilport.policy.dispatch.AllowedRegions;
 import org.basilport.policy.dispatch.ContendingRequest;
 import org.basilport.policy.dispatch.OutstandingWork;
 import org.basilport.policy.dispatch.PendingRequestQueue;
@@ -113,6 +114,22 @@
     assertThat(placed).containsExactly("first");
   }
 
+  /**
+   * Guards against a request that waits although its server has capacity, because requests that may
+   * only run in another region, where there is none, precede it.
+   */
+  @Test
+  void placesRequestsBehindThoseOfAnotherRegion() {
+    start(true);
+    for (int i = 0; i < 2 * PendingRequestQueue.REJECTION_LIMIT; i++) {
+      state.dispatcher("plain").submit(new RestrictedRequest("restricted-" + i));
+    }
+    contention.usage().charge(1, MUCH, System.nanoTime());
+    call("free", 1);
+    state.updatePeerWork("other", Map.of("plain-1", new OutstandingWork(8, 0, 0)));
+    assertThat(placed).containsExactly("free");
+  }
+
   /** Guards against promises to callers of requests that are not refused. */
   @Test
   void countsReturnsAndDelays() {
@@ -150,8 +167,40 @@
     assertThat(server.load().ownWork()).isEqualTo(OutstandingWork.NONE);
   }
 
+  /** Request that may only run in a region that no server is in. */
+  private final class RestrictedRequest extends TestRequest {
+    private RestrictedRequest(String id) {
+      super(id, 2, RequestDemand.SERVICE_CALL);
+    }
+
+    @Override
+    public boolean accepts(BackendServer candidate) {
+      return false;
+    }
+
+    @Override
+    public RequestRegions regions() {
+      return new RequestRegions() {
+        @Override
+        public AllowedRegions allowed() {
+          return AllowedRegions.of(List.of("elsewhere"));
+        }
+
+        @Override
+        public boolean permit(BackendServer server) {
+          return false;
+        }
+
+        @Override
+        public String recordUnavailable() {
+          return "no backend server in an allowed region";
+        }
+      };
+    }
+  }
+
   /** Request that records what became of it. */
-  private final class TestRequest implements PlacementRequest {
+  private class TestRequest implements PlacementRequest {
     private final String id;
     private final long workspace;
     private final RequestDemand demand;
