--- a/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
+++ b/basilport-gateway/src/main/java/org/basilport/gateway/forward/StreamedExchange.java
@@ -5,10 +5,8 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.basilport.error.Step;
 import org.basilport.gateway.backend.BackendConnection;
 import org.basilport.gateway.backend.BackendServer;
@@ -21,7 +19,6 @@
 import org.basilport.gateway.message.GenerationSize;
 import org.basilport.gateway.message.KvCacheReference;
 import org.basilport.gateway.message.ServerResponse;
-import org.basilport.misc.LoggedTask;
 import org.basilport.policy.dispatch.EventGapLimit;
 import org.basilport.policy.dispatch.GenerationHandover.StreamEnd;
 import org.basilport.policy.dispatch.OutstandingWork;
@@ -33,12 +30,6 @@
  * continues at another server after its last event.
  */
 final class StreamedExchange extends Exchange {
-  /**
-   * Gap between events, as a fraction of the longest permitted gap, after which the engine is
-   * probed. The host of an engine that lost power does not reset its connections.
-   */
-  private static final double PROBE_RATIO = 0.25;
-
   private final EventStreamReader reader = new EventStreamReader(context.responseBuffer());
   private final ResponseBody errorBody = new ResponseBody(context.responseBuffer());
   private final DepartureListener departureListener = new GenerationDeparture(this);
@@ -62,11 +53,9 @@
   private long sentNanos;
   private long prefillTokensWhenSent;
   private long firstEventMillis = -1;
-  private long lastEventNanos;
   private long outputTokens;
   private BackendServer observedServer;
-  private ScheduledFuture<?> eventGapTimer;
-  private final Duration maxEventGap;
+  private final EventGapMonitor gapMonitor;
 
   StreamedExchange(
       ForwardingContext context,
@@ -80,30 +69,20 @@
     this.streamKey =
         (request.lastEventId().isPresent() ? request.resumedRequestId() : Optional.of(request.id()))
             .map(id -> StreamVersions.key(workspace, dispatcher.service(), id));
-    this.maxEventGap =
+    Duration maxGap =
         EventGapLimit.of(
             context.limits().minEventGap(), route.targetLatency(), route.targetEventGap());
+    this.gapMonitor = new EventGapMonitor(context.eventLoop(), maxGap, new SilentServer());
   }
 
   @Override
   void beforeSend() {
     sentNanos = System.nanoTime();
-    lastEventNanos = sentNanos;
+    gapMonitor.recordEvent();
     prefillTokensWhenSent = server.load().totalWork().pendingPrefillTokens();
     firstEventReceived = reader.eventCount() > 0 && reservedWork().pendingPrefillTokens() == 0;
     observeDeparture();
     movesOnWithAnswer = server.load().leaving();
-    if (eventGapTimer == null) {
-      long maxGapNanos = maxEventGap.toNanos();
-      eventGapTimer =
-          context
-              .eventLoop()
-              .scheduleWithFixedDelay(
-                  new LoggedTask(this::checkEventGap),
-                  maxGapNanos / 4,
-                  maxGapNanos / 4,
-                  TimeUnit.NANOSECONDS);
-    }
   }
 
   @Override
@@ -208,7 +187,7 @@
   }
 
   private void onProgress(int newEvents) {
-    lastEventNanos = System.nanoTime();
+    gapMonitor.recordEvent();
     outputTokens +=
         (long) newEvents * server.engine().map(EngineCapacity::tokensPerEvent).orElse(1);
     if (!begun) {
@@ -433,29 +412,6 @@
     return request.generationSize().map(GenerationSize::promptTokens).orElse(0) + outputTokens;
   }
 
-  private void checkEventGap() {
-    long gapNanos = System.nanoTime() - lastEventNanos;
-    if (responseStarted && !finished() && server == null && gapNanos > maxEventGap.toNanos()) {
-      failStream(Step.ADMIT, "no room at any backend server that may continue the stream");
-    }
-    if (finished() || server == null || connection == null || move.stopping()) {
-      return;
-    }
-    if (gapNanos > maxEventGap.toNanos()) {
-      abandonServer("no event for " + maxEventGap.toMillis() + " ms");
-    } else if (gapNanos > PROBE_RATIO * maxEventGap.toNanos()) {
-      BackendServer probed = server;
-      server
-          .connections()
-          .probe(
-              reachable -> {
-                if (!reachable && server == probed && connection != null) {
-                  abandonServer("engine is silent and cannot be reached");
-                }
-              });
-    }
-  }
-
   private void abandonServer(String reason) {
     connection.abandon();
     onFailure(reason);
@@ -479,9 +435,7 @@
     move.cancel();
     reader.dropPartialEvent();
     errorBody.clear();
-    if (eventGapTimer != null) {
-      eventGapTimer.cancel(false);
-    }
+    gapMonitor.stop();
   }
 
   @Override
@@ -493,4 +447,36 @@
   int eventCount() {
     return reader.eventCount();
   }
+
+  /** Gives up a server that sends no events while it has to. */
+  private final class SilentServer implements EventGapMonitor.Listener {
+    private boolean expectsEvents() {
+      return !finished() && server != null && connection != null && !move.stopping();
+    }
+
+    @Override
+    public void onSuspiciousGap() {
+      if (!expectsEvents()) {
+        return;
+      }
+      BackendServer probed = server;
+      server
+          .connections()
+          .probe(
+              reachable -> {
+                if (!reachable && server == probed && connection != null) {
+                  abandonServer("engine is silent and cannot be reached");
+                }
+              });
+    }
+
+    @Override
+    public void onGapExceeded() {
+      if (responseStarted && !finished() && server == null) {
+        failStream(Step.ADMIT, "no room at any backend server that may continue the stream");
+      } else if (expectsEvents()) {
+        abandonServer("no event for " + gapMonitor.maxGap().toMillis() + " ms");
+      }
+    }
+  }
 }
