--- a/basilport-bench/src/main/java/org/basilport/bench/contention/ContentionSimulation.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/contention/ContentionSimulation.java
@@ -1,5 +1,6 @@
 package org.basilport.bench.contention;
 
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
@@ -29,9 +30,11 @@
   private static final long PLACEMENT_INTERVAL_NANOS =
       TimeUnit.MILLISECONDS.toNanos(PendingRequestQueue.PLACEMENT_INTERVAL_MILLIS);
   private static final long ROUND_TRIP_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
-  private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(12);
+  private static final long CALLER_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(12);
   private static final long WARM_UP_NANOS = TimeUnit.SECONDS.toNanos(20);
-  private static final int FACTOR = 4;
+
+  /** Ratio of the requests or sizes of the first workspace to those of the others. */
+  private static final int DIFFERENCE_FACTOR = 4;
 
   private final ContentionSettings settings;
   private final SplittableRandom random;
@@ -78,9 +81,9 @@
       now = event.at;
       event.action.run();
     }
-    double mean = java.util.Arrays.stream(tokens).average().orElse(1);
+    double mean = Arrays.stream(tokens).average().orElse(1);
     return new ContentionResult(
-        java.util.Arrays.stream(tokens).map(own -> own / mean).toArray(),
+        Arrays.stream(tokens).map(own -> own / mean).toArray(),
         refused,
         returnedInTime,
         foundCapacity,
@@ -112,9 +115,9 @@
   private double frequency(int workspace) {
     if (differs(workspace, CallerBehaviour.SMALL_REQUESTS)
         || differs(workspace, CallerBehaviour.MORE_REQUESTS)) {
-      return FACTOR;
+      return DIFFERENCE_FACTOR;
     }
-    return differs(workspace, CallerBehaviour.LARGE_REQUESTS) ? 1.0 / FACTOR : 1;
+    return differs(workspace, CallerBehaviour.LARGE_REQUESTS) ? 1.0 / DIFFERENCE_FACTOR : 1;
   }
 
   private long interval(int workspace) {
@@ -125,9 +128,9 @@
   private int size(int workspace, int mean) {
     double factor = 1;
     if (differs(workspace, CallerBehaviour.SMALL_REQUESTS)) {
-      factor = 1.0 / FACTOR;
+      factor = 1.0 / DIFFERENCE_FACTOR;
     } else if (differs(workspace, CallerBehaviour.LARGE_REQUESTS)) {
-      factor = FACTOR;
+      factor = DIFFERENCE_FACTOR;
     }
     return (int) Math.max(1, -Math.log(1 - random.nextDouble()) * mean * factor);
   }
@@ -140,8 +143,8 @@
             random.nextInt(SUBJECTS),
             size(workspace, MEAN_PROMPT_TOKENS),
             size(workspace, MEAN_OUTPUT_TOKENS),
-            now + PATIENCE_NANOS);
-    int copies = differs(workspace, CallerBehaviour.MANY_INSTANCES) ? FACTOR : 1;
+            now + CALLER_TIMEOUT_NANOS);
+    int copies = differs(workspace, CallerBehaviour.MANY_INSTANCES) ? DIFFERENCE_FACTOR : 1;
     for (int i = 0; i < copies; i++) {
       submit(request.nextAttempt(), anyInstance(workspace));
     }
--- a/basilport-bench/src/main/java/org/basilport/bench/evenness/ServerKind.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/evenness/ServerKind.java
@@ -63,7 +63,7 @@
         output * DECODE_NANOS_PER_TOKEN);
   }
 
-  /** Selector of engines without a random source of its own draws, for its bounds and costs. */
+  /** The present selector of engines, which also gives the bounds and costs of the others. */
   EarliestFirstTokenSelector engineSelector(SplittableRandom random) {
     return new EarliestFirstTokenSelector(
         "a", EarliestFirstTokenSelector.FIRST_TOKEN_LIMIT_NANOS, random);
--- a/basilport-bench/src/main/java/org/basilport/bench/evenness/Variant.java
+++ b/basilport-bench/src/main/java/org/basilport/bench/evenness/Variant.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.function.LongSupplier;
 import org.basilport.policy.dispatch.PeerReportAges;
@@ -128,7 +129,7 @@
   private static List<ServerLoad> shuffled(Iterable<ServerLoad> servers, SplittableRandom random) {
     List<ServerLoad> copy = new ArrayList<>();
     servers.forEach(copy::add);
-    Collections.shuffle(copy, new java.util.Random(random.nextLong()));
+    Collections.shuffle(copy, new Random(random.nextLong()));
     return copy;
   }
 
