--- /dev/null
+++ b/review/standins-2/AppReplica.java
@@ -0,0 +1,148 @@
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Sound replica of an application service; registers itself and counts the runs of each request. */
+final class AppReplica {
+  final String id;
+  final String service;
+  final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+
+  /** Time of the record at which each request began to run, by its id. */
+  final Map<String, Long> runTimes = new ConcurrentHashMap<>();
+
+  private final String ip;
+  private final ServerSocket listener;
+  private final PlatformStore store;
+  private final Record record;
+  private final long workMillis;
+  private final long born = System.currentTimeMillis();
+  private long sequence;
+  private volatile boolean draining;
+  private volatile boolean stopped;
+
+  AppReplica(
+      PlatformStore store, Record record, String ip, String id, String service, long workMillis)
+      throws IOException {
+    this.store = store;
+    this.record = record;
+    this.ip = ip;
+    this.id = id;
+    this.service = service;
+    this.workMillis = workMillis;
+    this.listener = new ServerSocket(0, 256, InetAddress.getByName(ip));
+    start(this::accept);
+    start(this::heartbeat);
+  }
+
+  private static void start(Runnable task) {
+    Thread thread = new Thread(task, "replica");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void heartbeat() {
+    while (!stopped) {
+      register();
+      try {
+        Thread.sleep(1_200);
+      } catch (InterruptedException e) {
+        return;
+      }
+    }
+  }
+
+  /** Reports that this replica leaves; returns when the store has accepted it. */
+  void drain() {
+    draining = true;
+    register();
+    record.line("draining %s confirmed", id);
+  }
+
+  private synchronized void register() {
+      ObjectNode spec = Json.MAPPER.createObjectNode();
+      spec.put("service", service)
+          .put("address", ip + ":" + listener.getLocalPort())
+          .put("zone", "zone-a")
+          .put("version", "v1")
+          .put("slots", 24)
+          .put("state", draining ? "draining" : "ready")
+          .put("cold_remaining_ms", 0)
+          .put("born", born)
+          .put("sequence", ++sequence);
+      store.put("servers", id, spec);
+  }
+
+  void stop() throws IOException {
+    stopped = true;
+    listener.close();
+  }
+
+  private void accept() {
+    while (!stopped) {
+      try {
+        Socket socket = listener.accept();
+        start(() -> serve(socket));
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      socket.setTcpNoDelay(true);
+      BufferedInputStream in = new BufferedInputStream(socket.getInputStream(), 65_536);
+      OutputStream out = socket.getOutputStream();
+      for (HttpMessage request = HttpMessage.read(in);
+          request != null;
+          request = HttpMessage.read(in)) {
+        out.write(answer(request));
+      }
+    } catch (IOException e) {
+      // The caller has closed its connection.
+    }
+  }
+
+  private byte[] answer(HttpMessage request) {
+    String attempt = request.headers().getOrDefault("X-Basilport-Attempt-Id", "");
+    if (request.startLine().startsWith("GET /health")) {
+      return head(200, "X-Basilport-Replica-Id: " + id, 0);
+    }
+    if (!id.equals(request.headers().getOrDefault("X-Basilport-Expect-Replica", id))) {
+      return head(421, "X-Basilport-Replica-Id: " + id, 0);
+    }
+    int run = runs.computeIfAbsent(attempt, key -> new AtomicInteger()).incrementAndGet();
+    runTimes.put(attempt, record.millis());
+    record.line("run %s at %s, run %d, body %d", attempt, id, run, request.body().length);
+    try {
+      Thread.sleep(workMillis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    byte[] body = ("done " + attempt).getBytes(StandardCharsets.US_ASCII);
+    byte[] head =
+        head(
+            200,
+            "X-Basilport-Attempt-Id: " + attempt + "\r\nX-Basilport-Replica-Seal: seal-" + attempt
+                + "\r\nKeep-Alive: timeout=30",
+            body.length);
+    byte[] answer = new byte[head.length + body.length];
+    System.arraycopy(head, 0, answer, 0, head.length);
+    System.arraycopy(body, 0, answer, head.length, body.length);
+    return answer;
+  }
+
+  private static byte[] head(int status, String headers, int length) {
+    return ("HTTP/1.1 " + status + " -\r\n" + headers + "\r\nContent-Length: " + length + "\r\n\r\n")
+        .getBytes(StandardCharsets.US_ASCII);
+  }
+}
