--- a/review/standins-2/AppReplica.java
+++ b/review/standins-2/AppReplica.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -67,6 +68,20 @@
     record.line("draining %s confirmed", id);
   }
 
+  /** Whether no request reached this replica later than the limit after its report was confirmed. */
+  boolean notReachedAfter(long confirmedAtMillis, long limitMillis) {
+    List<Long> late =
+        runTimes.values().stream()
+            .map(at -> at - confirmedAtMillis)
+            .filter(after -> after > limitMillis)
+            .sorted()
+            .toList();
+    record.line(
+        "requests that reached %s later than %d ms after the confirmation: %d, latest after %d ms",
+        id, limitMillis, late.size(), late.isEmpty() ? 0 : late.get(late.size() - 1));
+    return late.isEmpty();
+  }
+
   private synchronized void register() {
       ObjectNode spec = Json.MAPPER.createObjectNode();
       spec.put("service", service)
--- a/review/standins-2/OddEntriesCase.java
+++ b/review/standins-2/OddEntriesCase.java
@@ -1,7 +1,5 @@
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 
 /**
  * Another writer puts entries of the largest permitted size under the kind of the replicas; then a
@@ -45,19 +43,6 @@
     long confirmedAt = record.millis();
     Thread.sleep(12_000);
     traffic.stop();
-    Map<String, Long> late = new TreeMap<>();
-    leaving.runTimes.forEach(
-        (id, at) -> {
-          if (at > confirmedAt + DRAIN_MILLIS) {
-            late.put(id, at - confirmedAt);
-          }
-        });
-    record.line(
-        "requests that reached %s later than %d ms after the confirmation: %d, latest after %d ms",
-        leaving.id,
-        DRAIN_MILLIS,
-        late.size(),
-        late.values().stream().mapToLong(Long::longValue).max().orElse(0));
-    return late.isEmpty();
+    return leaving.notReachedAfter(confirmedAt, DRAIN_MILLIS);
   }
 }
--- a/review/standins-2/PlatformStore.java
+++ b/review/standins-2/PlatformStore.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -21,6 +22,9 @@
 
   private static final int MAX_BYTES = 1_048_576;
 
+  /** Mark in a spec for a byte that a writer with another character set put there. */
+  static final String LATIN_1_A_ACUTE = "@latin-1-e1@";
+
   private final Map<Long, Integer> sizes = new HashMap<>();
   private final List<Change> history = new ArrayList<>();
   private final HttpServer server;
@@ -224,12 +228,20 @@
   }
 
   private static void send(HttpExchange exchange, int status, JsonNode body) throws IOException {
-    byte[] bytes = Json.MAPPER.writeValueAsBytes(body);
+    byte[] bytes = asWritten(Json.MAPPER.writeValueAsBytes(body));
     exchange.getResponseHeaders().set("Content-Type", "application/json");
     exchange.sendResponseHeaders(status, bytes.length);
     exchange.getResponseBody().write(bytes);
   }
 
+  /** Replaces the marks by the bytes that stand for them; the store hands out what was written. */
+  private static byte[] asWritten(byte[] json) {
+    String text = new String(json, StandardCharsets.ISO_8859_1);
+    return text.contains(LATIN_1_A_ACUTE)
+        ? text.replace(LATIN_1_A_ACUTE, "\u00e1").getBytes(StandardCharsets.ISO_8859_1)
+        : json;
+  }
+
   private static Map<String, String> query(String text) {
     Map<String, String> values = new HashMap<>();
     if (text != null) {
