--- a/review/standins-2/AppReplica.java
+++ b/review/standins-2/AppReplica.java
@@ -20,6 +20,9 @@
   /** Time of the record at which each request began to run, by its id. */
   final Map<String, Long> runTimes = new ConcurrentHashMap<>();
 
+  /** Target of each request as it arrived, one character for each byte, by the id. */
+  final Map<String, String> targets = new ConcurrentHashMap<>();
+
   private final String ip;
   private final ServerSocket listener;
   private final PlatformStore store;
@@ -137,6 +140,7 @@
     }
     int run = runs.computeIfAbsent(attempt, key -> new AtomicInteger()).incrementAndGet();
     runTimes.put(attempt, record.millis());
+    targets.put(attempt, request.startLine().split(" ")[1]);
     record.line("run %s at %s, run %d, body %d", attempt, id, run, request.body().length);
     try {
       Thread.sleep(workMillis);
--- a/review/standins-2/Caller.java
+++ b/review/standins-2/Caller.java
@@ -25,7 +25,7 @@
         (method + " " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Basilport-Attempt-Id: " + id
                 + "\r\nX-Basilport-Deadline-Ms: " + deadlineMillis + "\r\nX-Basilport-Key: " + key
                 + "\r\nContent-Length: " + body.length + "\r\n\r\n")
-            .getBytes(StandardCharsets.US_ASCII));
+            .getBytes(StandardCharsets.ISO_8859_1));
     out.write(body);
     out.flush();
     return HttpMessage.read(in);
