--- a/review/standins-2/AppReplica.java
+++ b/review/standins-2/AppReplica.java
@@ -6,8 +6,10 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -30,6 +32,8 @@
   private final long workMillis;
   private final long born = System.currentTimeMillis();
   private long sequence;
+  private final Random random = new Random();
+  private volatile double garbledShare;
   private volatile boolean draining;
   private volatile boolean stopped;
 
@@ -123,13 +127,56 @@
       for (HttpMessage request = HttpMessage.read(in);
           request != null;
           request = HttpMessage.read(in)) {
-        out.write(answer(request));
+        byte[] answer = answer(request);
+        if (garbles()) {
+          out.write(garbled(request, answer));
+          return;
+        }
+        out.write(answer);
       }
     } catch (IOException e) {
       // The caller has closed its connection.
     }
   }
 
+  /**
+   * From now on breaks off a share of the answers within their bodies, begins a second answer
+   * there, breaks that off too and closes the channel.
+   */
+  void garble(double share) {
+    garbledShare = share;
+  }
+
+  private boolean garbles() {
+    synchronized (random) {
+      return random.nextDouble() < garbledShare;
+    }
+  }
+
+  /** Where either answer breaks off is drawn independently, within the length of the body. */
+  private byte[] garbled(HttpMessage request, byte[] answer) {
+    String id = request.headers().get("X-Basilport-Attempt-Id");
+    int bodyLength = body(id).length;
+    int missing;
+    int begun;
+    synchronized (random) {
+      missing = 1 + random.nextInt(bodyLength);
+      begun = 1 + random.nextInt(bodyLength);
+    }
+    record.line("%s breaks off %s: %d bytes missing, %d of a second answer", this.id, id, missing, begun);
+    byte[] second =
+        "HTTP/1.1 500 Internal Server Error\r\nConnection: close\r\n\r\n"
+            .getBytes(StandardCharsets.US_ASCII);
+    byte[] bytes = Arrays.copyOf(answer, answer.length - missing + begun);
+    System.arraycopy(second, 0, bytes, answer.length - missing, begun);
+    return bytes;
+  }
+
+  /** Body of the answer to a request. */
+  static byte[] body(String attempt) {
+    return ("done " + attempt).getBytes(StandardCharsets.US_ASCII);
+  }
+
   private byte[] answer(HttpMessage request) {
     String attempt = request.headers().getOrDefault("X-Basilport-Attempt-Id", "");
     if (request.startLine().startsWith("GET /health")) {
@@ -147,7 +194,7 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    byte[] body = ("done " + attempt).getBytes(StandardCharsets.US_ASCII);
+    byte[] body = body(attempt);
     byte[] head =
         head(
             200,
--- a/review/standins-2/Traffic.java
+++ b/review/standins-2/Traffic.java
@@ -1,5 +1,7 @@
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.IntSupplier;
@@ -18,9 +20,11 @@
    * One request.
    *
    * @param status status of the answer; 0 if there was none
+   * @param whole whether the body of a success is the one that the replica gives
    * @param millis time to the answer, or to the end of the wait for it
    */
-  record Call(String id, String path, long sentAtMillis, int status, long millis) {
+  record Call(
+      String id, String path, long sentAtMillis, int status, boolean whole, long millis) {
     boolean unansweredAt(long afterMillis) {
       return status == 0 || millis > afterMillis;
     }
@@ -35,12 +39,17 @@
     String id = deployment.nextId();
     long sentAt = deployment.record.millis();
     int status = 0;
+    boolean whole = true;
     String what;
     try {
       HttpMessage answer =
           caller.call("POST", path, id, Deployment.KEY, PATIENCE_MILLIS, body);
       status = answer == null ? 0 : answer.status();
       what = answer == null ? "channel closed without an answer" : answer.startLine();
+      if (status == 200 && !Arrays.equals(answer.body(), AppReplica.body(id))) {
+        whole = false;
+        what += " with the body \"" + new String(answer.body(), StandardCharsets.ISO_8859_1) + "\"";
+      }
     } catch (IOException e) {
       what = "no answer: " + e;
     }
@@ -48,7 +57,7 @@
     deployment.record.line(
         "request %s %s body %d sent at %d: %s after %d ms", id, path, body.length, sentAt, what, millis);
     synchronized (calls) {
-      calls.add(new Call(id, path, sentAt, status, millis));
+      calls.add(new Call(id, path, sentAt, status, whole, millis));
     }
     return status != 0;
   }
